--- /dev/null
+++ b/cmd/larchwinch-control/main.go
@@ -0,0 +1,13 @@
+// Command larchwinch-control holds a replica of the system's own state.
+package main
+
+import (
+	"os"
+
+	"github.com/larchwinch/larchwinch/pkg/cmds/cmdutil"
+	"github.com/larchwinch/larchwinch/pkg/cmds/controlcmd"
+)
+
+func main() {
+	os.Exit(cmdutil.Main(controlcmd.New()))
+}
--- /dev/null
+++ b/cmd/larchwinch-load/main.go
@@ -0,0 +1,4 @@
+// Command larchwinch-load sends load and checks every answer.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/chain/call.go
@@ -0,0 +1,108 @@
+package chain
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/api"
+)
+
+// statusError says that an engine refused a call.
+type statusError struct {
+	status int
+}
+
+// Error implements error.
+func (e *statusError) Error() string {
+	return "the engine answered " + http.StatusText(e.status)
+}
+
+// call posts in to an engine and decodes the answer into out, unless out is nil.
+func (r *Runner) call(ctx context.Context, timeout time.Duration, address, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := r.post(ctx, address, path, in)
+	if err != nil {
+		return err
+	}
+	defer closeBody(resp)
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
+
+// get decodes what an engine has at path into out.
+func (r *Runner) get(ctx context.Context, timeout time.Duration, address, path string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "request")
+	}
+	resp, err := r.cfg.Client.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "call engine")
+	}
+	defer closeBody(resp)
+	if resp.StatusCode != http.StatusOK {
+		return &statusError{
+			status: resp.StatusCode,
+		}
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return errors.Wrap(err, "decode answer")
+	}
+	return nil
+}
+
+// post returns an answer of status 200; its body must be closed.
+func (r *Runner) post(ctx context.Context, address, path string, in any) (*http.Response, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	resp, err := r.cfg.Client.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "call engine")
+	}
+	if resp.StatusCode != http.StatusOK {
+		closeBody(resp)
+		return nil, &statusError{
+			status: resp.StatusCode,
+		}
+	}
+	return resp, nil
+}
+
+// closeBody reads the little that is left, so that the connection is kept.
+func closeBody(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, 4096)
+	_ = resp.Body.Close()
+}
+
+// reasonOf names the reason of a failed call as engines do.
+func reasonOf(err error) string {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return api.FaultUnreachable
+	}
+	var status *statusError
+	if errors.As(err, &status) {
+		return "refused"
+	}
+	return api.FaultLost
+}
--- /dev/null
+++ b/pkg/chain/open.go
@@ -0,0 +1,70 @@
+package chain
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/group"
+)
+
+const (
+	openTimeout   = 400 * time.Millisecond
+	cancelTimeout = 2 * time.Second
+)
+
+// openAll opens the present attempt on every stage at once. It returns the
+// stages that didn't take it.
+func (x *execution) openAll(ctx context.Context) lostStages {
+	timeouts := x.stepTimeouts()
+	var mu sync.Mutex
+	failed := lostStages{}
+	g := group.New(ctx)
+	defer g.Stop()
+	for i := range x.stages {
+		g.Go(func(ctx context.Context) {
+			if reason := x.openOne(ctx, i, timeouts[i]); reason != "" {
+				mu.Lock()
+				failed[x.stages[i].endpoint.Address()] = reason
+				mu.Unlock()
+			}
+		})
+	}
+	g.Wait()
+	return failed
+}
+
+func (x *execution) openOne(ctx context.Context, i int, t stepTimeout) string {
+	s := x.stages[i]
+	o := api.EngineOpen{
+		Request:        x.req.ID,
+		Attempt:        x.attempt,
+		Model:          x.req.Model.Name,
+		ModelVersion:   x.req.Model.Version,
+		Priority:       x.req.Priority,
+		Seed:           x.req.Seed,
+		NextTimeoutMS:  int(t.base.Milliseconds()),
+		NextPositionUS: int(t.position.Microseconds()),
+	}
+	if i+1 < len(x.stages) {
+		o.Next = x.stages[i+1].endpoint.Address()
+	}
+	reply := api.EngineOpened{}
+	began := x.r.cfg.Timer.Now()
+	if err := x.r.call(ctx, openTimeout, s.endpoint.Address(), api.EngineOpenPath, o, &reply); err != nil {
+		s.endpoint.Failed()
+		return reasonOf(err)
+	}
+	s.have = reply.Have
+	if s.open {
+		s.endpoint.Closed() // opened anew: counted once
+	}
+	s.open = true
+	s.endpoint.Opened(reply.Load.Sessions, x.r.cfg.Timer.Now().Sub(began))
+	return ""
+}
+
+func (r *Runner) cancel(ctx context.Context, address string, c api.EngineCancel) {
+	_ = r.call(ctx, cancelTimeout, address, api.EngineCancelPath, c, nil) // the engine drops orphans by itself
+}
--- /dev/null
+++ b/pkg/chain/watchdog.go
@@ -0,0 +1,98 @@
+package chain
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// watchdog cancels streams that are silent for too long. One ticker serves
+// all streams, since a timer set and unset for each token costs more than the
+// token does.
+type watchdog struct {
+	svc timer.Service
+
+	mu      sync.Mutex
+	watched map[*watch]struct{}
+}
+
+// watch is one stream under the watchdog.
+type watch struct {
+	mu      sync.Mutex
+	until   time.Time
+	expired bool
+	cancel  context.CancelFunc
+}
+
+const watchdogTick = 10 * time.Millisecond
+
+func newWatchdog(svc timer.Service) *watchdog {
+	return &watchdog{
+		svc:     svc,
+		watched: map[*watch]struct{}{},
+	}
+}
+
+func (d *watchdog) run(ctx context.Context) {
+	ticks := d.svc.Every(watchdogTick)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+			d.check(d.svc.Now())
+		}
+	}
+}
+
+func (d *watchdog) check(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for w := range d.watched {
+		w.check(now)
+	}
+}
+
+func (w *watch) check(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.expired && now.After(w.until) {
+		w.expired = true
+		w.cancel()
+	}
+}
+
+// add puts a stream under the watchdog until remove.
+func (d *watchdog) add(until time.Time, cancel context.CancelFunc) *watch {
+	w := &watch{
+		until:  until,
+		cancel: cancel,
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.watched[w] = struct{}{}
+	return w
+}
+
+func (d *watchdog) remove(w *watch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.watched, w)
+}
+
+// extend gives the stream until a later time.
+func (w *watch) extend(until time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.until = until
+}
+
+// hasExpired reports whether the watchdog cancelled the stream.
+func (w *watch) hasExpired() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.expired
+}
--- /dev/null
+++ b/pkg/cmds/cmdutil/run.go
@@ -0,0 +1,108 @@
+// Package cmdutil is what the programs' commands share: exit codes, signals
+// and servers in a run group.
+package cmdutil
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+)
+
+// Exit codes, as documented in docs/cli.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1 // the work failed
+	ExitUsage    = 2 // the command line or a settings file is wrong
+	ExitRefused  = 3 // the system refused, and would again
+	ExitComeBack = 4 // the system refused for now; try again later
+)
+
+// ExitError carries an exit code.
+type ExitError struct {
+	Code int
+	Err  error
+}
+
+// Error implements error.
+func (e *ExitError) Error() string {
+	return e.Err.Error()
+}
+
+// Unwrap returns what went wrong.
+func (e *ExitError) Unwrap() error {
+	return e.Err
+}
+
+// Usage marks err as one of the command line or of settings.
+func Usage(err error) error {
+	return &ExitError{
+		Code: ExitUsage,
+		Err:  err,
+	}
+}
+
+// Main runs a command and returns the exit code.
+func Main(cmd *cobra.Command) int {
+	cmd.SilenceErrors = true
+	cmd.SilenceUsage = true
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return Usage(err)
+	})
+	err := cmd.Execute()
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(os.Stderr, err)
+	var exit *ExitError
+	if errors.As(err, &exit) {
+		return exit.Code
+	}
+	return ExitFailed
+}
+
+// AddServer adds an HTTP server to the run group.
+func AddServer(g *run.Group, s *netutil.Server) {
+	g.Add(s.Serve, func(error) {
+		s.Close()
+	})
+}
+
+// AddSignals ends the run group on SIGINT or SIGTERM, after before has
+// returned or taken longer than timeout.
+func AddSignals(g *run.Group, timeout time.Duration, before func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+		defer signal.Stop(signals)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+		}
+		drain, stop := context.WithTimeout(ctx, timeout)
+		defer stop()
+		before(drain)
+		return nil
+	}, func(error) {
+		cancel()
+	})
+}
+
+// AddLoop adds a function that works until its context ends.
+func AddLoop(g *run.Group, f func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error {
+		return f(ctx)
+	}, func(error) {
+		cancel()
+	})
+}
--- /dev/null
+++ b/pkg/cmds/controlcmd/control.go
@@ -0,0 +1,105 @@
+// Package controlcmd is the command line of larchwinch-control.
+package controlcmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/cmds/cmdutil"
+	"github.com/larchwinch/larchwinch/pkg/config"
+	"github.com/larchwinch/larchwinch/pkg/control"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/logflags"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
+	"github.com/larchwinch/larchwinch/pkg/store"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	"github.com/larchwinch/larchwinch/pkg/version"
+	"github.com/oklog/run"
+	"github.com/spf13/cobra"
+)
+
+const drainTimeout = 5 * time.Second
+
+type options struct {
+	file  string
+	check bool
+	start control.Start
+}
+
+// New returns the command.
+func New() *cobra.Command {
+	o := options{}
+	cmd := &cobra.Command{
+		Use:     "larchwinch-control --config FILE",
+		Short:   "Hold a replica of the system's own state",
+		Version: version.String(),
+		Args:    cobra.NoArgs,
+		RunE: func(_ *cobra.Command, _ []string) error {
+			cfg, err := config.ReadControl(o.file)
+			if err != nil {
+				return cmdutil.Usage(err)
+			}
+			if o.check {
+				fmt.Println(o.file + ": good")
+				return nil
+			}
+			return serve(cfg, o.start)
+		},
+	}
+	cmd.Flags().StringVar(&o.file, "config", "", "settings file (required)")
+	cmd.Flags().BoolVar(&o.check, "check", false, "check the settings, and do nothing else")
+	cmd.Flags().BoolVar(&o.start.NewCluster, "new-cluster", false, "found a cluster of the replicas in the settings, if the data folder is empty")
+	cmd.Flags().BoolVar(&o.start.Join, "join", false, "start with an empty data folder, as a replica that operators have added")
+	_ = cmd.MarkFlagRequired("config") // the flag exists
+	return cmd
+}
+
+func serve(cfg *config.Control, start control.Start) error {
+	if err := logflags.Setup(cfg.Log); err != nil {
+		return cmdutil.Usage(err)
+	}
+	disk, err := store.OpenFolder(cfg.Data)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = disk.Close() }()
+	client, err := netutil.NewClient(cfg.RPCAddress)
+	if err != nil {
+		return err
+	}
+	set := metrics.New()
+	work := group.New(context.Background())
+	defer work.Stop()
+	s, err := control.New(cfg, disk, start, timer.NewSystem(), client, set, work)
+	if err != nil {
+		return err
+	}
+	var g run.Group
+	if err := addServers(&g, cfg, s, set); err != nil {
+		return err
+	}
+	cmdutil.AddLoop(&g, s.Run)
+	cmdutil.AddSignals(&g, drainTimeout, func(context.Context) {})
+	return g.Run()
+}
+
+func addServers(g *run.Group, cfg *config.Control, s *control.Server, set *metrics.Set) error {
+	rpcServer, err := netutil.Listen(cfg.RPCAddress, s.RPC())
+	if err != nil {
+		return err
+	}
+	cmdutil.AddServer(g, rpcServer)
+	admin, err := netutil.Listen(cfg.AdminAddress, s.Admin())
+	if err != nil {
+		return err
+	}
+	cmdutil.AddServer(g, admin)
+	scrape, err := netutil.Listen(cfg.Metrics, set.Handler())
+	if err != nil {
+		return err
+	}
+	cmdutil.AddServer(g, scrape)
+	return nil
+}
--- /dev/null
+++ b/pkg/config/common.go
@@ -0,0 +1,101 @@
+// Package config reads and checks the settings of each program. A settings
+// file is checked whole; every problem is reported at once.
+package config
+
+import (
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/check"
+)
+
+// Duration is a length of time, written with a unit as in "250ms" or "10s".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errors.Errorf("%q is no duration; allowed: a number with ms, s, m or h, such as 250ms", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Or returns the duration, or the default def if none is set.
+func (d Duration) Or(def time.Duration) time.Duration {
+	if d == 0 {
+		return def
+	}
+	return time.Duration(d)
+}
+
+// Signer is an operator whose signature under a bundle counts.
+type Signer struct {
+	Name      string   `toml:"name"`
+	PublicKey string   `toml:"public_key"`
+	Bundles   []string `toml:"bundles"`
+}
+
+// Place is who and where a process is; every settings file begins with it.
+type Place struct {
+	Host    string `toml:"host"`
+	Domain  string `toml:"domain"`
+	Log     string `toml:"log"`
+	Metrics string `toml:"metrics_address"`
+}
+
+func (l Place) check(p *check.Problems) {
+	p.Name("host", l.Host)
+	p.Name("domain", l.Domain)
+	p.Address("metrics_address", l.Metrics)
+}
+
+// Trust is whose signatures count, and how many a bundle needs.
+type Trust struct {
+	RequiredSignatures int      `toml:"required_signatures"`
+	Signers            []Signer `toml:"signer"`
+}
+
+func (t Trust) check(p *check.Problems) {
+	p.Range("required_signatures", t.RequiredSignatures, 1, max(1, len(t.Signers)))
+	if len(t.Signers) == 0 {
+		p.Add("signer", "at least one", "missing")
+	}
+	seen := map[string]bool{}
+	for i, s := range t.Signers {
+		at := key("signer", i)
+		p.Name(at+"name", s.Name)
+		p.Unique(at+"name", s.Name, seen)
+		if _, err := bundle.NewSigner(s.Name, s.PublicKey, s.Bundles); err != nil {
+			p.Add(at+"public_key", "what `larchwinch key new` prints", "%v", err)
+		}
+		if len(s.Bundles) == 0 {
+			p.Add(at+"bundles", `names of bundles, or "*"`, "missing")
+		}
+	}
+}
+
+// Build returns the checked Trust.
+func (t Trust) Build() (*bundle.Trust, error) {
+	signers := make([]bundle.Signer, 0, len(t.Signers))
+	for _, s := range t.Signers {
+		one, err := bundle.NewSigner(s.Name, s.PublicKey, s.Bundles)
+		if err != nil {
+			return nil, err
+		}
+		signers = append(signers, one)
+	}
+	return bundle.NewTrust(signers, t.RequiredSignatures), nil
+}
+
+func read(file string, v any, p *check.Problems) bool {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		p.Add("(file)", "a file that can be read", "%v", err)
+		return false
+	}
+	return p.Decode(text, v)
+}
--- /dev/null
+++ b/pkg/config/control.go
@@ -0,0 +1,101 @@
+package config
+
+import (
+	"github.com/larchwinch/larchwinch/pkg/check"
+)
+
+// Control is the settings of a control replica.
+type Control struct {
+	Place
+	Trust
+	ID           uint64     `toml:"id"`
+	RPCAddress   string     `toml:"rpc_address"`
+	AdminAddress string     `toml:"admin_address"`
+	Data         string     `toml:"data"`
+	HostList     string     `toml:"host_list"`
+	Replicas     []Replica  `toml:"replica"`
+	Operators    []Operator `toml:"operator"`
+	Tick         Duration   `toml:"tick"`
+	ClaimWindow  Duration   `toml:"claim_window"`
+}
+
+// Replica is one member of the replicated log.
+type Replica struct {
+	ID           uint64 `toml:"id"`
+	Address      string `toml:"address"`
+	AdminAddress string `toml:"admin_address"`
+}
+
+// Operator is a person or program that may use the administration API.
+type Operator struct {
+	Name      string   `toml:"name"`
+	KeySHA256 string   `toml:"key_sha256"`
+	Roles     []string `toml:"roles"`
+	Bundles   []string `toml:"bundles"`
+}
+
+// The roles of an operator.
+const (
+	RoleRead   = "read"
+	RoleSubmit = "submit"
+)
+
+const maxReplicas = 9
+
+// ReadControl reads and checks a control replica's settings.
+func ReadControl(file string) (*Control, error) {
+	p := check.New(file)
+	c := &Control{}
+	if !read(file, c, p) {
+		return nil, p.Err()
+	}
+	c.check(p)
+	return c, p.Err()
+}
+
+func (c *Control) check(p *check.Problems) {
+	c.Place.check(p)
+	c.Trust.check(p)
+	p.Address("rpc_address", c.RPCAddress)
+	p.Address("admin_address", c.AdminAddress)
+	if c.Data == "" {
+		p.Add("data", "a folder on a disk", "missing")
+	}
+	checkURL("host_list", c.HostList, p)
+	c.checkReplicas(p)
+	c.checkOperators(p)
+}
+
+func (c *Control) checkReplicas(p *check.Problems) {
+	p.Range("replica", len(c.Replicas), 1, maxReplicas)
+	ids := map[uint64]bool{}
+	addresses := map[string]bool{}
+	for i, r := range c.Replicas {
+		at := key("replica", i)
+		p.Address(at+"address", r.Address)
+		p.Address(at+"admin_address", r.AdminAddress)
+		p.Unique(at+"address", r.Address, addresses)
+		if r.ID == 0 || ids[r.ID] {
+			p.Add(at+"id", "1 or more, each once", "%d is missing or stands twice", r.ID)
+		}
+		ids[r.ID] = true
+	}
+	if !ids[c.ID] {
+		p.Add("id", "the id of one of the replicas", "%d is none of them", c.ID)
+	}
+}
+
+func (c *Control) checkOperators(p *check.Problems) {
+	seen := map[string]bool{}
+	for i, o := range c.Operators {
+		at := key("operator", i)
+		p.Name(at+"name", o.Name)
+		p.Unique(at+"name", o.Name, seen)
+		p.SHA256(at+"key_sha256", o.KeySHA256)
+		for _, r := range o.Roles {
+			if r != RoleRead && r != RoleSubmit {
+				p.Add(at+"roles", "read, submit", "%q is no role", r)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/control/admin.go
@@ -0,0 +1,135 @@
+package control
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/answer"
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/config"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/logflags"
+	"github.com/larchwinch/larchwinch/pkg/replica"
+)
+
+// adminCall serves one path of the administration API for an operator.
+type adminCall func(r *http.Request, who config.Operator) (any, error)
+
+// route is one path of the administration API.
+type route struct {
+	method string
+	path   string
+	role   string
+	call   adminCall
+}
+
+func (s *Server) routes() []route {
+	return []route{
+		{method: http.MethodGet, path: api.AdminBundlesPath, role: config.RoleRead, call: s.listBundles},
+		{method: http.MethodPost, path: api.AdminBundlesPath, role: config.RoleSubmit, call: s.submitBundle},
+		{method: http.MethodGet, path: api.AdminBundlesPath + "/{name}", role: config.RoleRead, call: s.bundleHistory},
+		{method: http.MethodGet, path: api.AdminBundlesPath + "/{name}/{version}", role: config.RoleRead, call: s.bundleVersion},
+		{method: http.MethodGet, path: api.AdminRolloutPath, role: config.RoleRead, call: s.rollout},
+		{method: http.MethodGet, path: api.AdminHostsPath, role: config.RoleRead, call: s.listHosts},
+		{method: http.MethodGet, path: api.AdminEndpointsPath, role: config.RoleRead, call: s.listEndpoints},
+		{method: http.MethodGet, path: api.AdminReplicasPath, role: config.RoleRead, call: s.listReplicas},
+		{method: http.MethodPut, path: api.AdminReplicasPath + "/{id}", role: config.RoleSubmit, call: s.addReplica},
+		{method: http.MethodDelete, path: api.AdminReplicasPath + "/{id}", role: config.RoleSubmit, call: s.removeReplica},
+	}
+}
+
+// Admin returns the handler of the administration API.
+func (s *Server) Admin() http.Handler {
+	mux := http.NewServeMux()
+	for _, rt := range s.routes() {
+		mux.HandleFunc(rt.method+" "+rt.path, s.serveAdmin(rt))
+	}
+	mux.HandleFunc("GET "+api.AdminOpenAPIPath, serveOpenAPI)
+	mux.HandleFunc("GET "+api.HealthPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+	})
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		answer.Failure(w, failure.New(failure.NotFound, "there is nothing at %s %s", r.Method, r.URL.Path))
+	})
+	return mux
+}
+
+const maxAdminBody = 8 << 20
+
+func (s *Server) serveAdmin(rt route) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, maxAdminBody)
+		who, err := s.operator(r, rt.role)
+		if err != nil {
+			answer.Failure(w, err)
+			return
+		}
+		if err := s.node.ReadBarrier(r.Context()); err != nil {
+			redirect(w, r, err)
+			return
+		}
+		v, err := rt.call(r, who)
+		if err != nil {
+			redirect(w, r, err)
+			return
+		}
+		answer.JSON(w, v)
+	}
+}
+
+// redirect sends an operator to the leader, if that is what err says is
+// needed and the leader is known, and answers err if not.
+func redirect(w http.ResponseWriter, r *http.Request, err error) {
+	var not *replica.NotLeaderError
+	switch {
+	case errors.As(err, &not) && not.Leader != nil:
+		u := *r.URL
+		u.Scheme = "http"
+		u.Host = not.Leader.GetAdminAddress()
+		http.Redirect(w, r, u.String(), http.StatusTemporaryRedirect)
+	case errors.As(err, &not):
+		answer.Failure(w, unavailable(err, failure.RanNo))
+	case errors.Is(err, replica.ErrLost), errors.Is(err, context.DeadlineExceeded):
+		answer.Failure(w, unavailable(err, failure.RanUnknown))
+	default:
+		answer.Failure(w, err)
+	}
+}
+
+// operator returns who makes the request, if they have the role.
+func (s *Server) operator(r *http.Request, role string) (config.Operator, error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return config.Operator{}, failure.New(failure.Unauthenticated, "an operator's key is needed: Authorization: Bearer <key>")
+	}
+	digest := []byte(bundle.KeyDigest(key))
+	for _, o := range s.cfg.Operators {
+		if subtle.ConstantTimeCompare(digest, []byte(o.KeySHA256)) != 1 {
+			continue
+		}
+		for _, has := range o.Roles {
+			if has == role {
+				return o, nil
+			}
+		}
+		return config.Operator{}, failure.New(failure.Forbidden, "operator %q lacks the role %q", o.Name, role)
+	}
+	return config.Operator{}, failure.New(failure.Unauthenticated, "the key belongs to no operator")
+}
+
+func mayTouch(o config.Operator, name string) bool {
+	for _, b := range o.Bundles {
+		if b == bundle.AnyBundle || b == name {
+			return true
+		}
+	}
+	return false
+}
+
+func logAccepted(who config.Operator, v api.BundleVersion) {
+	logflags.Info(logflags.Admin, "bundle accepted", "operator", who.Name, "bundle", v.Name, "version", v.Version, "revision", v.Revision)
+}
--- /dev/null
+++ b/pkg/control/forward.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/replica"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/twitchtv/twirp"
+)
+
+// A follower passes what only the leader can do on to it, once: a call that
+// was passed on before is refused, so that two replicas which each take the
+// other for the leader don't pass it to and fro.
+
+const forwardedHeader = "Larchwinch-Forwarded"
+
+type forwardedKey struct{}
+
+func markForwarded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(forwardedHeader) != "" {
+			r = r.WithContext(context.WithValue(r.Context(), forwardedKey{}, true))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// leader returns the address to pass a call on to, after err, and the context
+// to do it with; or an error if it can't be passed on.
+func (s *Server) leader(ctx context.Context, err error) (context.Context, string, error) {
+	var not *replica.NotLeaderError
+	if !errors.As(err, &not) {
+		return nil, "", twirpError(err)
+	}
+	if not.Leader == nil || not.Leader.GetId() == s.cfg.ID || ctx.Value(forwardedKey{}) != nil {
+		return nil, "", twirpError(err)
+	}
+	h := http.Header{}
+	h.Set(forwardedHeader, "1")
+	ctx, err = twirp.WithHTTPRequestHeaders(ctx, h)
+	if err != nil {
+		return nil, "", twirp.InternalErrorWith(err)
+	}
+	return ctx, "http://" + not.Leader.GetAddress(), nil
+}
+
+// Claim implements rpc.Claims.
+func (s *Server) Claim(ctx context.Context, r *rpc.ClaimRequest) (*rpc.ClaimReply, error) {
+	reply, err := s.propose(ctx, &rpc.Command{
+		Kind: &rpc.Command_Claim{
+			Claim: r,
+		},
+	})
+	if err == nil {
+		s.metrics.Counter("claims_total").Inc(1)
+		return reply.GetClaim(), nil
+	}
+	fctx, address, ferr := s.leader(ctx, err)
+	if ferr != nil {
+		return nil, ferr
+	}
+	return rpc.NewClaimsProtobufClient(address, s.client).Claim(fctx, r)
+}
+
+// Settle implements rpc.Claims.
+func (s *Server) Settle(ctx context.Context, r *rpc.SettleRequest) (*rpc.SettleReply, error) {
+	reply, err := s.propose(ctx, &rpc.Command{
+		Kind: &rpc.Command_Settle{
+			Settle: r,
+		},
+	})
+	if err == nil {
+		return reply.GetSettle(), nil
+	}
+	fctx, address, ferr := s.leader(ctx, err)
+	if ferr != nil {
+		return nil, ferr
+	}
+	return rpc.NewClaimsProtobufClient(address, s.client).Settle(fctx, r)
+}
+
+// Beat implements rpc.Presence.
+func (s *Server) Beat(ctx context.Context, r *rpc.BeatRequest) (*rpc.BeatReply, error) {
+	if s.node.HoldsLease() {
+		return s.presence.beat(s.svc.Now(), s.node.Status().Term, r), nil
+	}
+	st := s.node.Status()
+	fctx, address, err := s.leader(ctx, &replica.NotLeaderError{
+		Leader: st.Leader,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return rpc.NewPresenceProtobufClient(address, s.client).Beat(fctx, r)
+}
--- /dev/null
+++ b/pkg/control/rollout.go
@@ -0,0 +1,80 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+)
+
+// Fetch implements rpc.Rollout. The leader confirms by a read barrier that
+// nothing newer was accepted. A follower passes the call on, and answers with
+// what it holds, unconfirmed, if the leader can't be reached.
+func (s *Server) Fetch(ctx context.Context, r *rpc.FetchRequest) (*rpc.FetchReply, error) {
+	s.waitNewer(ctx, r)
+	err := s.node.ReadBarrier(ctx)
+	if err == nil {
+		reply := s.held(r.GetKnownRevision())
+		reply.Confirmed = true
+		return reply, nil
+	}
+	fctx, address, ferr := s.leader(ctx, err)
+	if ferr == nil {
+		at := &rpc.FetchRequest{
+			Host:          r.GetHost(),
+			KnownRevision: r.GetKnownRevision(),
+		}
+		if reply, err := rpc.NewRolloutProtobufClient(address, s.client).Fetch(fctx, at); err == nil {
+			return reply, nil
+		}
+	}
+	return s.held(r.GetKnownRevision()), nil
+}
+
+// waitNewer waits until this replica holds a newer set than is known, but not
+// for longer than asked.
+func (s *Server) waitNewer(ctx context.Context, r *rpc.FetchRequest) {
+	wait := min(time.Duration(r.GetWaitMs())*time.Millisecond, maxFetchWait)
+	if wait == 0 {
+		return
+	}
+	timeout := s.svc.After(wait)
+	for {
+		changed := s.machine.Changed()
+		if s.machine.Revision() > r.GetKnownRevision() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// held returns what changed since known, as this replica holds it. Bundles are
+// never removed, so what changed is all that the asker lacks.
+func (s *Server) held(known uint64) *rpc.FetchReply {
+	wire := s.machine.Wire()
+	return &rpc.FetchReply{
+		Revision: wire.GetRevision(),
+		Set:      since(wire, known),
+	}
+}
+
+func since(wire *rpc.BundleSet, known uint64) *rpc.BundleSet {
+	if wire.GetRevision() <= known {
+		return nil
+	}
+	delta := &rpc.BundleSet{
+		Revision: wire.GetRevision(),
+	}
+	for _, b := range wire.GetBundles() {
+		if b.GetRevision() > known {
+			delta.Bundles = append(delta.Bundles, b)
+		}
+	}
+	return delta
+}
--- /dev/null
+++ b/pkg/control/server.go
@@ -0,0 +1,207 @@
+// Package control is a control host: one replica of the system's own state,
+// the services it gives entry hosts, and the administration API.
+package control
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/config"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/logflags"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/raft"
+	"github.com/larchwinch/larchwinch/pkg/replica"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/state"
+	"github.com/larchwinch/larchwinch/pkg/store"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	defaultTick        = 20 * time.Millisecond
+	defaultClaimWindow = 10 * time.Minute
+	proposeTimeout     = 5 * time.Second
+	maxFetchWait       = 20 * time.Second
+	listInterval       = time.Second
+	judgeInterval      = 500 * time.Millisecond
+)
+
+// Server is a control host.
+type Server struct {
+	cfg      *config.Control
+	svc      timer.Service
+	client   *http.Client
+	trust    *bundle.Trust
+	machine  *state.Machine
+	store    *store.Store
+	node     *replica.Node
+	presence *presence
+	metrics  *metrics.Set
+}
+
+// ErrNotInitialised says that a replica's data folder is empty and nothing
+// said that it may be.
+var ErrNotInitialised = errors.New("the data folder is empty; start with --new-cluster to found a cluster, " +
+	"or with --join if operators have added this id as a new replica. A replica that lost its disk must come back under a new id")
+
+// Start says how a replica with an empty data folder may start.
+type Start struct {
+	NewCluster bool
+	Join       bool
+}
+
+// New opens the data folder and returns a control host; its transport's
+// goroutines run in g.
+func New(cfg *config.Control, disk store.Disk, start Start, svc timer.Service, client *http.Client, set *metrics.Set, g *group.Group) (*Server, error) {
+	trust, err := cfg.Build()
+	if err != nil {
+		return nil, err
+	}
+	st, err := store.Open(disk)
+	if err != nil {
+		return nil, err
+	}
+	if st.Empty() && !start.NewCluster && !start.Join {
+		return nil, ErrNotInitialised
+	}
+	s := &Server{
+		cfg:      cfg,
+		svc:      svc,
+		client:   client,
+		trust:    trust,
+		machine:  state.New(cfg.ClaimWindow.Or(defaultClaimWindow).Milliseconds()),
+		store:    st,
+		presence: newPresence(),
+		metrics:  set,
+	}
+	rc := replica.Config{
+		ID:        cfg.ID,
+		Tick:      cfg.Tick.Or(defaultTick),
+		Store:     st,
+		Machine:   s.machine,
+		Transport: replica.NewTwirpTransport(cfg.ID, client, g),
+		Timer:     svc,
+		Seed:      uint64(svc.Now().UnixNano()),
+	}
+	if start.NewCluster {
+		rc.Bootstrap = members(cfg.Replicas)
+	}
+	s.node, err = replica.New(rc)
+	return s, err
+}
+
+// Run works until ctx ends or the store fails.
+func (s *Server) Run(ctx context.Context) error {
+	g := group.New(ctx)
+	defer g.Stop()
+	g.Go(s.pollList)
+	g.Go(s.judge)
+	g.Go(s.countRole)
+	err := s.node.Run(ctx)
+	_ = s.store.Close() // everything acknowledged is synced
+	return err
+}
+
+// Node returns the replica.
+func (s *Server) Node() *replica.Node {
+	return s.node
+}
+
+// RPC returns the handler of the services for the system's own processes.
+func (s *Server) RPC() http.Handler {
+	mux := http.NewServeMux()
+	services := []rpc.TwirpServer{
+		rpc.NewReplicaServer(s),
+		rpc.NewRolloutServer(s),
+		rpc.NewClaimsServer(s),
+		rpc.NewPresenceServer(s),
+	}
+	for _, one := range services {
+		mux.Handle(one.PathPrefix(), one)
+	}
+	return markForwarded(mux)
+}
+
+// Deliver implements rpc.Replica.
+func (s *Server) Deliver(_ context.Context, batch *rpc.RaftBatch) (*rpc.Empty, error) {
+	s.node.Deliver(batch.GetMessages())
+	return &rpc.Empty{}, nil
+}
+
+// propose replicates a command and returns the state machine's answer.
+func (s *Server) propose(ctx context.Context, cmd *rpc.Command) (*rpc.CommandReply, error) {
+	cmd.UnixMs = s.svc.Now().UnixMilli()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	answer, err := s.node.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	reply := &rpc.CommandReply{}
+	if err := proto.Unmarshal(answer, reply); err != nil {
+		return nil, errors.Wrap(err, "decode reply")
+	}
+	return reply, nil
+}
+
+// unavailable turns a failure to reach a majority into an error of the table.
+// ran says what is known of the change.
+func unavailable(err error, ran failure.Ran) error {
+	return failure.Wrap(err, failure.ControlUnavailable, "no majority of the control replicas answered").WithRan(ran)
+}
+
+// countRole follows the role, and logs when it changes.
+func (s *Server) countRole(ctx context.Context) {
+	ticks := s.svc.Every(judgeInterval)
+	defer ticks.Stop()
+	last := raft.Follower
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+		}
+		st := s.node.Status()
+		if st.Role != last {
+			logflags.Info(logflags.Raft, "role changed", "role", st.Role.String(), "term", st.Term)
+			last = st.Role
+		}
+		s.metrics.Gauge("raft_term").Update(int64(st.Term))
+		s.metrics.Gauge("raft_commit").Update(int64(st.Commit))
+		s.metrics.Gauge("raft_leader").Update(boolGauge(st.Role == raft.Leader))
+		s.metrics.Gauge("log_bytes").Update(st.LogBytes)
+		s.metrics.Gauge("revision").Update(int64(s.machine.Revision()))
+		s.metrics.Gauge("claims").Update(int64(s.machine.Claims()))
+	}
+}
+
+func boolGauge(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// twirpError gives an error to another process of the system.
+func twirpError(err error) error {
+	var not *replica.NotLeaderError
+	switch {
+	case errors.As(err, &not):
+		return twirp.Unavailable.Error(err.Error())
+	case errors.Is(err, replica.ErrLost), errors.Is(err, context.DeadlineExceeded):
+		return twirp.DeadlineExceeded.Error(err.Error())
+	default:
+		return twirp.InternalErrorWith(err)
+	}
+}
--- /dev/null
+++ b/pkg/directory/directory.go
@@ -0,0 +1,267 @@
+// Package directory is an entry host's view of the endpoints: what the
+// control hosts say of them, joined with what this host's own requests see.
+package directory
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// Directory holds every endpoint that this host knows.
+//
+// Invariant: an *Endpoint stays the same object for as long as its address is
+// known, so that requests in flight and new ones share what is learnt.
+type Directory struct {
+	svc timer.Service
+
+	mu        sync.Mutex
+	epoch     uint64
+	version   uint64
+	endpoints map[string]*Endpoint
+	entries   []*rpc.EntryHost
+}
+
+// New returns an empty directory.
+func New(svc timer.Service) *Directory {
+	return &Directory{
+		svc:       svc,
+		endpoints: map[string]*Endpoint{},
+	}
+}
+
+// Known returns up to which version of which epoch this host holds the table.
+func (d *Directory) Known() (epoch, version uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.epoch, d.version
+}
+
+// Take joins a reply of the control hosts to the view. A whole table of a new
+// leader doesn't remove what it lacks: that leader may not have learnt it yet.
+func (d *Directory) Take(r *rpc.BeatReply) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(r.GetEntries()) > 0 {
+		d.entries = r.GetEntries()
+	}
+	if r.GetEpoch() == 0 {
+		return
+	}
+	d.epoch = r.GetEpoch()
+	d.version = r.GetVersion()
+	for _, info := range r.GetEndpoints() {
+		e := d.endpoints[info.GetAddress()]
+		if e == nil {
+			e = newEndpoint(d.svc, info)
+			d.endpoints[info.GetAddress()] = e
+			continue
+		}
+		e.update(info)
+	}
+	d.forgetDead()
+}
+
+func (d *Directory) forgetDead() {
+	for address, e := range d.endpoints {
+		if e.gone() {
+			delete(d.endpoints, address)
+		}
+	}
+}
+
+// Entries returns the entry hosts.
+func (d *Directory) Entries() []*rpc.EntryHost {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.entries
+}
+
+// Endpoint returns the endpoint at an address, or nil.
+func (d *Directory) Endpoint(address string) *Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.endpoints[address]
+}
+
+// Stages returns the engines that hold layers of a model's version and take
+// new work, sorted by address.
+func (d *Directory) Stages(model, version string) []*Endpoint {
+	return d.usable(func(i *rpc.Endpoint) bool {
+		return i.GetService() == "" && i.GetModel() == model && i.GetModelVersion() == version
+	})
+}
+
+// Service returns the endpoints of a plain service that take new work.
+func (d *Directory) Service(name string) []*Endpoint {
+	return d.usable(func(i *rpc.Endpoint) bool {
+		return i.GetService() == name
+	})
+}
+
+func (d *Directory) usable(match func(*rpc.Endpoint) bool) []*Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*Endpoint
+	for _, e := range d.endpoints {
+		if info := e.Info(); match(info) && takesWork(info.GetState()) {
+			list = append(list, e)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Address() < list[j].Address() })
+	return list
+}
+
+func takesWork(s rpc.EndpointState) bool {
+	return s == rpc.EndpointState_ENDPOINT_LIVE || s == rpc.EndpointState_ENDPOINT_SUSPECT
+}
+
+// Endpoint is one endpoint with what this host's own requests learnt of it.
+type Endpoint struct {
+	svc timer.Service
+
+	mu       sync.Mutex
+	info     *rpc.Endpoint
+	inflight int
+	reported int       // sessions, by the newest report
+	since    int       // sessions this host opened less those it closed since
+	reportAt time.Time // zero if there was no report
+	rtt      time.Duration
+	fails    int
+	avoid    time.Time // until when this host would rather not use it
+	joined   time.Time
+}
+
+// reportLife is for how long a load report says something.
+const reportLife = 2 * time.Second
+
+// An endpoint that failed is avoided for avoidFirst, doubled with each further
+// failure up to avoidMost.
+const (
+	avoidFirst = 500 * time.Millisecond
+	avoidMost  = 8 * time.Second
+)
+
+// rttShare is the weight of a new round-trip time in the average.
+const rttShare = 0.2
+
+func newEndpoint(svc timer.Service, info *rpc.Endpoint) *Endpoint {
+	return &Endpoint{
+		svc:    svc,
+		info:   info,
+		joined: svc.Now(),
+	}
+}
+
+// update takes what a control host says. A new leader that hasn't learnt yet
+// whether the endpoint answers doesn't make a live one unusable.
+func (e *Endpoint) update(info *rpc.Endpoint) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if info.GetState() == rpc.EndpointState_ENDPOINT_JOINING && takesWork(e.info.GetState()) {
+		return
+	}
+	if info.GetIncarnation() > e.info.GetIncarnation() {
+		e.joined = e.svc.Now()
+		e.fails = 0
+		e.avoid = time.Time{}
+		e.reportAt = time.Time{}
+	}
+	e.info = info
+}
+
+func (e *Endpoint) gone() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.info.GetState() == rpc.EndpointState_ENDPOINT_DEAD && e.inflight == 0
+}
+
+// Address returns the endpoint's IP number and port.
+func (e *Endpoint) Address() string {
+	return e.Info().GetAddress()
+}
+
+// Info returns what the control hosts say. The caller must not change it.
+func (e *Endpoint) Info() *rpc.Endpoint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.info
+}
+
+// Opened notes that this host opened a session, what load the answer reported
+// and how long the answer took.
+func (e *Endpoint) Opened(sessions int, rtt time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inflight++
+	e.reported = sessions
+	e.since = 0
+	e.reportAt = e.svc.Now()
+	e.fails = 0
+	e.avoid = time.Time{}
+	if e.rtt == 0 {
+		e.rtt = rtt
+		return
+	}
+	e.rtt += time.Duration(rttShare * float64(rtt-e.rtt))
+}
+
+// Closed notes that this host closed a session.
+func (e *Endpoint) Closed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.inflight--
+	e.since--
+}
+
+// Failed notes that the endpoint failed a request of this host.
+func (e *Endpoint) Failed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	d := avoidFirst << min(e.fails, 4)
+	e.fails++
+	e.avoid = e.svc.Now().Add(min(d, avoidMost))
+}
+
+// Avoided reports whether this host saw the endpoint fail a short while ago.
+func (e *Endpoint) Avoided() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.svc.Now().Before(e.avoid)
+}
+
+// Inflight returns how many sessions this host has open.
+func (e *Endpoint) Inflight() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.inflight
+}
+
+// RTT returns the average round-trip time of this host's calls; 0 if unknown.
+func (e *Endpoint) RTT() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.rtt
+}
+
+// Age returns for how long the endpoint's present life has been known.
+func (e *Endpoint) Age() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.svc.Now().Sub(e.joined)
+}
+
+// Sessions estimates how many sessions all hosts have open: the newest report,
+// corrected by what this host did since. A report that is too old says
+// nothing, and then the other hosts are taken to do as this one does.
+func (e *Endpoint) Sessions(hosts int) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.svc.Now().Sub(e.reportAt) < reportLife {
+		return max(e.inflight, e.reported+e.since)
+	}
+	return e.inflight * max(1, hosts)
+}
--- /dev/null
+++ b/pkg/entry/claimer.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	claimTimeout   = 3 * time.Second
+	settleTimeout  = 2 * time.Second
+	settleAttempts = 20
+	settlePause    = 500 * time.Millisecond
+)
+
+// claimer claims requests that must not be repeated.
+type claimer struct {
+	holder  string
+	control []string
+	client  *http.Client
+	runs    time.Duration
+	nonce   atomic.Uint64
+}
+
+// newClaimer returns a claimer for requests that run for at most runs. Its
+// claims are held by this life of the host: after a restart it can't settle
+// what it claimed before.
+func newClaimer(host string, incarnation uint64, control []string, client *http.Client, runs time.Duration) *claimer {
+	return &claimer{
+		holder:  host + "/" + strconv.FormatUint(incarnation, 36),
+		control: control,
+		client:  client,
+		runs:    runs,
+	}
+}
+
+// claim is one request's claim.
+type claim struct {
+	account string
+	key     string
+	nonce   uint64
+	// first is the first request's outcome, if there was one before.
+	first *rpc.Outcome
+}
+
+// claim records that the request is about to be sent. The claim returned is
+// granted, or settled before by the first request with the key. As long as
+// claim fails nothing was sent, and so the request did not run.
+func (c *claimer) claim(ctx context.Context, account, key string, body []byte) (*claim, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	out := &claim{
+		account: account,
+		key:     key,
+		nonce:   c.nonce.Add(1),
+	}
+	r := &rpc.ClaimRequest{
+		Account:    account,
+		Key:        key,
+		BodyDigest: bundle.Digest(body),
+		Entry:      c.holder,
+		Nonce:      out.nonce,
+		RunsMs:     uint32(c.runs.Milliseconds()),
+	}
+	var last error
+	for _, address := range c.control {
+		reply, err := rpc.NewClaimsProtobufClient("http://"+address, c.client).Claim(ctx, r)
+		if err == nil {
+			out.first = reply.GetOutcome()
+			return out, judge(reply, key)
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return out, failure.Wrap(last, failure.ControlUnavailable, "the request must not be repeated and could not be claimed")
+}
+
+// judge returns what to tell the caller, or nil if the claim was granted or
+// its outcome is known.
+func judge(reply *rpc.ClaimReply, key string) error {
+	switch reply.GetState() {
+	case rpc.ClaimState_CLAIM_GRANTED, rpc.ClaimState_CLAIM_SETTLED:
+		return nil
+	case rpc.ClaimState_CLAIM_RUNNING:
+		return failure.New(failure.InProgress, "a request with the key %q was claimed and has no outcome yet", key)
+	case rpc.ClaimState_CLAIM_LOST:
+		return failure.New(failure.OutcomeUnknown, "a request with the key %q was claimed, and its outcome was lost", key)
+	case rpc.ClaimState_CLAIM_MISMATCH:
+		return failure.New(failure.KeyReused, "the key %q was used with another body", key)
+	case rpc.ClaimState_CLAIM_FULL:
+		return failure.New(failure.ClaimsFull, "the client account keeps too many claimed keys")
+	default:
+		return failure.New(failure.Internal, "the control hosts gave no state of the claim").WithRan(failure.RanNo)
+	}
+}
+
+// settle records how a claimed request ended, trying for a while. An outcome
+// that says "no" frees the key.
+func (c *claimer) settle(ctx context.Context, svc timer.Service, cl *claim, out *rpc.Outcome) bool {
+	r := &rpc.SettleRequest{
+		Account: cl.account,
+		Key:     cl.key,
+		Entry:   c.holder,
+		Nonce:   cl.nonce,
+		Outcome: out,
+	}
+	for range settleAttempts {
+		for _, address := range c.control {
+			if c.settleOnce(ctx, address, r) == nil {
+				return true
+			}
+		}
+		if timer.Sleep(ctx, svc, settlePause) != nil {
+			return false
+		}
+	}
+	return false
+}
+
+func (c *claimer) settleOnce(ctx context.Context, address string, r *rpc.SettleRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	_, err := rpc.NewClaimsProtobufClient("http://"+address, c.client).Settle(ctx, r)
+	return err
+}
--- /dev/null
+++ b/pkg/entry/format.go
@@ -0,0 +1,123 @@
+package entry
+
+import (
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/chain"
+)
+
+// format makes the bodies of one path's answers.
+type format interface {
+	// opening is the first chunk of a stream.
+	opening(g *generation) any
+	// chunk is one token of a stream.
+	chunk(g *generation, text string) any
+	// closing is the last chunk of a stream.
+	closing(g *generation, r chain.Result) any
+	// whole is an answer that isn't a stream.
+	whole(g *generation, text string, r chain.Result) any
+}
+
+func usage(r chain.Result) *api.Usage {
+	return &api.Usage{
+		PromptTokens:     r.PromptTokens,
+		CompletionTokens: r.Tokens,
+		TotalTokens:      r.PromptTokens + r.Tokens,
+	}
+}
+
+// chatFormat is the format of chat completions.
+type chatFormat struct{}
+
+const (
+	chatChunkObject = "chat.completion.chunk"
+	chatObject      = "chat.completion"
+	textObject      = "text_completion"
+	assistant       = "assistant"
+)
+
+func (chatFormat) body(g *generation, object string, c api.ChatChoice) api.ChatCompletion {
+	return api.ChatCompletion{
+		ID:      g.id,
+		Object:  object,
+		Created: g.created,
+		Model:   g.pipeline.Name,
+		Choices: []api.ChatChoice{c},
+	}
+}
+
+func (f chatFormat) opening(g *generation) any {
+	return f.body(g, chatChunkObject, api.ChatChoice{
+		Delta: &api.ChatDelta{
+			Role: assistant,
+		},
+	})
+}
+
+func (f chatFormat) chunk(g *generation, text string) any {
+	return f.body(g, chatChunkObject, api.ChatChoice{
+		Delta: &api.ChatDelta{
+			Content: text,
+		},
+	})
+}
+
+func (f chatFormat) closing(g *generation, r chain.Result) any {
+	b := f.body(g, chatChunkObject, api.ChatChoice{
+		Delta:        &api.ChatDelta{},
+		FinishReason: &r.End,
+	})
+	b.Usage = usage(r)
+	return b
+}
+
+func (f chatFormat) whole(g *generation, text string, r chain.Result) any {
+	b := f.body(g, chatObject, api.ChatChoice{
+		Message: &api.ChatMessage{
+			Role:    assistant,
+			Content: text,
+		},
+		FinishReason: &r.End,
+	})
+	b.Usage = usage(r)
+	return b
+}
+
+// textFormat is the format of plain completions.
+type textFormat struct{}
+
+func (textFormat) body(g *generation, c api.TextChoice) api.Completion {
+	return api.Completion{
+		ID:      g.id,
+		Object:  textObject,
+		Created: g.created,
+		Model:   g.pipeline.Name,
+		Choices: []api.TextChoice{c},
+	}
+}
+
+func (f textFormat) opening(g *generation) any {
+	return f.body(g, api.TextChoice{})
+}
+
+func (f textFormat) chunk(g *generation, text string) any {
+	return f.body(g, api.TextChoice{
+		Text: text,
+	})
+}
+
+func (f textFormat) closing(g *generation, r chain.Result) any {
+	b := f.body(g, api.TextChoice{
+		FinishReason: &r.End,
+	})
+	b.Usage = usage(r)
+	return b
+}
+
+func (f textFormat) whole(g *generation, text string, r chain.Result) any {
+	b := f.body(g, api.TextChoice{
+		Text:         text,
+		FinishReason: &r.End,
+	})
+	b.Usage = usage(r)
+	return b
+}
--- /dev/null
+++ b/pkg/entry/generate.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/chain"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+)
+
+// generation is one request for tokens, whichever path it came by.
+type generation struct {
+	account  bundle.Account
+	pipeline bundle.Pipeline
+	model    bundle.Model
+	format   format
+	stream   bool
+	id       string
+	seed     uint64
+	prompt   string
+	tokens   int
+	skip     int // tokens that the caller has already, when it comes back
+	once     bool
+	key      string
+	body     []byte
+	created  int64
+}
+
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, a bundle.Account) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		s.fail(w, a.Name, bodyError(err))
+		return
+	}
+	req := api.ChatRequest{}
+	if err := json.Unmarshal(body, &req); err != nil {
+		s.fail(w, a.Name, bodyError(err))
+		return
+	}
+	if len(req.Messages) == 0 {
+		s.fail(w, a.Name, failure.New(failure.BadRequest, "messages: missing; allowed: at least one"))
+		return
+	}
+	limit := req.MaxTokens
+	if req.MaxCompletionTokens > 0 {
+		limit = req.MaxCompletionTokens
+	}
+	s.generate(w, r, a, generation{
+		format: chatFormat{},
+		stream: req.Stream,
+		prompt: chatPrompt(req.Messages),
+		tokens: limit,
+		seed:   seedOf(req.Seed),
+		body:   body,
+	}, req.Model)
+}
+
+func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, a bundle.Account) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		s.fail(w, a.Name, bodyError(err))
+		return
+	}
+	req := api.CompletionRequest{}
+	if err := json.Unmarshal(body, &req); err != nil {
+		s.fail(w, a.Name, bodyError(err))
+		return
+	}
+	s.generate(w, r, a, generation{
+		format: textFormat{},
+		stream: req.Stream,
+		prompt: req.Prompt,
+		tokens: req.MaxTokens,
+		seed:   seedOf(req.Seed),
+		body:   body,
+	}, req.Model)
+}
+
+func chatPrompt(messages []api.ChatMessage) string {
+	var b strings.Builder
+	for _, m := range messages {
+		b.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	return b.String()
+}
+
+// seedOf returns the caller's seed, or draws one.
+func seedOf(seed *int64) uint64 {
+	if seed != nil {
+		return uint64(*seed)
+	}
+	return drawSeed()
+}
+
+func drawSeed() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // it never fails
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+// generate completes what both paths left open, admits the request and runs it.
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, a bundle.Account, g generation, name string) {
+	g.account = a
+	g.id = s.newID()
+	g.created = s.svc.Now().Unix()
+	if err := s.complete(r, &g, name); err != nil {
+		s.fail(w, a.Name, err)
+		return
+	}
+	if err := s.accounts.Enter(a, g.tokens); err != nil {
+		s.fail(w, a.Name, err)
+		return
+	}
+	began := s.svc.Now()
+	out := newOutput(w, &g)
+	result, err := s.admitAndRun(r.Context(), w, &g, out)
+	s.accounts.Leave(a, g.tokens-result.Tokens)
+	s.note(&g, began, out, result, err)
+	if err == nil {
+		out.finish(result)
+		return
+	}
+	if out.begun() {
+		out.fail(failure.From(err))
+		return
+	}
+	s.fail(w, a.Name, err)
+}
+
+// complete looks names up and checks limits.
+func (s *Server) complete(r *http.Request, g *generation, name string) error {
+	set := s.keeper.Set()
+	pipeline, ok := set.Pipeline(name)
+	if !ok {
+		return failure.New(failure.UnknownModel, "no pipeline %q; allowed: %s", name, strings.Join(set.Pipelines(), ", "))
+	}
+	g.pipeline = pipeline
+	g.model, _ = set.Model(pipeline.Model)
+	if g.tokens < 0 {
+		return failure.New(failure.BadRequest, "max_tokens: %d; allowed: 1 to %d", g.tokens, pipeline.MaxTokens)
+	}
+	if g.tokens == 0 || g.tokens > pipeline.MaxTokens {
+		g.tokens = pipeline.MaxTokens
+	}
+	g.key = r.Header.Get(api.HeaderIdempotencyKey)
+	g.once = pipeline.Once || r.Header.Get(api.HeaderOnce) == "true"
+	if g.once && g.key == "" {
+		return failure.New(failure.BadRequest, "the request must not be repeated, and so needs a header %s of its own", api.HeaderIdempotencyKey)
+	}
+	return resume(g, r.Header.Get(api.HeaderLastEventID))
+}
+
+// An event id is the request's id, its seed and the token's number: all that
+// another host needs to go on where this one stopped.
+func eventID(g *generation, index int) string {
+	return g.id + "." + strconv.FormatUint(g.seed, 36) + "." + strconv.Itoa(index)
+}
+
+// resume takes the seed and the place from the last event that the caller saw.
+func resume(g *generation, last string) error {
+	if last == "" {
+		return nil
+	}
+	if g.once {
+		return failure.New(failure.ResumeInvalid, "a request that must not be repeated can't be resumed; send it again without %s for its result", api.HeaderLastEventID)
+	}
+	parts := strings.Split(last, ".")
+	const wanted = 3
+	if len(parts) != wanted {
+		return failure.New(failure.ResumeInvalid, "%s %q isn't an event of this service", api.HeaderLastEventID, last)
+	}
+	seed, err := strconv.ParseUint(parts[1], 36, 64)
+	index, err2 := strconv.Atoi(parts[2])
+	if err != nil || err2 != nil || index < 0 || index >= g.tokens {
+		return failure.New(failure.ResumeInvalid, "%s %q isn't an event of this request", api.HeaderLastEventID, last)
+	}
+	g.id = parts[0]
+	g.seed = seed
+	g.skip = index + 1
+	return nil
+}
+
+// newID returns an id that no other request has, also of other hosts.
+func (s *Server) newID() string {
+	return "lw-" + strconv.FormatUint(drawSeed(), 36) + "-" + strconv.FormatUint(s.nextID.Add(1), 36)
+}
+
+func (s *Server) admitAndRun(ctx context.Context, w http.ResponseWriter, g *generation, out *output) (chain.Result, error) {
+	if err := s.gate.Enter(ctx, g.account, g.pipeline.Priority); err != nil {
+		return chain.Result{}, err
+	}
+	entered := s.svc.Now()
+	defer func() {
+		s.gate.Leave(s.svc.Now().Sub(entered))
+	}()
+	s.observe("queue_wait_us", g.account.Name, entered.Sub(out.began(s.svc)))
+	if g.once {
+		return s.runOnce(ctx, w, g, out)
+	}
+	return s.run(ctx, g, out)
+}
+
+func (s *Server) run(ctx context.Context, g *generation, out *output) (chain.Result, error) {
+	return s.runner.Run(ctx, chain.Request{
+		ID:        engineID(g, s.nextID.Add(1)),
+		Model:     g.model,
+		Prompt:    g.prompt,
+		Seed:      g.seed,
+		MaxTokens: g.tokens,
+		Priority:  g.pipeline.Priority,
+		Once:      g.once,
+	}, func(t chain.Token) error {
+		now := s.svc.Now()
+		out.observe(now)
+		if t.Index < g.skip {
+			return nil
+		}
+		return out.token(t)
+	})
+}
+
+// engineID names the request to engines. A request that another host began
+// must not meet its sessions, which that host may still be cancelling.
+func engineID(g *generation, n uint64) string {
+	return g.id + "-" + strconv.FormatUint(n, 36)
+}
+
+// note counts how a request went.
+func (s *Server) note(g *generation, began time.Time, out *output, result chain.Result, err error) {
+	name := g.account.Name
+	s.metrics.Counter("account_requests", accountLabel(name)).Inc(1)
+	s.metrics.Counter("account_tokens", accountLabel(name)).Inc(int64(result.Tokens))
+	if err != nil {
+		return
+	}
+	s.observe("account_first_token_us", name, out.firstToken().Sub(began))
+	if result.Tokens > 1 {
+		gap := out.lastToken().Sub(out.firstToken()) / time.Duration(result.Tokens-1)
+		s.observe("account_between_tokens_us", name, gap)
+	}
+}
--- /dev/null
+++ b/pkg/entry/server.go
@@ -0,0 +1,186 @@
+// Package entry is an entry host: it serves callers.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/chain"
+	"github.com/larchwinch/larchwinch/pkg/config"
+	"github.com/larchwinch/larchwinch/pkg/directory"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/limits"
+	"github.com/larchwinch/larchwinch/pkg/logflags"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/rollout"
+	"github.com/larchwinch/larchwinch/pkg/route"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	defaultBudget         = 700 * time.Millisecond
+	defaultRequestTimeout = 2 * time.Minute
+	sweepInterval         = time.Minute
+)
+
+// Server is an entry host.
+type Server struct {
+	cfg    *config.Entry
+	svc    timer.Service
+	client *http.Client
+	// onceClient keeps no connections.
+	onceClient *http.Client
+	metrics    *metrics.Set
+	group      *group.Group
+	keeper     *rollout.Keeper
+	dir        *directory.Directory
+	router     *route.Router
+	runner     *chain.Runner
+	accounts   *limits.Accounts
+	gate       *limits.Gate
+	claims     *claimer
+	watcher    *watcher
+
+	incarnation uint64
+	leaving     atomic.Bool
+	requests    atomic.Int64
+	nextID      atomic.Uint64
+}
+
+// New returns an entry host. Its goroutines run in g once Start is called.
+func New(cfg *config.Entry, svc timer.Service, client, onceClient *http.Client, set *metrics.Set, g *group.Group) (*Server, error) {
+	trust, err := cfg.Build()
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		cfg:         cfg,
+		svc:         svc,
+		client:      client,
+		onceClient:  onceClient,
+		metrics:     set,
+		group:       g,
+		dir:         directory.New(svc),
+		incarnation: uint64(svc.Now().UnixNano()),
+	}
+	s.keeper = rollout.New(cfg.Host, cfg.Control, s.peers, trust, svc, client, set)
+	s.router = route.New(route.Policy(cfg.Policy), cfg.Domain, s.hosts, rand.New(rand.NewPCG(s.incarnation, 1)))
+	s.runner = chain.New(chain.Config{
+		Client:    client,
+		Directory: s.dir,
+		Router:    s.router,
+		Timer:     svc,
+		Metrics:   set,
+		Group:     g,
+	})
+	s.accounts = limits.NewAccounts(svc, s.hosts)
+	s.gate = limits.NewGate(svc, cfg.LatencyBudget.Or(defaultBudget), s.capacity)
+	s.claims = newClaimer(cfg.Host, s.incarnation, cfg.Control, client, cfg.RequestLimit.Or(defaultRequestTimeout))
+	s.watcher = newWatcher(client, svc)
+	return s, nil
+}
+
+// Start begins to fetch bundles and to beat.
+func (s *Server) Start() {
+	s.group.Go(s.keeper.Run)
+	s.group.Go(s.beatLoop)
+	s.group.Go(s.sweepLoop)
+}
+
+// RPC returns the handler for other processes of the system.
+func (s *Server) RPC() http.Handler {
+	mux := http.NewServeMux()
+	server := rpc.NewRolloutServer(s.keeper)
+	mux.Handle(server.PathPrefix(), server)
+	return mux
+}
+
+// Keeper returns the holder of the set in force.
+func (s *Server) Keeper() *rollout.Keeper {
+	return s.keeper
+}
+
+// Directory returns the view of the endpoints.
+func (s *Server) Directory() *directory.Directory {
+	return s.dir
+}
+
+// Gate returns the queue in front of the engines.
+func (s *Server) Gate() *limits.Gate {
+	return s.gate
+}
+
+// Drain makes the host leave: it takes no new work, and Drain returns once
+// every request in flight has ended or ctx has. It reports how many had not.
+func (s *Server) Drain(ctx context.Context) int64 {
+	s.leaving.Store(true)
+	s.beat(ctx)
+	logflags.Info(logflags.Entry, "leaving", "in_flight", s.requests.Load())
+	for s.requests.Load() > 0 {
+		if timer.Sleep(ctx, s.svc, drainPoll) != nil {
+			break
+		}
+	}
+	return s.requests.Load()
+}
+
+const drainPoll = 20 * time.Millisecond
+
+// hosts returns how many entry hosts there are, this one included.
+func (s *Server) hosts() int {
+	return max(1, len(s.dir.Entries()))
+}
+
+// peers returns where other entry hosts are asked for sets: those that the
+// control hosts named last, then those of the settings.
+func (s *Server) peers() []string {
+	var list []string
+	for _, e := range s.dir.Entries() {
+		if e.GetHost() != s.cfg.Host {
+			list = append(list, e.GetRpcAddress())
+		}
+	}
+	return append(list, s.cfg.Peers...)
+}
+
+// headroom lets a host take more than an equal share of the engines' slots,
+// since callers don't spread evenly; an engine that is full says so.
+const headroom = 1.25
+
+// capacity returns how many requests this host lets in at once: its share of
+// the slots at the layer, over all models, of which there are the fewest.
+func (s *Server) capacity() int {
+	total := 0
+	for _, b := range s.keeper.Set().Bundles() {
+		for _, m := range b.Models {
+			total += route.Slots(s.dir.Stages(m.Name, m.Version), m.Layers)
+		}
+	}
+	return max(1, int(float64(total)*headroom)/s.hosts())
+}
+
+func (s *Server) sweepLoop(ctx context.Context) {
+	ticks := s.svc.Every(sweepInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+		}
+		for _, name := range s.accounts.Sweep() {
+			s.metrics.Remove(accountLabel(name))
+		}
+	}
+}
+
+func accountLabel(name string) metrics.Label {
+	return metrics.Label{
+		Name:  "account",
+		Value: name,
+	}
+}
--- /dev/null
+++ b/pkg/entry/service.go
@@ -0,0 +1,267 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/directory"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+)
+
+// maxServiceAnswer bounds an answer of a plain service.
+const maxServiceAnswer = 16 << 20
+
+// call is one call of a plain service.
+type call struct {
+	account bundle.Account
+	service bundle.Service
+	method  string
+	path    string
+	header  http.Header
+	body    []byte
+	key     string
+	once    bool
+	id      string
+}
+
+// reply is a plain service's answer.
+type reply struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+func (s *Server) serveService(w http.ResponseWriter, r *http.Request, a bundle.Account) {
+	c, err := s.readCall(r, a)
+	if err != nil {
+		s.fail(w, a.Name, err)
+		return
+	}
+	if err := s.accounts.Enter(a, 0); err != nil {
+		s.fail(w, a.Name, err)
+		return
+	}
+	defer s.accounts.Leave(a, 0)
+	began := s.svc.Now()
+	rep, repeated, err := s.callService(r.Context(), c)
+	s.metrics.Counter("account_calls", accountLabel(a.Name)).Inc(1)
+	if err != nil {
+		s.fail(w, a.Name, err)
+		return
+	}
+	s.observe("account_call_us", a.Name, s.svc.Now().Sub(began))
+	w.Header().Set("Content-Type", rep.contentType)
+	if repeated {
+		w.Header().Set(api.HeaderRepeated, "true")
+	}
+	w.WriteHeader(rep.status)
+	_, _ = w.Write(rep.body) // the caller is gone if it fails
+}
+
+func (s *Server) readCall(r *http.Request, a bundle.Account) (*call, error) {
+	service, ok := s.keeper.Set().Service(r.PathValue("service"))
+	if !ok {
+		return nil, failure.New(failure.UnknownService, "no service %q", r.PathValue("service"))
+	}
+	limited := http.MaxBytesReader(nil, r.Body, int64(service.BodyLimitKB)<<10)
+	body, err := io.ReadAll(limited)
+	if err != nil {
+		return nil, bodyError(err)
+	}
+	c := &call{
+		account: a,
+		service: service,
+		method:  r.Method,
+		path:    "/" + r.PathValue("path"),
+		header:  r.Header,
+		body:    body,
+		key:     r.Header.Get(api.HeaderIdempotencyKey),
+		id:      s.newID(),
+	}
+	c.once = r.Header.Get(api.HeaderOnce) == "true" || isOnce(service, c.path)
+	if c.once && c.key == "" {
+		return nil, failure.New(failure.BadRequest, "%s must not be repeated, and so needs a header %s of its own", c.path, api.HeaderIdempotencyKey)
+	}
+	return c, nil
+}
+
+func isOnce(service bundle.Service, path string) bool {
+	for _, p := range service.OncePaths {
+		if p == path {
+			return true
+		}
+	}
+	return false
+}
+
+// callService runs the call, claimed first if it must not be repeated. It
+// reports whether the answer is the first one's.
+func (s *Server) callService(ctx context.Context, c *call) (*reply, bool, error) {
+	if !c.once {
+		rep, err := s.callRepeatable(ctx, c)
+		return rep, false, err
+	}
+	cl, err := s.claims.claim(ctx, c.account.Name, c.key, claimText(c))
+	if err != nil {
+		s.release(cl, err)
+		return nil, false, err
+	}
+	if cl.first != nil {
+		rep, err := firstReply(cl)
+		return rep, true, err
+	}
+	rep, err := s.callOnce(ctx, c)
+	if err != nil {
+		s.settleLater(cl, outcomeOf(0, "", nil, string(failure.From(err).Ran())))
+		return nil, false, err
+	}
+	s.settleLater(cl, outcomeOf(rep.status, rep.contentType, rep.body, string(failure.RanYes)))
+	return rep, false, nil
+}
+
+// claimText is what must be the same in a resend.
+func claimText(c *call) []byte {
+	return append([]byte(c.method+" "+c.service.Name+" "+c.path+"\n"), c.body...)
+}
+
+func firstReply(cl *claim) (*reply, error) {
+	if cl.first.GetStatus() == 0 {
+		return nil, failure.New(failure.OutcomeUnknown, "the first call with the key %q was sent, and its answer was lost", cl.key).
+			WithRan(failure.Ran(cl.first.GetRan()))
+	}
+	return &reply{
+		status:      int(cl.first.GetStatus()),
+		contentType: cl.first.GetContentType(),
+		body:        cl.first.GetBody(),
+	}, nil
+}
+
+// callOnce sends the call to one endpoint. It tries another only as long as
+// no connection was made, so that no byte can have reached any.
+func (s *Server) callOnce(ctx context.Context, c *call) (*reply, error) {
+	return s.tryEach(ctx, c, func(err error) bool {
+		return neverSent(err)
+	})
+}
+
+const maxTries = 3
+
+// callRepeatable sends the call, to others too if one fails.
+func (s *Server) callRepeatable(ctx context.Context, c *call) (*reply, error) {
+	return s.tryEach(ctx, c, func(error) bool {
+		return true
+	})
+}
+
+// tryEach tries endpoints, the least busy first, for as long as again allows.
+func (s *Server) tryEach(ctx context.Context, c *call, again func(error) bool) (*reply, error) {
+	tried := map[string]bool{}
+	ran := failure.RanNo
+	var last error
+	for len(tried) < maxTries {
+		e := s.leastBusy(c.service.Name, tried)
+		if e == nil {
+			break
+		}
+		tried[e.Address()] = true
+		rep, err := s.send(ctx, e, c)
+		if err == nil {
+			return rep, nil
+		}
+		e.Failed()
+		last = err
+		if !neverSent(err) {
+			ran = failure.RanUnknown
+		}
+		if ctx.Err() != nil || !again(err) {
+			break
+		}
+	}
+	if last == nil {
+		return nil, failure.New(failure.NoChain, "no endpoint of service %q takes work", c.service.Name)
+	}
+	if ctx.Err() != nil {
+		return nil, failure.Wrap(last, failure.DeadlineExceeded, "the call's time ran out").WithRan(ran)
+	}
+	return nil, failure.Wrap(last, failure.EndpointFailed, "service %q did not answer", c.service.Name).WithRan(ran)
+}
+
+func (s *Server) leastBusy(service string, without map[string]bool) *directory.Endpoint {
+	var best *directory.Endpoint
+	for _, e := range s.dir.Service(service) {
+		if without[e.Address()] {
+			continue
+		}
+		if best == nil || better(e, best) {
+			best = e
+		}
+	}
+	return best
+}
+
+func better(a, b *directory.Endpoint) bool {
+	if a.Avoided() != b.Avoided() {
+		return !a.Avoided()
+	}
+	return a.Inflight() < b.Inflight()
+}
+
+// neverSent reports whether the call failed before a connection was made.
+func neverSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// clientFor returns the client that may make the call. One that must not be
+// repeated gets a connection of its own: on a kept one that the endpoint has
+// just closed, net/http itself would send some requests again.
+func (s *Server) clientFor(c *call) *http.Client {
+	if c.once {
+		return s.onceClient
+	}
+	return s.client
+}
+
+var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language", api.HeaderIdempotencyKey}
+
+func (s *Server) send(ctx context.Context, e *directory.Endpoint, c *call) (*reply, error) {
+	req, err := http.NewRequestWithContext(ctx, c.method, "http://"+e.Address()+c.path, io.NopCloser(bytes.NewReader(c.body)))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	req.ContentLength = int64(len(c.body))
+	for _, h := range passedHeaders {
+		if v := c.header.Get(h); v != "" {
+			req.Header.Set(h, v)
+		}
+	}
+	req.Header.Set(api.HeaderRequestID, c.id)
+	req.Header.Set(api.HeaderAccount, c.account.Name)
+	began := s.svc.Now()
+	e.Opened(0, 0)
+	defer e.Closed()
+	resp, err := s.clientFor(c).Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "call")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxServiceAnswer+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read answer")
+	}
+	if len(body) > maxServiceAnswer {
+		return nil, errors.Errorf("the answer is larger than %d bytes", maxServiceAnswer)
+	}
+	s.observe("service_us", c.account.Name, s.svc.Now().Sub(began))
+	return &reply{
+		status:      resp.StatusCode,
+		contentType: resp.Header.Get("Content-Type"),
+		body:        body,
+	}, nil
+}
--- /dev/null
+++ b/pkg/failure/kind_test.go
@@ -0,0 +1,49 @@
+package failure_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFailure(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "failure")
+}
+
+var _ = Describe("the table", func() {
+	It("has a whole row for every kind, and no name twice", func() {
+		seen := map[string]bool{}
+		for _, k := range failure.Kinds() {
+			row := k.Answer()
+			Expect(row.Name).NotTo(BeEmpty())
+			Expect(seen[row.Name]).To(BeFalse(), row.Name)
+			seen[row.Name] = true
+			Expect(row.Status).To(BeNumerically(">=", 400), row.Name)
+			Expect(row.Ran).To(BeElementOf(failure.RanNo, failure.RanYes, failure.RanUnknown), row.Name)
+			Expect(row.Meaning).To(HaveSuffix("."), row.Name)
+			back, ok := failure.KindNamed(row.Name)
+			Expect(ok).To(BeTrue())
+			Expect(back).To(Equal(k))
+		}
+	})
+	It("says when to come back for every refusal that passes", func() {
+		for _, k := range failure.Kinds() {
+			if s := k.Answer().Status; s == 429 || s == 503 {
+				Expect(k.Answer().RetryAfter).To(BeNumerically(">", 0), k.String())
+			}
+		}
+	})
+	It("keeps what a failure knows beyond the table through wrapping", func() {
+		e := failure.New(failure.Overloaded, "full").WithRetryAfter(3 * time.Second).WithRan(failure.RanYes)
+		f := failure.From(errors.Wrap(e, "around"))
+		Expect(f.Kind()).To(Equal(failure.Overloaded))
+		Expect(f.RetryAfter()).To(Equal(3 * time.Second))
+		Expect(f.Ran()).To(Equal(failure.RanYes))
+		Expect(failure.From(errors.New("other")).Kind()).To(Equal(failure.Internal))
+	})
+})
--- /dev/null
+++ b/pkg/opclient/client.go
@@ -0,0 +1,143 @@
+// Package opclient is a client of the administration API. It finds the leader
+// among the control hosts by itself.
+package opclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+)
+
+const (
+	callTimeout  = 8 * time.Second
+	maxRedirects = 5
+)
+
+// Client calls the administration API.
+type Client struct {
+	addresses []string
+	key       string
+	http      *http.Client
+}
+
+// New returns a client that tries the addresses in turn, as the operator with
+// that key.
+func New(addresses []string, key string) *Client {
+	return &Client{
+		addresses: addresses,
+		key:       key,
+		http: &http.Client{
+			CheckRedirect: func(*http.Request, []*http.Request) error {
+				return http.ErrUseLastResponse
+			},
+		},
+	}
+}
+
+// Get reads what is at path into out.
+func (c *Client) Get(ctx context.Context, path string, out any) error {
+	return c.do(ctx, http.MethodGet, path, nil, out)
+}
+
+// Post sends in and reads the answer into out.
+func (c *Client) Post(ctx context.Context, path string, in, out any) error {
+	return c.do(ctx, http.MethodPost, path, in, out)
+}
+
+// Put sends in and reads the answer into out.
+func (c *Client) Put(ctx context.Context, path string, in, out any) error {
+	return c.do(ctx, http.MethodPut, path, in, out)
+}
+
+// Delete asks for the end of what is at path.
+func (c *Client) Delete(ctx context.Context, path string, out any) error {
+	return c.do(ctx, http.MethodDelete, path, nil, out)
+}
+
+// do tries each address. Every write of the API may be sent again, so an
+// address that gave no answer isn't the end.
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var last error
+	for _, address := range c.addresses {
+		err := c.follow(ctx, method, "http://"+address+path, in, out)
+		if err == nil {
+			return nil
+		}
+		last = err
+		if f := failure.From(err); f.Kind() != failure.ControlUnavailable {
+			return err
+		}
+	}
+	return last
+}
+
+// follow sends the request on to the leader, keeping the key.
+func (c *Client) follow(ctx context.Context, method, target string, in, out any) error {
+	for range maxRedirects {
+		resp, err := c.send(ctx, method, target, in)
+		if err != nil {
+			return failure.Wrap(err, failure.ControlUnavailable, "no answer from %s", target)
+		}
+		if resp.StatusCode == http.StatusTemporaryRedirect {
+			_ = resp.Body.Close()
+			u, err := url.Parse(resp.Header.Get("Location"))
+			if err != nil {
+				return errors.Wrap(err, "redirect")
+			}
+			target = u.String()
+			continue
+		}
+		return read(resp, out)
+	}
+	return failure.New(failure.ControlUnavailable, "the control hosts don't agree on who leads")
+}
+
+func (c *Client) send(ctx context.Context, method, target string, in any) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		text, err := json.Marshal(in)
+		if err != nil {
+			return nil, errors.Wrap(err, "encode")
+		}
+		body = bytes.NewReader(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, target, body)
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Content-Type", "application/json")
+	return c.http.Do(req)
+}
+
+func read(resp *http.Response, out any) error {
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusOK {
+		if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+			return errors.Wrap(err, "decode answer")
+		}
+		return nil
+	}
+	return ReadFailure(resp)
+}
+
+// ReadFailure returns the failure that an error answer holds.
+func ReadFailure(resp *http.Response) error {
+	body := api.Error{}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return errors.Errorf("the answer has status %d and no error that can be read", resp.StatusCode)
+	}
+	kind, _ := failure.KindNamed(body.Error.Kind)
+	f := failure.New(kind, "%s", body.Error.Message).WithRan(failure.Ran(body.Error.Ran))
+	return f.WithRetryAfter(time.Duration(body.Error.RetryAfterMS) * time.Millisecond)
+}
--- /dev/null
+++ b/pkg/raft/members.go
@@ -0,0 +1,95 @@
+package raft
+
+import "github.com/larchwinch/larchwinch/pkg/rpc"
+
+// findMembers puts the last membership in the log in force. Raft's safety
+// needs it from the moment it is appended, not from its commit.
+func (c *Core) findMembers() {
+	c.members = c.baseMembers
+	c.membersIndex = c.log.base
+	for i := len(c.log.entries) - 1; i >= 0; i-- {
+		if m := c.log.entries[i].GetMembers(); m != nil {
+			c.members = m
+			c.membersIndex = c.log.entries[i].GetIndex()
+			break
+		}
+	}
+	if c.role == Leader {
+		c.matchPeers()
+	}
+}
+
+// membersAt returns the replicas as of index.
+func (c *Core) membersAt(index uint64) *rpc.Members {
+	for _, e := range reverse(c.log.slice(c.log.base, index, 1<<30)) {
+		if m := e.GetMembers(); m != nil {
+			return m
+		}
+	}
+	return c.baseMembers
+}
+
+func reverse(entries []*rpc.LogEntry) []*rpc.LogEntry {
+	out := make([]*rpc.LogEntry, 0, len(entries))
+	for i := len(entries) - 1; i >= 0; i-- {
+		out = append(out, entries[i])
+	}
+	return out
+}
+
+func (c *Core) isMember(id uint64) bool {
+	for _, m := range c.members.GetList() {
+		if m.GetId() == id {
+			return true
+		}
+	}
+	return false
+}
+
+// hasQuorum reports whether the members for which yes holds are a majority.
+func (c *Core) hasQuorum(yes func(id uint64) bool) bool {
+	n := 0
+	for _, m := range c.members.GetList() {
+		if yes(m.GetId()) {
+			n++
+		}
+	}
+	return n > len(c.members.GetList())/2
+}
+
+// matchPeers makes the leader's bookkeeping fit the members in force.
+func (c *Core) matchPeers() {
+	for id := range c.peers {
+		if !c.isMember(id) {
+			delete(c.peers, id)
+		}
+	}
+	for _, m := range c.members.GetList() {
+		id := m.GetId()
+		if id == c.cfg.ID || c.peers[id] != nil {
+			continue
+		}
+		c.peers[id] = &progress{
+			next:   c.log.last() + 1,
+			active: true,
+		}
+	}
+}
+
+// differ returns how many replicas are in one list but not in the other.
+func differ(a, b *rpc.Members) int {
+	in := map[uint64]int{}
+	for _, m := range a.GetList() {
+		in[m.GetId()]++
+	}
+	for _, m := range b.GetList() {
+		in[m.GetId()]--
+	}
+	n := 0
+	for _, d := range in {
+		if d != 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/raft/replicate.go
@@ -0,0 +1,263 @@
+package raft
+
+import (
+	"sort"
+
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+)
+
+// progress is what the leader knows of one follower.
+//
+// Invariant: match < next. Entries up to match are durable there; next is a
+// guess that runs ahead of it and falls back when it proves wrong.
+type progress struct {
+	match  uint64
+	next   uint64
+	round  uint64 // newest heartbeat round it answered
+	active bool   // answered since the last quorum check
+	offset uint64 // of the snapshot chunk being sent
+	snap   uint64 // index of the snapshot being sent, 0 if none
+}
+
+func (c *Core) tickLeader() {
+	c.beat++
+	if c.elapsed >= c.cfg.ElectionTicks {
+		c.checkQuorum()
+	}
+	if c.role == Leader && c.beat >= c.cfg.HeartbeatTicks {
+		c.broadcast()
+	}
+}
+
+// checkQuorum steps down if no majority was heard for an election timeout, so
+// that a leader that was cut off stops answering.
+func (c *Core) checkQuorum() {
+	c.elapsed = 0
+	heard := c.hasQuorum(func(id uint64) bool {
+		return id == c.cfg.ID || c.peers[id].active
+	})
+	if !heard {
+		c.becomeFollower(c.term, 0)
+		return
+	}
+	for _, p := range c.peers {
+		p.active = false
+	}
+}
+
+// appendOwn appends the leader's own entry and returns its index.
+func (c *Core) appendOwn(e *rpc.LogEntry) uint64 {
+	e.Index = c.log.last() + 1
+	e.Term = c.term
+	c.log.append(e)
+	c.out.Entries = append(c.out.Entries, e)
+	if e.GetMembers() != nil {
+		c.findMembers()
+	}
+	return e.GetIndex()
+}
+
+// broadcast sends every follower a heartbeat of a new round.
+func (c *Core) broadcast() {
+	c.beat = 0
+	c.round++
+	for _, id := range c.peerIDs() {
+		c.sendAppend(id, true)
+	}
+	c.confirmReads()
+}
+
+// flushAppends sends followers what was appended since.
+func (c *Core) flushAppends() {
+	if c.role != Leader {
+		return
+	}
+	for _, id := range c.peerIDs() {
+		if c.peers[id].next <= c.log.last() {
+			c.sendAppend(id, false)
+		}
+	}
+}
+
+func (c *Core) peerIDs() []uint64 {
+	ids := make([]uint64, 0, len(c.peers))
+	for id := range c.peers {
+		ids = append(ids, id)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// sendAppend sends the follower what it lacks. A heartbeat is sent even if
+// that is nothing, and sends a snapshot's chunk again.
+func (c *Core) sendAppend(id uint64, heartbeat bool) {
+	p := c.peers[id]
+	prev := p.next - 1
+	prevTerm, held := c.log.term(prev)
+	if !held || p.snap != 0 {
+		if heartbeat || p.snap == 0 {
+			c.sendChunk(id)
+		}
+		return
+	}
+	entries := c.log.slice(prev, c.log.last(), c.cfg.MaxAppendBytes)
+	if len(entries) == 0 && !heartbeat {
+		return
+	}
+	p.next += uint64(len(entries))
+	c.out.Early = append(c.out.Early, &rpc.RaftMessage{
+		Kind:     rpc.RaftKind_RAFT_APPEND,
+		From:     c.cfg.ID,
+		To:       id,
+		Term:     c.term,
+		LogIndex: prev,
+		LogTerm:  prevTerm,
+		Entries:  entries,
+		Commit:   c.commit,
+		Round:    c.round,
+	})
+}
+
+func (c *Core) stepAppend(m *rpc.RaftMessage) {
+	c.followLeader(m.GetFrom())
+	reply := &rpc.RaftMessage{
+		Kind:  rpc.RaftKind_RAFT_APPEND_REPLY,
+		To:    m.GetFrom(),
+		Round: m.GetRound(),
+	}
+	prev := m.GetLogIndex()
+	if prev < c.commit {
+		reply.LogIndex = c.commit // what is committed matches
+		c.send(reply)
+		return
+	}
+	if t, ok := c.log.term(prev); !ok || t != m.GetLogTerm() {
+		reply.Reject = true
+		reply.LogIndex = prev
+		reply.Hint = c.matchHint(prev, m.GetLogTerm())
+		c.send(reply)
+		return
+	}
+	c.takeEntries(m.GetEntries())
+	matched := prev + uint64(len(m.GetEntries()))
+	c.commit = max(c.commit, min(m.GetCommit(), matched))
+	reply.LogIndex = matched
+	c.send(reply)
+}
+
+func (c *Core) followLeader(id uint64) {
+	if c.role != Follower {
+		c.becomeFollower(c.term, id)
+	}
+	c.leader = id
+	c.elapsed = 0
+}
+
+// matchHint returns the last index that could match a log whose entry at prev
+// is of that term.
+func (c *Core) matchHint(prev, term uint64) uint64 {
+	i := min(prev, c.log.last())
+	for i > c.commit {
+		if t, _ := c.log.term(i); t <= term && i < prev {
+			break
+		}
+		i--
+	}
+	return i
+}
+
+// takeEntries appends what isn't there yet, dropping what conflicts with it.
+func (c *Core) takeEntries(entries []*rpc.LogEntry) {
+	for i, e := range entries {
+		if t, ok := c.log.term(e.GetIndex()); ok && t == e.GetTerm() {
+			continue
+		}
+		if e.GetIndex() <= c.log.last() {
+			c.log.truncate(e.GetIndex())
+			c.durable = min(c.durable, e.GetIndex()-1)
+			c.dropPending(e.GetIndex())
+		}
+		for _, fresh := range entries[i:] {
+			c.log.append(fresh)
+			c.out.Entries = append(c.out.Entries, fresh)
+		}
+		c.findMembers()
+		return
+	}
+}
+
+// dropPending forgets entries from index on that were not yet taken.
+func (c *Core) dropPending(index uint64) {
+	for i, e := range c.out.Entries {
+		if e.GetIndex() >= index {
+			c.out.Entries = c.out.Entries[:i:i]
+			return
+		}
+	}
+}
+
+func (c *Core) stepAppendReply(m *rpc.RaftMessage) {
+	p := c.peers[m.GetFrom()]
+	if c.role != Leader || p == nil {
+		return
+	}
+	p.active = true
+	p.round = max(p.round, m.GetRound())
+	c.confirmReads()
+	if m.GetReject() {
+		if m.GetLogIndex() > p.match {
+			p.next = max(p.match+1, min(m.GetLogIndex(), m.GetHint()+1))
+			c.sendAppend(m.GetFrom(), true)
+		}
+		return
+	}
+	if m.GetLogIndex() > p.match {
+		p.match = m.GetLogIndex()
+		p.next = max(p.next, p.match+1)
+		p.snap = 0
+		c.advanceCommit()
+	}
+}
+
+// advanceCommit commits what a majority holds durably, if it is of this term:
+// an earlier term's entry may be on a majority and still be replaced.
+func (c *Core) advanceCommit() {
+	matches := make([]uint64, 0, len(c.members.GetList()))
+	for _, m := range c.members.GetList() {
+		matches = append(matches, c.matchOf(m.GetId()))
+	}
+	if len(matches) == 0 {
+		return
+	}
+	sort.Slice(matches, func(i, j int) bool { return matches[i] > matches[j] })
+	n := matches[len(matches)/2]
+	if t, ok := c.log.term(n); !ok || t != c.term || n <= c.commit {
+		return
+	}
+	c.commit = n
+	if !c.isMember(c.cfg.ID) && c.membersIndex <= c.commit {
+		c.becomeFollower(c.term, 0)
+		return
+	}
+	c.broadcastCommit()
+}
+
+// broadcastCommit tells followers at once, so that they apply without waiting
+// for the next heartbeat.
+func (c *Core) broadcastCommit() {
+	for _, id := range c.peerIDs() {
+		c.sendAppend(id, true)
+	}
+}
+
+func (c *Core) matchOf(id uint64) uint64 {
+	if id == c.cfg.ID {
+		return c.durable
+	}
+	return c.peers[id].match
+}
+
+func (c *Core) committedOwnTerm() bool {
+	t, ok := c.log.term(c.commit)
+	return ok && t == c.term
+}
--- /dev/null
+++ b/pkg/replica/lease.go
@@ -0,0 +1,107 @@
+package replica
+
+import (
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/raft"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+)
+
+// Status is what a replica knows of itself and the others.
+type Status struct {
+	ID      uint64
+	Role    raft.Role
+	Term    uint64
+	Leader  *rpc.Member
+	Members *rpc.Members
+	Commit  uint64
+	Applied uint64
+	// LeaseUntil is until when no other replica can lead; zero if this one
+	// doesn't. It holds as long as no replica's clock runs more than
+	// driftPercent faster than this one's.
+	LeaseUntil time.Time
+	LogBytes   int64
+}
+
+type statusBox struct {
+	mu sync.Mutex
+	s  Status
+}
+
+// Status returns the replica's present status.
+func (n *Node) Status() Status {
+	n.status.mu.Lock()
+	defer n.status.mu.Unlock()
+	return n.status.s
+}
+
+// HoldsLease reports whether, at this moment, no other replica can lead. A
+// process that was stopped and continued finds its lease expired, since the
+// clock went on.
+func (n *Node) HoldsLease() bool {
+	s := n.Status()
+	return s.Role == raft.Leader && n.cfg.Timer.Now().Before(s.LeaseUntil)
+}
+
+func (n *Node) publish() {
+	s := Status{
+		ID:       n.cfg.ID,
+		Role:     n.core.Role(),
+		Term:     n.core.Term(),
+		Leader:   n.member(n.core.Leader()),
+		Members:  n.core.Members(),
+		Commit:   n.core.Commit(),
+		Applied:  n.applied,
+		LogBytes: n.cfg.Store.LogBytes(),
+	}
+	if s.Role == raft.Leader {
+		s.LeaseUntil = n.leaseUntil()
+	}
+	n.status.mu.Lock()
+	defer n.status.mu.Unlock()
+	n.status.s = s
+}
+
+// noteRounds remembers when each heartbeat round began, before it is sent.
+func (n *Node) noteRounds() {
+	r := n.core.Round()
+	if _, known := n.sentAt[r]; !known {
+		n.sentAt[r] = n.cfg.Timer.Now()
+	}
+}
+
+// leaseUntil counts from when the newest round that a majority answered was
+// sent: each of them refuses votes for an election timeout after that. One
+// tick is taken off since a tick may fall right after the message.
+func (n *Node) leaseUntil() time.Time {
+	r := n.core.QuorumRound()
+	for old := range n.sentAt {
+		if old < r {
+			delete(n.sentAt, old)
+		}
+	}
+	sent, ok := n.sentAt[r]
+	if !ok {
+		return time.Time{}
+	}
+	promise := time.Duration(electionTicks-1) * n.cfg.Tick
+	return sent.Add(promise * (100 - driftPercent) / 100)
+}
+
+func (n *Node) answerReads(reads []raft.Read) {
+	for _, r := range reads {
+		reply, ok := n.reads[r.ID]
+		if !ok {
+			continue
+		}
+		delete(n.reads, r.ID)
+		if r.OK {
+			reply <- result{}
+			continue
+		}
+		reply <- result{
+			err: n.explain(raft.ErrNotLeader),
+		}
+	}
+}
--- /dev/null
+++ b/pkg/replica/node.go
@@ -0,0 +1,429 @@
+// Package replica runs one replica of the replicated log: it joins the
+// algorithm of package raft to a store, a state machine, a transport and the
+// timer service.
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/logflags"
+	"github.com/larchwinch/larchwinch/pkg/raft"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/store"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// Machine is the replicated state. Apply and Restore are called by one
+// goroutine only.
+type Machine interface {
+	Apply(data []byte) ([]byte, error)
+	Snapshot() ([]byte, error)
+	Restore(data []byte) error
+}
+
+// Transport sends messages to other replicas, without waiting, and may lose them.
+type Transport interface {
+	Send(messages []*rpc.RaftMessage)
+	SetMembers(members *rpc.Members)
+}
+
+// Config is what a Node is made of. Every field must be set but Bootstrap.
+type Config struct {
+	ID        uint64
+	Tick      time.Duration
+	Store     *store.Store
+	Machine   Machine
+	Transport Transport
+	Timer     timer.Service
+	Seed      uint64
+	// Bootstrap is the replicas of a new cluster; it is used only if the
+	// store is empty, and must be nil for a replica that replaces another.
+	Bootstrap *rpc.Members
+}
+
+const (
+	electionTicks  = 10
+	heartbeatTicks = 2
+	maxAppendBytes = 1 << 20
+	chunkBytes     = 1 << 20
+	maxBatch       = 1024
+	inboxSize      = 4096
+	// snapshotBytes is the log file's size at which a snapshot is taken.
+	snapshotBytes = 8 << 20
+	// keptEntries stay in memory after a snapshot, for followers a little behind.
+	keptEntries = 2000
+	// driftPercent bounds how much faster than ours another replica's clock
+	// may run; the lease is shortened by it.
+	driftPercent = 10
+)
+
+// NotLeaderError says that another replica must be asked.
+type NotLeaderError struct {
+	// Leader is the leading replica, or nil if none is known.
+	Leader *rpc.Member
+}
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == nil {
+		return "no leader is known"
+	}
+	return "not the leader; ask " + e.Leader.GetAddress()
+}
+
+// ErrLost says that the proposal's fate is unknown: this replica lost the lead
+// before it was committed.
+var ErrLost = errors.New("the lead was lost before the change was committed; it may still come into force")
+
+// Node is one running replica.
+//
+// Invariant: only Run's goroutine touches core, waiting and reads; others
+// reach it through the channels.
+type Node struct {
+	cfg      Config
+	core     *raft.Core
+	inbox    chan []*rpc.RaftMessage
+	requests chan request
+	status   statusBox
+
+	waiting map[uint64]waiter // by log index
+	reads   map[uint64]chan result
+	nextID  uint64
+	applied uint64
+	sentAt  map[uint64]time.Time // by heartbeat round
+}
+
+type request struct {
+	data    []byte
+	members *rpc.Members
+	read    bool
+	reply   chan result
+}
+
+type result struct {
+	data []byte
+	err  error
+}
+
+type waiter struct {
+	term  uint64
+	reply chan result
+}
+
+// New returns a node that continues from its store.
+func New(cfg Config) (*Node, error) {
+	d := raft.Durable{
+		HardState: cfg.Store.HardState(),
+		Snapshot:  cfg.Store.Snapshot().GetMeta(),
+		Entries:   cfg.Store.Entries(),
+	}
+	if cfg.Store.Empty() && cfg.Bootstrap != nil {
+		d = raft.Bootstrap(cfg.Bootstrap)
+		if err := cfg.Store.Save(d.HardState, d.Entries); err != nil {
+			return nil, err
+		}
+	}
+	if snap := cfg.Store.Snapshot(); snap != nil {
+		if err := cfg.Machine.Restore(snap.GetState()); err != nil {
+			return nil, err
+		}
+	}
+	n := &Node{
+		cfg:      cfg,
+		inbox:    make(chan []*rpc.RaftMessage, inboxSize),
+		requests: make(chan request, inboxSize),
+		waiting:  map[uint64]waiter{},
+		reads:    map[uint64]chan result{},
+		sentAt:   map[uint64]time.Time{},
+		applied:  d.Snapshot.GetIndex(),
+	}
+	n.core = raft.New(raft.Config{
+		ID:             cfg.ID,
+		ElectionTicks:  electionTicks,
+		HeartbeatTicks: heartbeatTicks,
+		MaxAppendBytes: maxAppendBytes,
+		ChunkBytes:     chunkBytes,
+		Rand:           rand.New(rand.NewPCG(cfg.Seed, cfg.ID)),
+		Snapshots:      cfg.Store,
+	}, d)
+	cfg.Transport.SetMembers(n.core.Members())
+	n.publish()
+	return n, nil
+}
+
+// Run works until ctx ends or the store fails, whose error it returns.
+func (n *Node) Run(ctx context.Context) error {
+	ticks := n.cfg.Timer.Every(n.cfg.Tick)
+	defer ticks.Stop()
+	defer n.failAll(ErrLost)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks.C():
+			n.core.Tick()
+		case batch := <-n.inbox:
+			n.step(batch)
+		case r := <-n.requests:
+			n.take(r)
+		}
+		n.drain()
+		if err := n.advance(); err != nil {
+			return err
+		}
+	}
+}
+
+// Deliver hands over messages from other replicas. It never waits: what finds
+// no room is lost, as on a network.
+func (n *Node) Deliver(messages []*rpc.RaftMessage) {
+	select {
+	case n.inbox <- messages:
+	default:
+	}
+}
+
+// Propose replicates data and returns what the state machine answered.
+func (n *Node) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	return n.ask(ctx, request{
+		data: data,
+	})
+}
+
+// ChangeMembers adds or removes one replica.
+func (n *Node) ChangeMembers(ctx context.Context, members *rpc.Members) error {
+	_, err := n.ask(ctx, request{
+		members: members,
+	})
+	return err
+}
+
+// ReadBarrier returns once the local state holds everything that was accepted
+// before the call. Only the leader can tell.
+func (n *Node) ReadBarrier(ctx context.Context) error {
+	_, err := n.ask(ctx, request{
+		read: true,
+	})
+	return err
+}
+
+func (n *Node) ask(ctx context.Context, r request) ([]byte, error) {
+	r.reply = make(chan result, 1)
+	select {
+	case n.requests <- r:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	select {
+	case res := <-r.reply:
+		return res.data, res.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// drain takes what else is there, so that one sync serves it all.
+func (n *Node) drain() {
+	for range maxBatch {
+		select {
+		case batch := <-n.inbox:
+			n.step(batch)
+		case r := <-n.requests:
+			n.take(r)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) step(batch []*rpc.RaftMessage) {
+	for _, m := range batch {
+		n.core.Step(m)
+	}
+}
+
+func (n *Node) take(r request) {
+	switch {
+	case r.read:
+		n.takeRead(r)
+	case r.members != nil:
+		index, term, err := n.core.ProposeMembers(r.members)
+		n.wait(r, index, term, err)
+	default:
+		index, term, err := n.core.Propose(r.data)
+		n.wait(r, index, term, err)
+	}
+}
+
+func (n *Node) wait(r request, index, term uint64, err error) {
+	if err != nil {
+		r.reply <- result{
+			err: n.explain(err),
+		}
+		return
+	}
+	n.waiting[index] = waiter{
+		term:  term,
+		reply: r.reply,
+	}
+}
+
+func (n *Node) takeRead(r request) {
+	n.nextID++
+	if err := n.core.ReadIndex(n.nextID); err != nil {
+		r.reply <- result{
+			err: n.explain(err),
+		}
+		return
+	}
+	n.reads[n.nextID] = r.reply
+}
+
+// explain turns the algorithm's refusal into one that names who to ask.
+func (n *Node) explain(err error) error {
+	if !errors.Is(err, raft.ErrNotLeader) {
+		return err
+	}
+	return &NotLeaderError{
+		Leader: n.member(n.core.Leader()),
+	}
+}
+
+func (n *Node) member(id uint64) *rpc.Member {
+	for _, m := range n.core.Members().GetList() {
+		if m.GetId() == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// advance does what the algorithm asks until it asks for nothing more.
+func (n *Node) advance() error {
+	for {
+		n.core.Beat()
+		rd := n.core.Take()
+		if rd.Empty() {
+			n.publish()
+			return nil
+		}
+		if err := n.carryOut(rd); err != nil {
+			logflags.Error(logflags.Storage, err, "replica stops")
+			return err
+		}
+	}
+}
+
+func (n *Node) carryOut(rd raft.Ready) error {
+	n.noteRounds()
+	n.cfg.Transport.Send(rd.Early)
+	if rd.Snapshot != nil {
+		if err := n.install(rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	if rd.HardState != nil || len(rd.Entries) > 0 {
+		if err := n.cfg.Store.Save(rd.HardState, rd.Entries); err != nil {
+			return err
+		}
+	}
+	if k := len(rd.Entries); k > 0 {
+		n.core.Persisted(rd.Entries[k-1].GetIndex(), rd.Entries[k-1].GetTerm())
+	}
+	n.cfg.Transport.Send(rd.Messages)
+	if err := n.apply(rd.Committed); err != nil {
+		return err
+	}
+	n.answerReads(rd.Reads)
+	return n.maybeSnapshot()
+}
+
+func (n *Node) install(file *rpc.SnapshotFile) error {
+	if err := n.cfg.Store.SaveSnapshot(file); err != nil {
+		return err
+	}
+	n.applied = file.GetMeta().GetIndex()
+	n.failAll(ErrLost)
+	logflags.Info(logflags.Raft, "installed snapshot", "index", n.applied)
+	return n.cfg.Machine.Restore(file.GetState())
+}
+
+func (n *Node) apply(entries []*rpc.LogEntry) error {
+	for _, e := range entries {
+		reply, err := n.cfg.Machine.Apply(e.GetData())
+		if err != nil {
+			return err
+		}
+		n.applied = e.GetIndex()
+		if e.GetMembers() != nil {
+			n.cfg.Transport.SetMembers(n.core.Members())
+			logflags.Info(logflags.Raft, "replicas changed", "members", e.GetMembers().String())
+		}
+		n.answer(e, reply)
+	}
+	return nil
+}
+
+func (n *Node) answer(e *rpc.LogEntry, reply []byte) {
+	w, ok := n.waiting[e.GetIndex()]
+	if !ok {
+		return
+	}
+	delete(n.waiting, e.GetIndex())
+	if w.term != e.GetTerm() {
+		w.reply <- result{
+			err: ErrLost,
+		}
+		return
+	}
+	w.reply <- result{
+		data: reply,
+	}
+}
+
+func (n *Node) maybeSnapshot() error {
+	if n.cfg.Store.LogBytes() < snapshotBytes || n.applied <= n.cfg.Store.Snapshot().GetMeta().GetIndex() {
+		return nil
+	}
+	state, err := n.cfg.Machine.Snapshot()
+	if err != nil {
+		return err
+	}
+	term, ok := n.core.TermAt(n.applied)
+	if !ok {
+		return nil
+	}
+	err = n.cfg.Store.SaveSnapshot(&rpc.SnapshotFile{
+		Meta: &rpc.SnapshotMeta{
+			Index:   n.applied,
+			Term:    term,
+			Members: n.core.MembersAt(n.applied),
+		},
+		State: state,
+	})
+	if err != nil {
+		return err
+	}
+	if n.applied > keptEntries {
+		n.core.Compact(n.applied - keptEntries)
+	}
+	return nil
+}
+
+func (n *Node) failAll(err error) {
+	for index, w := range n.waiting {
+		delete(n.waiting, index)
+		w.reply <- result{
+			err: err,
+		}
+	}
+	for id, reply := range n.reads {
+		delete(n.reads, id)
+		reply <- result{
+			err: err,
+		}
+	}
+}
--- /dev/null
+++ b/pkg/replica/transport.go
@@ -0,0 +1,127 @@
+package replica
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+)
+
+const (
+	sendTimeout = 500 * time.Millisecond
+	queueSize   = 1024
+)
+
+// TwirpTransport sends messages over twirp, one worker a replica, so that a
+// replica that can't be reached doesn't delay the others.
+type TwirpTransport struct {
+	self   uint64
+	client *http.Client
+	group  *group.Group
+
+	mu    sync.Mutex
+	peers map[uint64]*peer
+}
+
+type peer struct {
+	address string
+	queue   chan *rpc.RaftMessage
+	cancel  context.CancelFunc
+}
+
+// NewTwirpTransport returns a transport whose workers run in g.
+func NewTwirpTransport(self uint64, client *http.Client, g *group.Group) *TwirpTransport {
+	return &TwirpTransport{
+		self:   self,
+		client: client,
+		group:  g,
+		peers:  map[uint64]*peer{},
+	}
+}
+
+// SetMembers implements Transport.
+func (t *TwirpTransport) SetMembers(members *rpc.Members) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wanted := map[uint64]string{}
+	for _, m := range members.GetList() {
+		if m.GetId() != t.self {
+			wanted[m.GetId()] = m.GetAddress()
+		}
+	}
+	for id, p := range t.peers {
+		if wanted[id] != p.address {
+			p.cancel()
+			delete(t.peers, id)
+		}
+	}
+	for id, address := range wanted {
+		if t.peers[id] == nil {
+			t.peers[id] = t.start(address)
+		}
+	}
+}
+
+func (t *TwirpTransport) start(address string) *peer {
+	ctx, cancel := context.WithCancel(t.group.Context())
+	p := &peer{
+		address: address,
+		queue:   make(chan *rpc.RaftMessage, queueSize),
+		cancel:  cancel,
+	}
+	client := rpc.NewReplicaProtobufClient("http://"+address, t.client)
+	t.group.Go(func(context.Context) {
+		p.work(ctx, client)
+	})
+	return p
+}
+
+// Send implements Transport.
+func (t *TwirpTransport) Send(messages []*rpc.RaftMessage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range messages {
+		p := t.peers[m.GetTo()]
+		if p == nil {
+			continue
+		}
+		select {
+		case p.queue <- m:
+		default: // lost, as on a network; heartbeats mend it
+		}
+	}
+}
+
+func (p *peer) work(ctx context.Context, client rpc.Replica) {
+	for {
+		batch := p.next(ctx)
+		if batch == nil {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
+		_, _ = client.Deliver(callCtx, batch) // a lost batch is mended by heartbeats
+		cancel()
+	}
+}
+
+// next waits for a message and takes those behind it too; nil means the end.
+func (p *peer) next(ctx context.Context) *rpc.RaftBatch {
+	batch := &rpc.RaftBatch{}
+	select {
+	case <-ctx.Done():
+		return nil
+	case m := <-p.queue:
+		batch.Messages = append(batch.Messages, m)
+	}
+	for {
+		select {
+		case m := <-p.queue:
+			batch.Messages = append(batch.Messages, m)
+		default:
+			return batch
+		}
+	}
+}
--- /dev/null
+++ b/pkg/rollout/keeper.go
@@ -0,0 +1,252 @@
+// Package rollout keeps, on an entry host, the set of bundles in force. It
+// takes newer sets from control replicas or from other entry hosts, verifies
+// every signature itself, and never goes back.
+package rollout
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/logflags"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	// fetchWait is for how long a control replica holds a call when nothing
+	// is newer. It bounds the age of a confirmation when nothing changes.
+	fetchWait    = 4 * time.Second
+	fetchTimeout = fetchWait + 2*time.Second
+	retryPause   = 250 * time.Millisecond
+	peerTimeout  = time.Second
+)
+
+// Keeper holds the set in force on this host.
+//
+// Invariants: the revision never falls; a set is installed whole or not at
+// all; confirmedAt is a time at which the installed revision was the newest
+// that a control majority had accepted.
+type Keeper struct {
+	host    string
+	control []string
+	peers   func() []string
+	trust   *bundle.Trust
+	svc     timer.Service
+	client  *http.Client
+	metrics *metrics.Set
+
+	mu          sync.Mutex
+	versions    map[string]*rpc.BundleVersion
+	set         *bundle.Set
+	confirmed   bool
+	confirmedAt time.Time
+	changed     chan struct{}
+	next        int // the control replica to ask next
+}
+
+// New returns a keeper that holds no set yet. peers gives the addresses of
+// other entry hosts.
+func New(host string, control []string, peers func() []string, trust *bundle.Trust, svc timer.Service, client *http.Client, set *metrics.Set) *Keeper {
+	empty, _ := bundle.NewSet(0, nil)
+	return &Keeper{
+		host:     host,
+		control:  control,
+		peers:    peers,
+		trust:    trust,
+		svc:      svc,
+		client:   client,
+		metrics:  set,
+		versions: map[string]*rpc.BundleVersion{},
+		set:      empty,
+		changed:  make(chan struct{}),
+	}
+}
+
+// Set returns the set in force.
+func (k *Keeper) Set() *bundle.Set {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.set
+}
+
+// Changed returns a channel that is closed once a newer set is in force.
+func (k *Keeper) Changed() <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.changed
+}
+
+// Confirmed reports whether the set was ever confirmed to be the newest since
+// this process started, and how long ago the last time was.
+func (k *Keeper) Confirmed() (bool, time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.confirmed, k.svc.Now().Sub(k.confirmedAt)
+}
+
+// Run fetches newer sets until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if k.fetchControl(ctx) {
+			continue
+		}
+		k.fetchPeers(ctx)
+		if timer.Sleep(ctx, k.svc, retryPause) != nil {
+			return
+		}
+	}
+}
+
+// fetchControl asks one control replica, and reports whether it confirmed.
+func (k *Keeper) fetchControl(ctx context.Context) bool {
+	k.mu.Lock()
+	address := k.control[k.next%len(k.control)]
+	k.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	sent := k.svc.Now()
+	reply, err := rpc.NewRolloutProtobufClient("http://"+address, k.client).Fetch(ctx, k.request(fetchWait))
+	if err == nil {
+		err = k.take(reply, sent)
+	}
+	if err == nil && reply.GetConfirmed() {
+		return true
+	}
+	k.metrics.Counter("rollout_fetch_failures").Inc(1)
+	k.mu.Lock()
+	k.next++
+	k.mu.Unlock()
+	return false
+}
+
+func (k *Keeper) request(wait time.Duration) *rpc.FetchRequest {
+	r := &rpc.FetchRequest{
+		Host:          k.host,
+		KnownRevision: k.Set().Revision(),
+		WaitMs:        uint32(wait.Milliseconds()),
+	}
+	if ok, _ := k.Confirmed(); !ok {
+		r.WaitMs = 0
+	}
+	return r
+}
+
+// fetchPeers asks the other entry hosts in turn, so that a set gets through
+// where no control replica can be reached.
+func (k *Keeper) fetchPeers(ctx context.Context) {
+	for _, address := range k.peers() {
+		if k.fetchPeer(ctx, address) {
+			return
+		}
+	}
+}
+
+func (k *Keeper) fetchPeer(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	sent := k.svc.Now()
+	reply, err := rpc.NewRolloutProtobufClient("http://"+address, k.client).Fetch(ctx, k.request(0))
+	if err != nil {
+		return false
+	}
+	return k.take(reply, sent) == nil && reply.GetConfirmed()
+}
+
+// take installs what a reply brings and notes what it confirms. sent is when
+// the call was made: the answer is true of some moment after it.
+func (k *Keeper) take(reply *rpc.FetchReply, sent time.Time) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if set := reply.GetSet(); set != nil && set.GetRevision() > k.set.Revision() {
+		if err := k.install(set); err != nil {
+			k.metrics.Counter("rollout_refused").Inc(1)
+			logflags.Error(logflags.Rollout, err, "a set was refused", "revision", set.GetRevision())
+			return err
+		}
+	}
+	if !reply.GetConfirmed() || reply.GetRevision() != k.set.Revision() {
+		return nil
+	}
+	at := sent.Add(-time.Duration(reply.GetConfirmedAgeMs()) * time.Millisecond)
+	if !k.confirmed || at.After(k.confirmedAt) {
+		k.confirmed = true
+		k.confirmedAt = at
+	}
+	return nil
+}
+
+// install puts a newer set in force: the versions held, with those that
+// changed in their places.
+func (k *Keeper) install(set *rpc.BundleSet) error {
+	next := map[string]*rpc.BundleVersion{}
+	for name, v := range k.versions {
+		next[name] = v
+	}
+	for _, v := range set.GetBundles() {
+		if err := k.verify(v); err != nil {
+			return err
+		}
+		next[v.GetName()] = v
+	}
+	var bundles []*bundle.Bundle
+	for name, v := range next {
+		b, err := bundle.Parse(name, v.GetContent())
+		if err != nil {
+			return err
+		}
+		bundles = append(bundles, b)
+	}
+	built, err := bundle.NewSet(set.GetRevision(), bundles)
+	if err != nil {
+		return err
+	}
+	k.versions = next
+	k.set = built
+	close(k.changed)
+	k.changed = make(chan struct{})
+	k.metrics.Gauge("revision").Update(int64(set.GetRevision()))
+	logflags.Info(logflags.Rollout, "set in force", "revision", set.GetRevision())
+	return nil
+}
+
+// verify checks a version by itself: its digest, its signatures, and that it
+// doesn't go back behind the one held.
+func (k *Keeper) verify(v *rpc.BundleVersion) error {
+	if bundle.Digest(v.GetContent()) != v.GetDigest() {
+		return errors.Errorf("bundle %q: the text doesn't have the digest it came with", v.GetName())
+	}
+	if held := k.versions[v.GetName()]; held != nil && v.GetVersion() < held.GetVersion() {
+		return errors.Errorf("bundle %q: version %d came after version %d", v.GetName(), v.GetVersion(), held.GetVersion())
+	}
+	return k.trust.Verify(v)
+}
+
+// Fetch implements rpc.Rollout for other entry hosts.
+func (k *Keeper) Fetch(_ context.Context, r *rpc.FetchRequest) (*rpc.FetchReply, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	reply := &rpc.FetchReply{
+		Revision:  k.set.Revision(),
+		Confirmed: k.confirmed,
+	}
+	if k.confirmed {
+		reply.ConfirmedAgeMs = uint32(k.svc.Now().Sub(k.confirmedAt).Milliseconds())
+	}
+	if k.set.Revision() <= r.GetKnownRevision() {
+		return reply, nil
+	}
+	reply.Set = &rpc.BundleSet{
+		Revision: k.set.Revision(),
+	}
+	for _, v := range k.versions {
+		if v.GetRevision() > r.GetKnownRevision() {
+			reply.Set.Bundles = append(reply.Set.Bundles, v)
+		}
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/pkg/standin/engine/batcher.go
@@ -0,0 +1,157 @@
+package engine
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// work is one sequence's share of a pass: one position to decode, or several
+// to prefill.
+type work struct {
+	positions int
+	priority  int
+	arrived   uint64
+	done      chan struct{}
+}
+
+// batcher runs passes one after the other; what arrives during a pass joins
+// the next one. That is continuous batching.
+type batcher struct {
+	cfg    Config
+	curve  Curve
+	faults *Faults
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	waiting []*work
+	running int
+	arrival uint64
+	passes  uint64
+	busy    time.Duration
+}
+
+func newBatcher(cfg Config, curve Curve, faults *Faults) *batcher {
+	return &batcher{
+		cfg:    cfg,
+		curve:  curve,
+		faults: faults,
+		wake:   make(chan struct{}, 1),
+	}
+}
+
+// pass waits until the positions have gone through a pass.
+func (b *batcher) pass(ctx context.Context, positions, priority int) error {
+	w := &work{
+		positions: positions,
+		priority:  priority,
+		done:      make(chan struct{}),
+	}
+	b.add(w)
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+	}
+	if b.remove(w) {
+		return ctx.Err()
+	}
+	<-w.done // it is in a pass, which can't be taken back
+	return nil
+}
+
+func (b *batcher) add(w *work) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrival++
+	w.arrived = b.arrival
+	b.waiting = append(b.waiting, w)
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
+}
+
+// remove takes work back, and reports whether no pass had begun with it.
+func (b *batcher) remove(gone *work) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i, w := range b.waiting {
+		if w == gone {
+			b.waiting = append(b.waiting[:i], b.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+func (b *batcher) load(sessions int) api.EngineLoad {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return api.EngineLoad{
+		Running:  b.running,
+		Waiting:  len(b.waiting),
+		Sessions: sessions,
+	}
+}
+
+func (b *batcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.wake:
+		}
+		for batch := b.next(); len(batch) > 0; batch = b.next() {
+			if !b.runPass(ctx, batch) {
+				return
+			}
+		}
+	}
+}
+
+// next takes the sequences of the next pass, by priority and then by arrival.
+func (b *batcher) next() []*work {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sort.SliceStable(b.waiting, func(i, j int) bool {
+		if b.waiting[i].priority != b.waiting[j].priority {
+			return b.waiting[i].priority > b.waiting[j].priority
+		}
+		return b.waiting[i].arrived < b.waiting[j].arrived
+	})
+	n := min(len(b.waiting), b.cfg.Batch)
+	batch := append([]*work(nil), b.waiting[:n]...)
+	b.waiting = append(b.waiting[:0], b.waiting[n:]...)
+	b.running = n
+	return batch
+}
+
+func (b *batcher) runPass(ctx context.Context, batch []*work) bool {
+	tokens := 0
+	for _, w := range batch {
+		tokens += w.positions - 1
+	}
+	d := b.curve.Pass(b.cfg.EndLayer-b.cfg.FirstLayer, len(batch), tokens)
+	defer func() {
+		for _, w := range batch {
+			close(w.done)
+		}
+	}()
+	if err := timer.Sleep(ctx, b.cfg.Timer, b.faults.stretch(d)); err != nil {
+		return false
+	}
+	if err := b.faults.beforeStep(ctx); err != nil {
+		return false
+	}
+	b.mu.Lock()
+	b.running = 0
+	b.passes++
+	b.busy += d
+	b.mu.Unlock()
+	return true
+}
--- /dev/null
+++ b/pkg/standin/engine/engine.go
@@ -0,0 +1,221 @@
+// Package engine is a stand-in for a model engine: it holds a range of a
+// model's layers, batches continuously on a published cost curve, keeps a KV
+// cache for each request, and fails as it is told to.
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// Curve is what a batch costs. One pass through one layer takes
+// Base + PerSequence*sequences + PerToken*prefilled tokens.
+type Curve struct {
+	Base        time.Duration
+	PerSequence time.Duration
+	PerToken    time.Duration
+}
+
+// Pass returns the time of one pass through layers.
+func (c Curve) Pass(layers, sequences, tokens int) time.Duration {
+	one := c.Base + time.Duration(sequences)*c.PerSequence + time.Duration(tokens)*c.PerToken
+	return time.Duration(layers) * one
+}
+
+// The curves of the three kinds of accelerator that the stand-ins know.
+var curves = []namedCurve{
+	{name: "large", curve: Curve{Base: 150 * time.Microsecond, PerSequence: 2 * time.Microsecond, PerToken: 600 * time.Nanosecond}},
+	{name: "medium", curve: Curve{Base: 300 * time.Microsecond, PerSequence: 5 * time.Microsecond, PerToken: 1500 * time.Nanosecond}},
+	{name: "small", curve: Curve{Base: 700 * time.Microsecond, PerSequence: 14 * time.Microsecond, PerToken: 5 * time.Microsecond}},
+}
+
+type namedCurve struct {
+	name  string
+	curve Curve
+}
+
+// CurveOf returns the curve of a kind of accelerator, and whether it is known.
+func CurveOf(accelerator string) (Curve, bool) {
+	for _, c := range curves {
+		if c.name == accelerator {
+			return c.curve, true
+		}
+	}
+	return Curve{}, false
+}
+
+// Accelerators returns the kinds that CurveOf knows.
+func Accelerators() []string {
+	names := make([]string, 0, len(curves))
+	for _, c := range curves {
+		names = append(names, c.name)
+	}
+	return names
+}
+
+// Config is what an Engine is made of.
+type Config struct {
+	Address      string
+	Model        string
+	ModelVersion string
+	FirstLayer   int
+	EndLayer     int
+	Accelerator  string
+	Incarnation  uint64
+	Slots        int // sessions that may be open at once
+	Batch        int // sequences in one pass at most
+	// ReportLag is by how much load reports lag.
+	ReportLag time.Duration
+	// ChecksOrders says whether the engine refuses orders from before.
+	ChecksOrders bool
+	Timer        timer.Service
+	// Client calls the next stage.
+	Client *http.Client
+	// Die ends the process, or what stands for it in a test.
+	Die func()
+}
+
+// Engine is a running stand-in.
+type Engine struct {
+	cfg     Config
+	curve   Curve
+	batcher *batcher
+	faults  *Faults
+	ledger  *Ledger
+	orders  orderFence
+	load    loadReport
+	group   *group.Group
+
+	mu       sync.Mutex
+	sessions map[string]*session
+	leaving  bool
+}
+
+const (
+	defaultSlots = 4096
+	defaultBatch = 256
+	// orphanAge is after how long without a call a session is dropped.
+	orphanAge     = 60 * time.Second
+	sweepInterval = 5 * time.Second
+)
+
+// New returns an engine whose goroutines run in g.
+func New(cfg Config, g *group.Group) *Engine {
+	if cfg.Slots == 0 {
+		cfg.Slots = defaultSlots
+	}
+	if cfg.Batch == 0 {
+		cfg.Batch = defaultBatch
+	}
+	curve, _ := CurveOf(cfg.Accelerator)
+	e := &Engine{
+		cfg:      cfg,
+		curve:    curve,
+		faults:   newFaults(cfg.Timer, cfg.Die),
+		ledger:   newLedger(),
+		group:    g,
+		sessions: map[string]*session{},
+	}
+	e.batcher = newBatcher(cfg, curve, e.faults)
+	g.Go(e.batcher.run)
+	g.Go(e.sweep)
+	return e
+}
+
+// Ledger returns the record of what the engine ran.
+func (e *Engine) Ledger() *Ledger {
+	return e.ledger
+}
+
+// Faults returns the switch for asked-for faults.
+func (e *Engine) Faults() *Faults {
+	return e.faults
+}
+
+// SetLeaving says in reports that the engine is leaving on plan.
+func (e *Engine) SetLeaving(leaving bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = leaving
+}
+
+// Info returns what the engine says of itself.
+func (e *Engine) Info() api.EngineInfo {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return api.EngineInfo{
+		Model:        e.cfg.Model,
+		ModelVersion: e.cfg.ModelVersion,
+		FirstLayer:   e.cfg.FirstLayer,
+		EndLayer:     e.cfg.EndLayer,
+		Accelerator:  e.cfg.Accelerator,
+		Incarnation:  e.cfg.Incarnation,
+		Slots:        e.cfg.Slots,
+		LayerUS:      micros(e.curve.Base),
+		SequenceUS:   micros(e.curve.PerSequence),
+		TokenUS:      micros(e.curve.PerToken),
+		Leaving:      e.leaving,
+		Load:         e.load.get(e.cfg.Timer.Now(), e.cfg.ReportLag, e.batcher.load(len(e.sessions))),
+	}
+}
+
+func micros(d time.Duration) float64 {
+	return float64(d) / float64(time.Microsecond)
+}
+
+func (e *Engine) layers() int {
+	return e.cfg.EndLayer - e.cfg.FirstLayer
+}
+
+func (e *Engine) session(request string) *session {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sessions[request]
+}
+
+// sweep drops sessions that nobody calls any more.
+func (e *Engine) sweep(ctx context.Context) {
+	ticks := e.cfg.Timer.Every(sweepInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticks.C():
+			e.dropOrphans(now.Add(-orphanAge))
+		}
+	}
+}
+
+func (e *Engine) dropOrphans(before time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, s := range e.sessions {
+		if s.lastUsed().Before(before) {
+			delete(e.sessions, id)
+		}
+	}
+}
+
+// loadReport remembers a load and shows it until it is older than the lag.
+type loadReport struct {
+	mu    sync.Mutex
+	at    time.Time
+	shown api.EngineLoad
+}
+
+func (l *loadReport) get(now time.Time, lag time.Duration, fresh api.EngineLoad) api.EngineLoad {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.at) >= lag {
+		l.at = now
+		l.shown = fresh
+	}
+	return l.shown
+}
--- /dev/null
+++ b/pkg/standin/engine/faults.go
@@ -0,0 +1,133 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// FaultPath is where a stand-in is asked for a fault; LedgerPath is where it
+// shows what it ran.
+const (
+	FaultPath   = "/standin/fault"
+	LedgerPath  = "/standin/ledger"
+	LeavingPath = "/standin/leaving"
+)
+
+// Fault asks a stand-in to fail. The zero value ends every fault.
+type Fault struct {
+	// DieAfter ends the process after so many passes, if above 0.
+	DieAfter int `json:"die_after"`
+	// FreezeMS stops all passes for so long, in milliseconds.
+	FreezeMS int `json:"freeze_ms"`
+	// Slow multiplies the time of each pass, if above 1.
+	Slow float64 `json:"slow"`
+	// Duplicate emits every event twice, and Reorder swaps pairs of them.
+	Duplicate bool `json:"duplicate"`
+	Reorder   bool `json:"reorder"`
+	// Corrupt emits every event with a wrong index.
+	Corrupt bool `json:"corrupt"`
+	// Cut closes every connection as it comes in.
+	Cut bool `json:"cut"`
+}
+
+// Faults holds the faults that are asked for.
+type Faults struct {
+	svc timer.Service
+	die func()
+
+	mu     sync.Mutex
+	now    Fault
+	thaw   time.Time
+	passes int
+	held   *api.EngineEvent
+}
+
+func newFaults(svc timer.Service, die func()) *Faults {
+	return &Faults{
+		svc: svc,
+		die: die,
+	}
+}
+
+// Set replaces the faults that are asked for.
+func (f *Faults) Set(fault Fault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = fault
+	f.passes = 0
+	f.held = nil
+	f.thaw = f.svc.Now().Add(time.Duration(fault.FreezeMS) * time.Millisecond)
+}
+
+func (f *Faults) get() Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+func (f *Faults) stretch(d time.Duration) time.Duration {
+	if slow := f.get().Slow; slow > 1 {
+		return time.Duration(float64(d) * slow)
+	}
+	return d
+}
+
+// beforeStep freezes or dies if asked to.
+func (f *Faults) beforeStep(ctx context.Context) error {
+	f.mu.Lock()
+	f.passes++
+	dies := f.now.DieAfter > 0 && f.passes > f.now.DieAfter
+	wait := f.thaw.Sub(f.svc.Now())
+	f.mu.Unlock()
+	if dies {
+		f.die()
+	}
+	return timer.Sleep(ctx, f.svc, max(wait, 0))
+}
+
+// emit passes an event on, spoilt as asked.
+func (f *Faults) emit(ev api.EngineEvent, out emit) error {
+	fault := f.get()
+	switch {
+	case fault.Corrupt:
+		ev.Index++
+		return out(ev)
+	case fault.Duplicate:
+		if err := out(ev); err != nil {
+			return err
+		}
+		return out(ev)
+	case fault.Reorder:
+		return f.swap(ev, out)
+	default:
+		return out(ev)
+	}
+}
+
+func (f *Faults) swap(ev api.EngineEvent, out emit) error {
+	f.mu.Lock()
+	held := f.held
+	if held == nil {
+		f.held = &ev
+		f.mu.Unlock()
+		return nil
+	}
+	f.held = nil
+	f.mu.Unlock()
+	if err := out(ev); err != nil {
+		return err
+	}
+	return out(*held)
+}
+
+// beforeInfo waits while the engine is frozen: a frozen process answers nothing.
+func (f *Faults) beforeInfo(ctx context.Context) error {
+	f.mu.Lock()
+	wait := f.thaw.Sub(f.svc.Now())
+	f.mu.Unlock()
+	return timer.Sleep(ctx, f.svc, max(wait, 0))
+}
--- /dev/null
+++ b/pkg/standin/engine/ledger.go
@@ -0,0 +1,114 @@
+package engine
+
+import "sync"
+
+// Entry is what a stage ran for one request.
+type Entry struct {
+	Request string `json:"request"`
+	// Runs counts, by position, how often the stage's layers ran.
+	Runs []int `json:"runs"`
+	// Rebuilt is how many of those runs filled the KV cache of a replacement.
+	Rebuilt int `json:"rebuilt"`
+	// Imported is how many positions came with an imported KV cache.
+	Imported int `json:"imported"`
+	// Repeated counts positions that were asked for again and not run again.
+	Repeated int `json:"repeated"`
+	// Stale counts steps of older attempts, which were refused.
+	Stale int `json:"stale"`
+}
+
+// Ledger is the record that tests hold against what callers were told. It
+// outlives the sessions.
+type Ledger struct {
+	mu      sync.Mutex
+	entries map[string]*Entry
+	order   []string
+}
+
+// ledgerSize bounds the requests that the ledger remembers.
+const ledgerSize = 20_000
+
+func newLedger() *Ledger {
+	return &Ledger{
+		entries: map[string]*Entry{},
+	}
+}
+
+// Get returns what was run for a request, and whether anything was.
+func (l *Ledger) Get(request string) (Entry, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.entries[request]
+	if !ok {
+		return Entry{}, false
+	}
+	c := *e
+	c.Runs = append([]int(nil), e.Runs...)
+	return c, true
+}
+
+// All returns every entry, oldest first.
+func (l *Ledger) All() []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	all := make([]Entry, 0, len(l.order))
+	for _, id := range l.order {
+		c := *l.entries[id]
+		c.Runs = append([]int(nil), c.Runs...)
+		all = append(all, c)
+	}
+	return all
+}
+
+func (l *Ledger) entry(request string) *Entry {
+	e := l.entries[request]
+	if e != nil {
+		return e
+	}
+	if len(l.order) >= ledgerSize {
+		delete(l.entries, l.order[0])
+		l.order = l.order[1:]
+	}
+	e = &Entry{
+		Request: request,
+	}
+	l.entries[request] = e
+	l.order = append(l.order, request)
+	return e
+}
+
+func (l *Ledger) ran(request string, pos, n int, rebuild bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entry(request)
+	for len(e.Runs) < pos+n {
+		e.Runs = append(e.Runs, 0)
+	}
+	for i := pos; i < pos+n; i++ {
+		e.Runs[i]++
+	}
+	if rebuild {
+		e.Rebuilt += n
+	}
+}
+
+func (l *Ledger) repeated(request string, n int) {
+	if n == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry(request).Repeated += n
+}
+
+func (l *Ledger) stale(request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry(request).Stale++
+}
+
+func (l *Ledger) imported(request string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entry(request).Imported += n
+}
--- /dev/null
+++ b/pkg/standin/engine/session.go
@@ -0,0 +1,180 @@
+package engine
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/standin/model"
+)
+
+// session is one request's state on this stage.
+//
+// Invariants: kv holds the state after exactly len(inputs) positions; a
+// position is run once, and asked for again gives the saved output; attempt
+// never falls, and a step of an older attempt changes nothing.
+type session struct {
+	mu      sync.Mutex
+	request string
+	attempt int
+	open    api.EngineOpen
+	kv      []uint64
+	inputs  []uint64
+	outputs []uint64
+	used    time.Time
+	usedMu  sync.Mutex
+}
+
+func (s *session) touch(now time.Time) {
+	s.usedMu.Lock()
+	defer s.usedMu.Unlock()
+	s.used = now
+}
+
+func (s *session) lastUsed() time.Time {
+	s.usedMu.Lock()
+	defer s.usedMu.Unlock()
+	return s.used
+}
+
+// openSession opens or takes over a session. It reports false for an attempt
+// that is older than the session's.
+func (e *Engine) openSession(o api.EngineOpen) (api.EngineOpened, bool, bool) {
+	e.mu.Lock()
+	s := e.sessions[o.Request]
+	if s == nil {
+		if len(e.sessions) >= e.cfg.Slots {
+			e.mu.Unlock()
+			return api.EngineOpened{}, false, true
+		}
+		s = &session{
+			request: o.Request,
+			kv:      make([]uint64, e.layers()),
+		}
+		e.sessions[o.Request] = s
+	}
+	open := len(e.sessions)
+	e.mu.Unlock()
+	s.touch(e.cfg.Timer.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.Attempt < s.attempt {
+		return api.EngineOpened{}, false, false
+	}
+	s.attempt = o.Attempt
+	s.open = o
+	return api.EngineOpened{
+		Have: len(s.inputs),
+		Load: e.batcher.load(open),
+	}, true, false
+}
+
+// closeSession drops a session unless a newer attempt has taken it over.
+func (e *Engine) closeSession(c api.EngineCancel) {
+	s := e.session(c.Request)
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	stale := c.Attempt < s.attempt
+	s.mu.Unlock()
+	if stale {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.sessions, c.Request)
+}
+
+// run takes the inputs of positions from pos on and returns their outputs.
+// Positions that were run before aren't run again.
+func (e *Engine) run(ctx context.Context, s *session, attempt, pos int, inputs []uint64, rebuild bool) ([]uint64, string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.touch(e.cfg.Timer.Now())
+	if attempt < s.attempt {
+		e.ledger.stale(s.request)
+		return nil, api.FaultStale
+	}
+	have := len(s.inputs)
+	if pos > have {
+		return nil, api.FaultGap
+	}
+	known := min(have-pos, len(inputs))
+	for i := range known {
+		if s.inputs[pos+i] != inputs[i] {
+			return nil, api.FaultDiverged
+		}
+	}
+	e.ledger.repeated(s.request, known)
+	fresh := inputs[known:]
+	if len(fresh) > 0 {
+		if err := e.batcher.pass(ctx, len(fresh), s.open.Priority); err != nil {
+			return nil, api.FaultLost
+		}
+		e.ledger.ran(s.request, have, len(fresh), rebuild)
+	}
+	for _, x := range fresh {
+		s.inputs = append(s.inputs, x)
+		s.outputs = append(s.outputs, e.runLayers(s, x))
+	}
+	return append([]uint64(nil), s.outputs[pos:pos+len(inputs)]...), ""
+}
+
+func (e *Engine) runLayers(s *session, x uint64) uint64 {
+	for l := range s.kv {
+		s.kv[l], x = model.Layer(e.cfg.FirstLayer+l, s.kv[l], x)
+	}
+	return x
+}
+
+// saved returns the outputs from position from on.
+func (s *session) saved(from int) []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if from >= len(s.outputs) {
+		return nil
+	}
+	return append([]uint64(nil), s.outputs[from:]...)
+}
+
+func (s *session) opened() api.EngineOpen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.open
+}
+
+// export returns the session's KV cache.
+func (e *Engine) export(s *session) api.EngineKV {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return api.EngineKV{
+		Request:    s.request,
+		Attempt:    s.attempt,
+		FirstLayer: e.cfg.FirstLayer,
+		EndLayer:   e.cfg.EndLayer,
+		Seed:       s.open.Seed,
+		Layers:     append([]uint64(nil), s.kv...),
+		Inputs:     append([]uint64(nil), s.inputs...),
+		Outputs:    append([]uint64(nil), s.outputs...),
+	}
+}
+
+// importKV fills an open session that has run nothing yet.
+func (e *Engine) importKV(kv api.EngineKV) bool {
+	s := e.session(kv.Request)
+	if s == nil || kv.FirstLayer != e.cfg.FirstLayer || kv.EndLayer != e.cfg.EndLayer {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.inputs) > 0 {
+		return len(s.inputs) >= len(kv.Inputs)
+	}
+	s.kv = kv.Layers
+	s.inputs = kv.Inputs
+	s.outputs = kv.Outputs
+	e.ledger.imported(kv.Request, len(kv.Inputs))
+	return true
+}
--- /dev/null
+++ b/pkg/standin/hostlist/hostlist.go
@@ -0,0 +1,80 @@
+// Package hostlist is a stand-in for the platform's list of live and leaving
+// hosts, which lags behind the truth.
+package hostlist
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// SetPath is where the truth is set, with an api.HostList.
+const SetPath = "/standin/hosts"
+
+type change struct {
+	at   time.Time
+	list api.HostList
+}
+
+// List is a running stand-in. It shows each change once it is older than lag.
+type List struct {
+	svc timer.Service
+	lag time.Duration
+
+	mu      sync.Mutex
+	changes []change
+	shown   api.HostList
+}
+
+// New returns a list that shows first at once, and changes after lag.
+func New(svc timer.Service, lag time.Duration, first api.HostList) *List {
+	return &List{
+		svc:   svc,
+		lag:   lag,
+		shown: first,
+	}
+}
+
+// Set changes the truth.
+func (l *List) Set(list api.HostList) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.changes = append(l.changes, change{
+		at:   l.svc.Now(),
+		list: list,
+	})
+}
+
+// Shown returns what the list shows now.
+func (l *List) Shown() api.HostList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.svc.Now()
+	for len(l.changes) > 0 && now.Sub(l.changes[0].at) >= l.lag {
+		l.shown = l.changes[0].list
+		l.changes = l.changes[1:]
+	}
+	return l.shown
+}
+
+// Handler returns the list's HTTP interface.
+func (l *List) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+api.HostListPath, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(l.Shown()) // the caller is gone if it fails
+	})
+	mux.HandleFunc("POST "+SetPath, func(w http.ResponseWriter, r *http.Request) {
+		list := api.HostList{}
+		if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		l.Set(list)
+	})
+	return mux
+}
--- /dev/null
+++ b/pkg/state/bundles.go
@@ -0,0 +1,170 @@
+package state
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+)
+
+// keptContents is how many versions of a chain keep their text; older ones
+// keep digests and signatures only, and the oldest are forgotten, so that the
+// state stays bounded however many changes come.
+const (
+	keptContents = 100
+	keptVersions = 1000
+)
+
+// submit accepts or refuses a version. Signatures were checked before it was
+// proposed, since the settings that name the signers aren't replicated.
+func (m *Machine) submit(v *rpc.BundleVersion) *rpc.SubmitReply {
+	chain := m.chains[v.GetName()]
+	if old := versionAt(chain, v.GetVersion()); old != nil {
+		return m.again(v, old, chain)
+	}
+	if refused := m.checkParent(v, chain); refused != nil {
+		return refused
+	}
+	b, err := bundle.Parse(v.GetName(), v.GetContent())
+	if err != nil {
+		return m.refuse(failure.BundleInvalid, nil, "%v", err)
+	}
+	if b.Name != v.GetName() || b.Version != v.GetVersion() || b.Parent != v.GetParent() {
+		return m.refuse(failure.BundleInvalid, nil, "the text names another bundle, version or parent than the request")
+	}
+	set, err := m.build(m.revision+1, b)
+	if err != nil {
+		return m.refuse(failure.BundleInvalid, nil, "%v", err)
+	}
+	v.Revision = m.revision + 1
+	v.AcceptedUnixMs = m.clock
+	m.chains[v.GetName()] = trim(append(chain, v))
+	m.install(v.GetRevision(), set)
+	return &rpc.SubmitReply{
+		Standing: v,
+		Revision: v.GetRevision(),
+	}
+}
+
+// again answers a version that stands already: the same answer as the first
+// time for the same content, and a refusal that names what stands for other.
+func (m *Machine) again(v, old *rpc.BundleVersion, chain []*rpc.BundleVersion) *rpc.SubmitReply {
+	if old.GetDigest() == v.GetDigest() {
+		return &rpc.SubmitReply{
+			Standing: old,
+			Revision: old.GetRevision(),
+		}
+	}
+	head := chain[len(chain)-1]
+	return m.refuse(failure.VersionConflict, old,
+		"version %d of bundle %q stands with digest %.12s; rebase: set version = %d and parent = %q",
+		old.GetVersion(), old.GetName(), old.GetDigest(), head.GetVersion()+1, head.GetDigest())
+}
+
+func (m *Machine) checkParent(v *rpc.BundleVersion, chain []*rpc.BundleVersion) *rpc.SubmitReply {
+	next := uint64(1)
+	digest := ""
+	var head *rpc.BundleVersion
+	if len(chain) > 0 {
+		head = chain[len(chain)-1]
+		next = head.GetVersion() + 1
+		digest = head.GetDigest()
+	}
+	if v.GetVersion() == next && v.GetParent() == digest {
+		return nil
+	}
+	return m.refuse(failure.ParentConflict, head,
+		"the next version of bundle %q is %d with parent %q; rebase on it", v.GetName(), next, digest)
+}
+
+func (m *Machine) refuse(k failure.Kind, standing *rpc.BundleVersion, format string, args ...any) *rpc.SubmitReply {
+	return &rpc.SubmitReply{
+		Failure:  k.String(),
+		Detail:   fmt.Sprintf(format, args...),
+		Standing: standing,
+		Revision: m.revision,
+	}
+}
+
+// build makes the set with b in the place of its bundle's present version.
+func (m *Machine) build(revision uint64, b *bundle.Bundle) (*bundle.Set, error) {
+	var all []*bundle.Bundle
+	if b != nil {
+		all = append(all, b)
+	}
+	for _, name := range m.chainNames() {
+		if b != nil && name == b.Name {
+			continue
+		}
+		chain := m.chains[name]
+		parsed, err := m.parsed(chain[len(chain)-1])
+		if err != nil {
+			return nil, errors.Wrap(err, "bundle "+name)
+		}
+		all = append(all, parsed)
+	}
+	return bundle.NewSet(revision, all)
+}
+
+// parsed returns the bundle that is in force, parsed before, or parses it.
+func (m *Machine) parsed(v *rpc.BundleVersion) (*bundle.Bundle, error) {
+	for _, b := range m.set.Bundles() {
+		if b.Name == v.GetName() && b.Version == v.GetVersion() {
+			return b, nil
+		}
+	}
+	return bundle.Parse(v.GetName(), v.GetContent())
+}
+
+func (m *Machine) install(revision uint64, set *bundle.Set) {
+	m.revision = revision
+	m.set = set
+	wire := &rpc.BundleSet{
+		Revision: revision,
+	}
+	for _, name := range m.chainNames() {
+		chain := m.chains[name]
+		wire.Bundles = append(wire.Bundles, chain[len(chain)-1])
+	}
+	m.wire = wire
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// versionAt returns the version of that number, if the chain still holds it.
+func versionAt(chain []*rpc.BundleVersion, version uint64) *rpc.BundleVersion {
+	if len(chain) == 0 || version < chain[0].GetVersion() {
+		return nil
+	}
+	i := version - chain[0].GetVersion()
+	if i >= uint64(len(chain)) {
+		return nil
+	}
+	return chain[i]
+}
+
+func trim(chain []*rpc.BundleVersion) []*rpc.BundleVersion {
+	if len(chain) > keptVersions {
+		chain = append([]*rpc.BundleVersion(nil), chain[1:]...)
+	}
+	if len(chain) <= keptContents {
+		return chain
+	}
+	i := len(chain) - keptContents - 1
+	chain[i] = withoutContent(chain[i])
+	return chain
+}
+
+func withoutContent(v *rpc.BundleVersion) *rpc.BundleVersion {
+	return &rpc.BundleVersion{
+		Name:           v.GetName(),
+		Version:        v.GetVersion(),
+		Parent:         v.GetParent(),
+		Digest:         v.GetDigest(),
+		Signatures:     v.GetSignatures(),
+		Revision:       v.GetRevision(),
+		AcceptedUnixMs: v.GetAcceptedUnixMs(),
+	}
+}
--- /dev/null
+++ b/pkg/store/load.go
@@ -0,0 +1,184 @@
+package store
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"google.golang.org/protobuf/proto"
+)
+
+// newest returns the name with the prefix that has the highest number.
+func newest(names []string, prefix string) (string, uint64) {
+	for i := len(names) - 1; i >= 0; i-- {
+		digits, ok := strings.CutPrefix(names[i], prefix)
+		if !ok {
+			continue
+		}
+		if n, err := strconv.ParseUint(digits, 10, 64); err == nil {
+			return names[i], n
+		}
+	}
+	return "", 0
+}
+
+func (s *Store) loadSnapshot(names []string) error {
+	name, _ := newest(names, snapPrefix)
+	if name == "" {
+		return nil
+	}
+	b, err := s.disk.Read(name)
+	if err != nil {
+		return errors.Wrap(err, "read "+name)
+	}
+	if err := checkPrefix(name, b); err != nil {
+		return err
+	}
+	payload, _, err := nextRecord(name, b, prefixSize)
+	if err != nil {
+		return wholeError(name, err)
+	}
+	s.snap = &rpc.SnapshotFile{}
+	return decode(name, prefixSize, payload, s.snap)
+}
+
+// wholeError turns a torn end into damage: a renamed file was complete.
+func wholeError(name string, err error) error {
+	if !errors.Is(err, errTorn) {
+		return err
+	}
+	return &CorruptError{
+		File:   name,
+		Offset: prefixSize,
+		What:   "the file is shorter than it was",
+	}
+}
+
+func (s *Store) loadLog(names []string) error {
+	name, sequence := newest(names, logPrefix)
+	if name == "" {
+		if s.snap != nil {
+			return &CorruptError{
+				File: "data folder",
+				What: "there is a snapshot but no log",
+			}
+		}
+		return nil
+	}
+	b, err := s.disk.Read(name)
+	if err != nil {
+		return errors.Wrap(err, "read "+name)
+	}
+	if err := checkPrefix(name, b); err != nil {
+		return err
+	}
+	end, err := s.replay(name, b)
+	if err != nil {
+		return err
+	}
+	if err := s.checkContinues(name); err != nil {
+		return err
+	}
+	s.sequence = sequence
+	s.logName = name
+	return s.reopen(name, end, int64(len(b)))
+}
+
+// replay applies every record and returns where the whole ones end.
+func (s *Store) replay(name string, b []byte) (int64, error) {
+	offset := int64(prefixSize)
+	for first := true; offset < int64(len(b)); first = false {
+		payload, next, err := nextRecord(name, b, offset)
+		if errors.Is(err, errTorn) && !first {
+			return offset, nil
+		}
+		if err != nil {
+			return 0, wholeError(name, err)
+		}
+		r := &rpc.WalRecord{}
+		if err := decode(name, offset, payload, r); err != nil {
+			return 0, err
+		}
+		s.remember(r)
+		offset = next
+	}
+	if offset == prefixSize {
+		return 0, wholeError(name, errTorn)
+	}
+	return offset, nil
+}
+
+// checkContinues makes sure that the log and the snapshot leave no gap.
+func (s *Store) checkContinues(name string) error {
+	meta := s.snap.GetMeta()
+	if meta != nil {
+		s.entries = entriesAfter(s.entries, meta)
+	}
+	next := meta.GetIndex() + 1
+	for _, e := range s.entries {
+		if e.GetIndex() != next {
+			return &CorruptError{
+				File: name,
+				What: "entries are missing",
+			}
+		}
+		next++
+	}
+	if s.hard.GetCommit() >= next {
+		return &CorruptError{
+			File: name,
+			What: "committed entries are missing",
+		}
+	}
+	return nil
+}
+
+// reopen cuts a torn end off and opens the file to write on.
+func (s *Store) reopen(name string, end, size int64) error {
+	if end < size {
+		s.torn = size - end
+		if err := s.disk.Truncate(name, end); err != nil {
+			return errors.Wrap(err, "cut torn end off "+name)
+		}
+	}
+	f, err := s.disk.Append(name)
+	if err != nil {
+		return errors.Wrap(err, "open "+name)
+	}
+	if err := f.Sync(); err != nil {
+		return errors.Wrap(err, "sync "+name)
+	}
+	s.log = f
+	s.bytes = end
+	return nil
+}
+
+// removeOld drops what a crash left between two steps.
+func (s *Store) removeOld(names []string) error {
+	keepSnap, _ := newest(names, snapPrefix)
+	keepLog, _ := newest(names, logPrefix)
+	for _, name := range names {
+		stale := strings.HasSuffix(name, tmpSuffix) ||
+			(strings.HasPrefix(name, snapPrefix) && name != keepSnap) ||
+			(strings.HasPrefix(name, logPrefix) && name != keepLog)
+		if !stale {
+			continue
+		}
+		if err := s.disk.Remove(name); err != nil {
+			return errors.Wrap(err, "remove "+name)
+		}
+	}
+	return nil
+}
+
+func decode(name string, offset int64, payload []byte, m proto.Message) error {
+	if err := proto.Unmarshal(payload, m); err != nil {
+		return &CorruptError{
+			File:   name,
+			Offset: offset,
+			What:   "a record's checksum is right but its content isn't",
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/store/record.go
@@ -0,0 +1,130 @@
+package store
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+
+	"github.com/go-faster/errors"
+)
+
+// A file begins with a magic and a format version and goes on with records.
+// A record is its payload's length, the payload's checksum, the checksum of
+// those eight bytes, and the payload. The header's own checksum tells a
+// damaged length, which would look like a torn end, from a torn end.
+const (
+	magic        = "LWST"
+	format       = 1
+	prefixSize   = 8
+	headerSize   = 12
+	pageSize     = 4096
+	maxRecord    = 1 << 30
+	formatOffset = 4
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// CorruptError says that a file holds something that was not written so.
+type CorruptError struct {
+	File   string
+	Offset int64
+	What   string
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("%s: damaged at byte %d: %s; this replica can't be trusted with what it acknowledged: remove it and add a new one", e.File, e.Offset, e.What)
+}
+
+// FormatError says that a newer release wrote the file.
+type FormatError struct {
+	File   string
+	Format uint32
+}
+
+// Error implements error.
+func (e *FormatError) Error() string {
+	return fmt.Sprintf("%s: written in format %d, and this release reads up to %d; use the newer release", e.File, e.Format, format)
+}
+
+func filePrefix() []byte {
+	b := make([]byte, prefixSize)
+	copy(b, magic)
+	binary.LittleEndian.PutUint32(b[formatOffset:], format)
+	return b
+}
+
+func checkPrefix(file string, b []byte) error {
+	if len(b) < prefixSize || string(b[:formatOffset]) != magic {
+		return &CorruptError{
+			File: file,
+			What: "the file's first bytes",
+		}
+	}
+	if v := binary.LittleEndian.Uint32(b[formatOffset:]); v > format {
+		return &FormatError{
+			File:   file,
+			Format: v,
+		}
+	}
+	return nil
+}
+
+func encodeRecord(payload []byte) []byte {
+	b := make([]byte, headerSize, headerSize+len(payload))
+	binary.LittleEndian.PutUint32(b, uint32(len(payload)))
+	binary.LittleEndian.PutUint32(b[4:], crc32.Checksum(payload, castagnoli))
+	binary.LittleEndian.PutUint32(b[8:], crc32.Checksum(b[:8], castagnoli))
+	return append(b, payload...)
+}
+
+// errTorn marks the end of a file whose last write never completed. Nothing
+// that was synced is lost by cutting it off.
+var errTorn = errors.New("torn end")
+
+// nextRecord returns the payload at offset and where the next record begins.
+func nextRecord(file string, b []byte, offset int64) ([]byte, int64, error) {
+	rest := b[offset:]
+	if len(rest) < headerSize || allZero(rest) {
+		return nil, 0, errTorn
+	}
+	if crc32.Checksum(rest[:8], castagnoli) != binary.LittleEndian.Uint32(rest[8:]) {
+		return nil, 0, &CorruptError{
+			File:   file,
+			Offset: offset,
+			What:   "a record's header",
+		}
+	}
+	n := int64(binary.LittleEndian.Uint32(rest))
+	if n > maxRecord || int64(len(rest)) < headerSize+n {
+		return nil, 0, errTorn
+	}
+	payload := rest[headerSize : headerSize+n]
+	if crc32.Checksum(payload, castagnoli) == binary.LittleEndian.Uint32(rest[4:]) {
+		return payload, offset + headerSize + n, nil
+	}
+	if int64(len(rest)) == headerSize+n && hasZeroPage(payload) {
+		return nil, 0, errTorn // the length was extended before the data came
+	}
+	return nil, 0, &CorruptError{
+		File:   file,
+		Offset: offset,
+		What:   "a record's content",
+	}
+}
+
+func allZero(b []byte) bool {
+	for _, c := range b {
+		if c != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func hasZeroPage(b []byte) bool {
+	if len(b) < pageSize {
+		return false
+	}
+	return allZero(b[len(b)-pageSize:])
+}
--- /dev/null
+++ b/pkg/store/store.go
@@ -0,0 +1,267 @@
+// Package store keeps a control replica's log and snapshots in plain files
+// below one data folder. A write is acknowledged only after the file, and
+// where a name is new the folder, is synced. A failed sync is final: what the
+// kernel holds after it is unknown, so the store refuses everything from then on.
+package store
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	logPrefix  = "log-"
+	snapPrefix = "snapshot-"
+	tmpSuffix  = ".tmp"
+)
+
+// Store is an open data folder.
+//
+// Invariants: exactly one log file is in use, the one with the highest number;
+// it holds the hard state and every entry after the newest snapshot; a file
+// gets its final name only when it is complete and synced.
+type Store struct {
+	disk     Disk
+	log      File
+	logName  string
+	sequence uint64
+	broken   error
+
+	hard    *rpc.HardState
+	entries []*rpc.LogEntry
+	snap    *rpc.SnapshotFile
+
+	bytes int64
+	torn  int64
+	syncs int64
+}
+
+// Open reads what the folder holds. An empty folder is an empty store.
+func Open(disk Disk) (*Store, error) {
+	s := &Store{
+		disk: disk,
+		hard: &rpc.HardState{},
+	}
+	names, err := disk.Names()
+	if err != nil {
+		return nil, errors.Wrap(err, "list data folder")
+	}
+	if err := s.loadSnapshot(names); err != nil {
+		return nil, err
+	}
+	if err := s.loadLog(names); err != nil {
+		return nil, err
+	}
+	if err := s.removeOld(names); err != nil {
+		return nil, err
+	}
+	if s.log == nil {
+		err = s.rotate()
+	}
+	return s, err
+}
+
+// Empty reports whether nothing was ever stored.
+func (s *Store) Empty() bool {
+	return s.snap == nil && len(s.entries) == 0 && s.hard.GetTerm() == 0
+}
+
+// HardState returns the hard state as stored.
+func (s *Store) HardState() *rpc.HardState {
+	return s.hard
+}
+
+// Entries returns the entries after the snapshot.
+func (s *Store) Entries() []*rpc.LogEntry {
+	return s.entries
+}
+
+// Snapshot returns the newest snapshot, or nil.
+func (s *Store) Snapshot() *rpc.SnapshotFile {
+	return s.snap
+}
+
+// Latest returns the newest snapshot's parts; the first is nil if there is none.
+func (s *Store) Latest() (*rpc.SnapshotMeta, []byte) {
+	return s.snap.GetMeta(), s.snap.GetState()
+}
+
+// TornBytes returns how much was cut off the log's end when it was opened.
+func (s *Store) TornBytes() int64 {
+	return s.torn
+}
+
+// LogBytes returns the size of the log file in use.
+func (s *Store) LogBytes() int64 {
+	return s.bytes
+}
+
+// Syncs returns how many times a file was synced.
+func (s *Store) Syncs() int64 {
+	return s.syncs
+}
+
+// Save makes the hard state, if not nil, and entries durable with one sync.
+// Entries replace what is stored from the first one's index on.
+func (s *Store) Save(hard *rpc.HardState, entries []*rpc.LogEntry) error {
+	if s.broken != nil {
+		return s.broken
+	}
+	record := &rpc.WalRecord{
+		HardState: hard,
+		Entries:   entries,
+	}
+	if err := s.writeRecord(s.log, record); err != nil {
+		return s.fail(err)
+	}
+	s.remember(record)
+	return nil
+}
+
+// SaveSnapshot makes a snapshot durable and begins a new log file with the
+// entries that follow it.
+func (s *Store) SaveSnapshot(file *rpc.SnapshotFile) error {
+	if s.broken != nil {
+		return s.broken
+	}
+	name := fmt.Sprintf("%s%020d", snapPrefix, file.GetMeta().GetIndex())
+	if err := s.writeWhole(name, file); err != nil {
+		return s.fail(err)
+	}
+	s.snap = file
+	s.entries = entriesAfter(s.entries, file.GetMeta())
+	return s.rotate()
+}
+
+// Close closes the log file.
+func (s *Store) Close() error {
+	s.broken = errors.New("the store is closed")
+	return s.log.Close()
+}
+
+// entriesAfter returns the entries that continue the snapshot; none if the
+// entry at its index is of another term, since then all conflict with it.
+func entriesAfter(entries []*rpc.LogEntry, meta *rpc.SnapshotMeta) []*rpc.LogEntry {
+	for i, e := range entries {
+		if e.GetIndex() == meta.GetIndex() {
+			if e.GetTerm() != meta.GetTerm() {
+				return nil
+			}
+			return append([]*rpc.LogEntry(nil), entries[i+1:]...)
+		}
+	}
+	if len(entries) > 0 && entries[0].GetIndex() == meta.GetIndex()+1 {
+		return entries
+	}
+	return nil
+}
+
+// rotate begins a log file that holds the present state, then drops the old.
+func (s *Store) rotate() error {
+	old := s.logName
+	s.sequence++
+	name := fmt.Sprintf("%s%020d", logPrefix, s.sequence)
+	s.bytes = prefixSize
+	err := s.writeWhole(name, &rpc.WalRecord{
+		HardState: s.hard,
+		Entries:   s.entries,
+	})
+	if err != nil {
+		return s.fail(err)
+	}
+	if s.log != nil {
+		_ = s.log.Close()
+	}
+	if s.log, err = s.disk.Append(name); err != nil {
+		return s.fail(err)
+	}
+	s.logName = name
+	if old != "" {
+		err = s.disk.Remove(old)
+	}
+	if err != nil {
+		return s.fail(err)
+	}
+	return s.removeSnapshotsBut(s.snap)
+}
+
+func (s *Store) removeSnapshotsBut(keep *rpc.SnapshotFile) error {
+	names, err := s.disk.Names()
+	if err != nil {
+		return s.fail(err)
+	}
+	kept := fmt.Sprintf("%s%020d", snapPrefix, keep.GetMeta().GetIndex())
+	for _, name := range names {
+		if strings.HasPrefix(name, snapPrefix) && name != kept {
+			if err := s.disk.Remove(name); err != nil {
+				return s.fail(err)
+			}
+		}
+	}
+	return nil
+}
+
+// writeWhole writes a file of one record under a temporary name and renames it.
+func (s *Store) writeWhole(name string, m proto.Message) error {
+	f, err := s.disk.Create(name + tmpSuffix)
+	if err != nil {
+		return errors.Wrap(err, "create "+name)
+	}
+	if _, err := f.Write(filePrefix()); err != nil {
+		return errors.Wrap(err, "write "+name)
+	}
+	if err := s.writeRecord(f, m); err != nil {
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return errors.Wrap(err, "close "+name)
+	}
+	if err := s.disk.Rename(name+tmpSuffix, name); err != nil {
+		return errors.Wrap(err, "rename "+name)
+	}
+	if err := s.disk.SyncFolder(); err != nil {
+		return errors.Wrap(err, "sync data folder")
+	}
+	return nil
+}
+
+func (s *Store) writeRecord(f File, m proto.Message) error {
+	payload, err := proto.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	n, err := f.Write(encodeRecord(payload))
+	if err != nil {
+		return errors.Wrap(err, "write")
+	}
+	s.bytes += int64(n)
+	s.syncs++
+	if err := f.Sync(); err != nil {
+		return errors.Wrap(err, "sync")
+	}
+	return nil
+}
+
+// remember applies a record to what is held in memory.
+func (s *Store) remember(r *rpc.WalRecord) {
+	if r.GetHardState() != nil {
+		s.hard = r.GetHardState()
+	}
+	if len(r.GetEntries()) == 0 {
+		return
+	}
+	first := r.GetEntries()[0].GetIndex()
+	for len(s.entries) > 0 && s.entries[len(s.entries)-1].GetIndex() >= first {
+		s.entries = s.entries[:len(s.entries)-1]
+	}
+	s.entries = append(s.entries, r.GetEntries()...)
+}
+
+func (s *Store) fail(err error) error {
+	s.broken = errors.Wrap(err, "storage failed for good")
+	return s.broken
+}
