Hold a request over a chain against a fault matrix

Eleven faults at five steps of a request on each of three stages, sixty pairs of faults one token apart, and all stages lost at once, against the oracle that the answer equals the model's reference and no stage runs a position twice in one life.

Cause of what it found: a stage that can't reach the next one blamed it, and the host replaced one healthy stage after the other until it gave up after 64 repairs. Ruled out: the replacements, which answered this host. Change: a stage that can't reach the replacement either, with no token in between, is itself replaced.

The stand-in's ledger counted a restarted engine's work as the old life's; it now starts anew with each life.

--- a/pkg/chain/execution.go
+++ b/pkg/chain/execution.go
@@ -38,6 +38,9 @@
 	sent      bool // an engine may have begun the request
 	result    Result
 
+	accuser   string // the stage that last said it can't reach the next
+	accusedAt int    // how many tokens were emitted then
+
 	lastEvent time.Time
 	faultAt   time.Time // zero if no repair is under way
 }
--- /dev/null
+++ b/pkg/chain/matrix_test.go
@@ -0,0 +1,223 @@
+package chain_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/larchwinch/larchwinch/pkg/chain"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/standin/engine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// fault is one way in which a stage fails.
+type fault struct {
+	name string
+	do   func(h *fakeHost)
+}
+
+func asked(f engine.Fault) func(h *fakeHost) {
+	return func(h *fakeHost) {
+		h.engine.SetFault(f)
+	}
+}
+
+const (
+	longFreezeMS  = 60_000
+	shortFreezeMS = 700
+)
+
+var faults = []fault{
+	{name: "kill", do: (*fakeHost).kill},
+	{name: "freeze", do: asked(engine.Fault{FreezeMS: longFreezeMS})},
+	{name: "freeze and thaw", do: asked(engine.Fault{FreezeMS: shortFreezeMS})},
+	{name: "cut in", do: asked(engine.Fault{Cut: true})},
+	{name: "cut out", do: asked(engine.Fault{CutOut: true})},
+	{name: "slow", do: asked(engine.Fault{Slow: 30})},
+	{name: "doubled", do: asked(engine.Fault{Duplicate: true})},
+	{name: "reordered", do: asked(engine.Fault{Reorder: true})},
+	{name: "corrupt", do: asked(engine.Fault{Corrupt: true})},
+	{name: "restart", do: asked(engine.Fault{Forget: true})},
+	{name: "die in a pass", do: asked(engine.Fault{DieAfter: 1})},
+}
+
+// steps are the numbers of tokens after which faults come: before the request
+// is opened, at the prefill's answer, early, in the middle, and at the last.
+var steps = []int{0, 1, 2, maxTokens / 2, maxTokens - 1}
+
+// cell is one place in the matrix: faults and when they come.
+type cell struct {
+	name   string
+	events []event
+}
+
+type event struct {
+	fault fault
+	stage int
+	step  int
+}
+
+// runCells runs all cells at once, each on a cluster of its own, and returns
+// what went wrong in each.
+func runCells(cells []cell) []string {
+	var mu sync.Mutex
+	var wrong []string
+	g := group.New(context.Background())
+	limit := make(chan struct{}, 8)
+	for i, c := range cells {
+		g.Go(func(context.Context) {
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			if err := runCell(c, i); err != nil {
+				mu.Lock()
+				wrong = append(wrong, c.name+": "+err.Error())
+				mu.Unlock()
+			}
+		})
+	}
+	g.Wait()
+	return wrong
+}
+
+func runCell(c cell, i int) error {
+	cl, err := newCluster(3)
+	if err != nil {
+		return err
+	}
+	defer cl.stop()
+	id := fmt.Sprintf("r%d", i)
+	a := cl.ask(id, func(n int) {
+		for _, e := range c.events {
+			if e.step == n {
+				e.fault.do(cl.serving(e.stage))
+			}
+		}
+	})
+	return cl.verify(id, a)
+}
+
+var _ = Describe("a request over a chain", func() {
+	It("gives the whole answer when nothing fails", func() {
+		Expect(runCells([]cell{{name: "healthy"}})).To(BeEmpty())
+	})
+
+	for _, f := range faults {
+		It("is whole, and runs each position once a stage, after: "+f.name, func() {
+			var cells []cell
+			for stage := range 3 {
+				for _, step := range steps {
+					cells = append(cells, cell{
+						name: fmt.Sprintf("%s of stage %d at token %d", f.name, stage, step),
+						events: []event{{
+							fault: f,
+							stage: stage,
+							step:  step,
+						}},
+					})
+				}
+			}
+			Expect(runCells(cells)).To(BeEmpty())
+		})
+	}
+
+	for _, first := range faults[:4] {
+		It("survives a second loss right after: "+first.name, func() {
+			var cells []cell
+			for _, second := range faults[:5] {
+				for stage := range 3 {
+					cells = append(cells, cell{
+						name: fmt.Sprintf("%s of stage 1 and %s of stage %d", first.name, second.name, stage),
+						events: []event{
+							{fault: first, stage: 1, step: 5},
+							{fault: second, stage: stage, step: 6},
+						},
+					})
+				}
+			}
+			Expect(runCells(cells)).To(BeEmpty())
+		})
+	}
+
+	It("survives all three stages lost at once", func() {
+		Expect(runCells([]cell{{
+			name: "three kills",
+			events: []event{
+				{fault: faults[0], stage: 0, step: 7},
+				{fault: faults[0], stage: 1, step: 7},
+				{fault: faults[0], stage: 2, step: 7},
+			},
+		}})).To(BeEmpty())
+	})
+})
+
+var _ = Describe("a request that can't run", func() {
+	It("says that it was not run when no chain covers the model", func() {
+		cl, err := newCluster(1)
+		Expect(err).NotTo(HaveOccurred())
+		defer cl.stop()
+		cl.dir.Take(&rpc.BeatReply{
+			Epoch:     1,
+			Version:   2,
+			Endpoints: []*rpc.Endpoint{cl.hosts[1].endpoint(rpc.EndpointState_ENDPOINT_LEAVING)},
+		})
+		a := cl.ask("none", func(int) {})
+		f := failure.From(a.err)
+		Expect(f.Kind()).To(Equal(failure.NoChain))
+		Expect(f.Ran()).To(Equal(failure.RanNo))
+		for _, h := range cl.hosts {
+			_, ran := h.engine.Ledger().Get("none")
+			Expect(ran).To(BeFalse())
+		}
+	})
+
+	It("says that it was not run when every engine of a stage is gone", func() {
+		cl, err := newCluster(1)
+		Expect(err).NotTo(HaveOccurred())
+		defer cl.stop()
+		cl.hosts[2].kill()
+		a := cl.ask("gone", func(int) {})
+		Expect(failure.From(a.err).Ran()).To(Equal(failure.RanNo))
+		for _, h := range cl.hosts {
+			_, ran := h.engine.Ledger().Get("gone")
+			Expect(ran).To(BeFalse())
+		}
+	})
+
+	It("gives up when no one can take a lost stage's place, and says that it ran", func() {
+		cl, err := newCluster(1)
+		Expect(err).NotTo(HaveOccurred())
+		defer cl.stop()
+		a := cl.ask("lost", func(n int) {
+			if n == 3 {
+				cl.hosts[1].kill()
+			}
+		})
+		f := failure.From(a.err)
+		Expect(f.Kind()).To(Equal(failure.EndpointFailed))
+		Expect(f.Ran()).To(Equal(failure.RanYes))
+		Expect(f.RetryAfter()).To(BeNumerically(">", 0))
+	})
+
+	It("ends at once when the caller goes away", func() {
+		cl, err := newCluster(1)
+		Expect(err).NotTo(HaveOccurred())
+		defer cl.stop()
+		ctx, cancel := context.WithCancel(context.Background())
+		_, err = cl.runner.Run(ctx, chain.Request{
+			ID:        "away",
+			Model:     theModel,
+			Prompt:    prompt,
+			MaxTokens: 1000,
+		}, func(t chain.Token) error {
+			if t.Index == 2 {
+				cancel()
+			}
+			return nil
+		})
+		Expect(failure.Is(err, failure.DeadlineExceeded)).To(BeTrue())
+	})
+})
--- a/pkg/chain/repair.go
+++ b/pkg/chain/repair.go
@@ -154,14 +154,23 @@
 		}
 	}
 	if reply.Fault != nil {
-		return lostStages{
-			reply.Fault.Address: reply.Fault.Reason,
-		}
+		return x.lostInReplay(reply.Fault)
 	}
 	x.r.cfg.Metrics.Histogram("chain_replayed_positions").Update(int64(reply.Sent))
 	return nil
 }
 
+// lostInReplay returns the stage that a replay's fault means is lost; one that
+// has dropped the session it just opened is no better than lost.
+func (x *execution) lostInReplay(f *api.EngineFault) lostStages {
+	if lost := x.lostBy(f); len(lost) > 0 {
+		return lost
+	}
+	return lostStages{
+		f.Address: f.Reason,
+	}
+}
+
 // silentOf asks the stage before whether it is there, to tell which of the two
 // kept a replay from ending.
 func (x *execution) silentOf(ctx context.Context, from, to *stage) string {
--- a/pkg/chain/stream.go
+++ b/pkg/chain/stream.go
@@ -137,8 +137,33 @@
 		}
 		return all
 	default:
+		return x.blame(f)
+	}
+}
+
+// blame decides between a stage that can't be reached and the one before it,
+// which says so. The first time it is the later one that is replaced; if the
+// earlier one then can't reach the replacement either, it is itself cut off.
+func (x *execution) blame(f *api.EngineFault) lostStages {
+	accuser := x.before(f.Address)
+	if accuser != "" && accuser == x.accuser && x.accusedAt == len(x.emitted) {
 		return lostStages{
-			f.Address: f.Reason,
+			accuser: "cut off",
+		}
+	}
+	x.accuser = accuser
+	x.accusedAt = len(x.emitted)
+	return lostStages{
+		f.Address: f.Reason,
+	}
+}
+
+// before returns the address of the stage before the one at an address.
+func (x *execution) before(address string) string {
+	for i, s := range x.stages {
+		if s.endpoint.Address() == address && i > 0 {
+			return x.stages[i-1].endpoint.Address()
 		}
 	}
+	return ""
 }
--- a/pkg/cmds/opcmd/status.go
+++ b/pkg/cmds/opcmd/status.go
@@ -241,4 +241,3 @@
 	})
 	return cmd
 }
-
--- a/pkg/cmds/standincmd/fault.go
+++ b/pkg/cmds/standincmd/fault.go
@@ -36,6 +36,8 @@
 	flags.BoolVar(&f.Reorder, "reorder", false, "swap pairs of events")
 	flags.BoolVar(&f.Corrupt, "corrupt", false, "emit events with wrong numbers")
 	flags.BoolVar(&f.Cut, "cut", false, "close every connection")
+	flags.BoolVar(&f.CutOut, "cut-out", false, "fail every call to the next stage")
+	flags.BoolVar(&f.Forget, "forget", false, "drop every session, as a restart does")
 	return cmd
 }
 
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -133,9 +133,16 @@
 	return e.ledger
 }
 
-// Faults returns the switch for asked-for faults.
-func (e *Engine) Faults() *Faults {
-	return e.faults
+// SetFault replaces the faults that are asked for.
+func (e *Engine) SetFault(f Fault) {
+	e.faults.Set(f)
+	if !f.Forget {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sessions = map[string]*session{}
+	e.ledger.forget()
 }
 
 // SetLeaving says in reports that the engine is leaving on plan.
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -32,6 +32,10 @@
 	Corrupt bool `json:"corrupt"`
 	// Cut closes every connection as it comes in.
 	Cut bool `json:"cut"`
+	// CutOut fails every call to the next stage.
+	CutOut bool `json:"cut_out"`
+	// Forget drops every session, as a restart does.
+	Forget bool `json:"forget"`
 }
 
 // Faults holds the faults that are asked for.
--- a/pkg/standin/engine/generate.go
+++ b/pkg/standin/engine/generate.go
@@ -186,7 +186,10 @@
 		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
-	err := post(ctx, e.cfg.Client, "http://"+address+path, in, out)
+	err := error(errCutOut)
+	if !e.faults.get().CutOut {
+		err = post(ctx, e.cfg.Client, "http://"+address+path, in, out)
+	}
 	if err == nil {
 		return nil
 	}
@@ -201,6 +204,8 @@
 	}
 }
 
+var errCutOut = errors.New("asked to fail calls to the next stage")
+
 func post(ctx context.Context, client *http.Client, url string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
--- a/pkg/standin/engine/http.go
+++ b/pkg/standin/engine/http.go
@@ -129,7 +129,7 @@
 func (e *Engine) serveFault(w http.ResponseWriter, r *http.Request) {
 	f := Fault{}
 	if readJSON(w, r, &f) {
-		e.faults.Set(f)
+		e.SetFault(f)
 	}
 }
 
--- a/pkg/standin/engine/ledger.go
+++ b/pkg/standin/engine/ledger.go
@@ -7,6 +7,9 @@
 	Request string `json:"request"`
 	// Runs counts, by position, how often the stage's layers ran.
 	Runs []int `json:"runs"`
+	// Lives is how often the engine lost its sessions since; Runs counts from
+	// the last time on.
+	Lives int `json:"lives"`
 	// Rebuilt is how many of those runs filled the KV cache of a replacement.
 	Rebuilt int `json:"rebuilt"`
 	// Imported is how many positions came with an imported KV cache.
@@ -60,6 +63,16 @@
 	return all
 }
 
+// forget notes that the engine lost its sessions.
+func (l *Ledger) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.entries {
+		e.Lives++
+		e.Runs = nil
+	}
+}
+
 func (l *Ledger) entry(request string) *Entry {
 	e := l.entries[request]
 	if e != nil {
