--- /dev/null
+++ b/pkg/entry/callers_test.go
@@ -0,0 +1,136 @@
+package entry_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/standin/model"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/openai/openai-go"
+	"github.com/openai/openai-go/option"
+)
+
+// reference is the right answer to a chat with one user message.
+func reference(text string, seed uint64, n int) string {
+	var b strings.Builder
+	for _, t := range model.Reference(layers, seed, model.Tokenize("user: "+text+"\n"), n) {
+		b.WriteString(model.Word(t))
+	}
+	return strings.TrimSpace(b.String())
+}
+
+// sse is what a stream held.
+type sse struct {
+	text string
+	last string
+	done bool
+}
+
+func parseSSE(body string) sse {
+	out := sse{}
+	for _, line := range strings.Split(body, "\n") {
+		switch {
+		case strings.HasPrefix(line, "id: "):
+			out.last = strings.TrimPrefix(line, "id: ")
+		case line == "data: [DONE]":
+			out.done = true
+		case strings.HasPrefix(line, "data: "):
+			if _, rest, ok := strings.Cut(line, `"delta":{"content":"`); ok {
+				text, _, _ := strings.Cut(rest, `"`)
+				out.text += text
+			}
+		}
+	}
+	return out
+}
+
+const chatBody = `{"model":"daily-note","messages":[{"role":"user","content":"Tere"}],"stream":true,"seed":5,"max_tokens":20}`
+
+var _ = Describe("callers", Ordered, func() {
+	It("are served as they should be", func() {
+		withSystem(1, 2, func(s *system) {
+			By("an unmodified OpenAI client")
+			e := s.entries[0]
+			client := openai.NewClient(option.WithBaseURL("http://"+e.callers.address+"/v1"), option.WithAPIKey(callerKey), option.WithMaxRetries(0))
+			stream := client.Chat.Completions.NewStreaming(context.Background(), openai.ChatCompletionNewParams{
+				Model:     "daily-note",
+				Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Tere")},
+				Seed:      openai.Int(5),
+				MaxTokens: openai.Int(20),
+			})
+			acc := openai.ChatCompletionAccumulator{}
+			for stream.Next() {
+				acc.AddChunk(stream.Current())
+			}
+			Expect(stream.Err()).NotTo(HaveOccurred())
+			Expect(strings.TrimSpace(acc.Choices[0].Message.Content)).To(Equal(reference("Tere", 5, 20)))
+			Expect(acc.Choices[0].FinishReason).To(Equal("length"))
+			models, err := client.Models.List(context.Background())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(models.Data).To(HaveLen(2))
+
+			By("an answer that isn't a stream")
+			whole := e.send(http.MethodPost, api.ChatPath, strings.Replace(chatBody, `"stream":true`, `"stream":false`, 1))
+			Expect(whole.status).To(Equal(http.StatusOK), whole.body)
+			Expect(whole.body).To(ContainSubstring(reference("Tere", 5, 20)))
+			Expect(whole.body).To(ContainSubstring(`"completion_tokens":20`))
+
+			By("plain completions")
+			plain := e.send(http.MethodPost, api.CompletionsPath, `{"model":"daily-note","prompt":"Tere","max_tokens":3,"stream":true}`)
+			Expect(plain.body).To(ContainSubstring(`"object":"text_completion"`))
+			Expect(plain.body).To(HaveSuffix("data: [DONE]\n\n"))
+
+			By("the entry hosts, this one first")
+			entries := s.entries[1].send(http.MethodGet, api.EntriesPath, "")
+			Expect(entries.body).To(ContainSubstring(e.callers.address))
+			Expect(entries.body).To(MatchRegexp(`^\{"entries":\[\{"address":"` + s.entries[1].callers.address))
+
+			By("a stream that another host goes on with")
+			first := parseSSE(e.send(http.MethodPost, api.ChatPath, chatBody).body)
+			at := strings.LastIndex(first.last, ".")
+			cut := first.last[:at] + ".7"
+			rest := parseSSE(s.entries[1].send(http.MethodPost, api.ChatPath, chatBody, api.HeaderLastEventID, cut).body)
+			Expect(rest.done).To(BeTrue())
+			words := strings.Fields(reference("Tere", 5, 20))
+			Expect(strings.Fields(rest.text)).To(Equal(words[8:]))
+
+			By("bad input")
+			for _, c := range badInput {
+				g := e.send(c.method, c.path, c.body, c.headers...)
+				f := g.failure()
+				Expect(f.Kind).To(Equal(c.kind), c.name+": "+g.body)
+				Expect(f.Ran).To(Equal("no"), c.name)
+				Expect(f.Message).NotTo(BeEmpty(), c.name)
+				Expect(g.header.Get("Retry-After")).To(BeEmpty(), c.name)
+			}
+		})
+	})
+})
+
+var badInput = []struct {
+	name    string
+	method  string
+	path    string
+	body    string
+	headers []string
+	kind    string
+}{
+	{name: "no key", method: "POST", path: api.ChatPath, body: chatBody, headers: []string{"Authorization", ""}, kind: "unauthenticated"},
+	{name: "wrong key", method: "POST", path: api.ChatPath, body: chatBody, headers: []string{"Authorization", "Bearer nope"}, kind: "unauthenticated"},
+	{name: "half a JSON", method: "POST", path: api.ChatPath, body: chatBody[:30], kind: "bad_request"},
+	{name: "no messages", method: "POST", path: api.ChatPath, body: `{"model":"daily-note"}`, kind: "bad_request"},
+	{name: "unknown model", method: "POST", path: api.ChatPath, body: strings.Replace(chatBody, "daily-note", "nope", 1), kind: "unknown_model"},
+	{name: "negative tokens", method: "POST", path: api.ChatPath, body: strings.Replace(chatBody, ":20", ":-2", 1), kind: "bad_request"},
+	{name: "large body", method: "POST", path: api.ChatPath, body: strings.Repeat("x", 100<<10), kind: "body_too_large"},
+	{name: "wrong method", method: "GET", path: api.ChatPath, kind: "method_not_allowed"},
+	{name: "wrong path", method: "POST", path: "/v2/chat", kind: "not_found"},
+	{name: "unknown service", method: "POST", path: "/v1/services/nope/x", kind: "unknown_service"},
+	{name: "large service body", method: "POST", path: "/v1/services/staff-app/x", body: strings.Repeat("x", 20<<10), kind: "body_too_large"},
+	{name: "once without a key", method: "POST", path: "/v1/services/staff-app/confirm", kind: "bad_request"},
+	{name: "foreign event id", method: "POST", path: api.ChatPath, body: chatBody, headers: []string{api.HeaderLastEventID, "x"}, kind: "resume_invalid"},
+	{name: "event id past the end", method: "POST", path: api.ChatPath, body: chatBody, headers: []string{api.HeaderLastEventID, "a.5.20"}, kind: "resume_invalid"},
+	{name: "resume of a once request", method: "POST", path: api.ChatPath, body: strings.Replace(chatBody, "daily-note", "note-to-parents", 1), headers: []string{api.HeaderLastEventID, "a.5.2", api.HeaderIdempotencyKey, "k"}, kind: "resume_invalid"},
+}
--- a/pkg/entry/output.go
+++ b/pkg/entry/output.go
@@ -145,9 +145,11 @@
 	if !o.stream {
 		o.begin()
 	}
-	o.buf = o.buf[:0]
+	// The comment shares a block with data: some clients take a block that
+	// holds nothing else for an empty event.
+	o.buf = append(o.buf[:0], ": path "+strings.Join(result.Path, ",")+"\n"...)
 	_ = o.event(o.g.format.closing(o.g, result)) // the caller is gone if it fails
-	_ = o.write([]byte(": path " + strings.Join(result.Path, ",") + "\n\ndata: [DONE]\n\n"))
+	_ = o.write([]byte("data: [DONE]\n\n"))
 }
 
 // fail ends a stream that can't be carried on. There is no [DONE] after it,
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -316,6 +316,7 @@
 func (n *Node) advance() error {
 	for {
 		n.core.Beat()
+		n.noteRounds()
 		rd := n.core.Take()
 		if rd.Empty() {
 			n.publish()
@@ -329,7 +330,6 @@
 }
 
 func (n *Node) carryOut(rd raft.Ready) error {
-	n.noteRounds()
 	n.cfg.Transport.Send(rd.Early)
 	if rd.Snapshot != nil {
 		if err := n.install(rd.Snapshot); err != nil {
