Route by the passes that a step waits for, and let engines say their batch

The cost took the time of one pass for any number of sequences, and so never saw that a full batch makes the next step wait for another pass. Ruled out: slots (none were refused) and processor time (29 to 46% idle).

Change: engines report how many sequences fit into a pass; the cost of an endpoint is its own pass plus the passes waited for.

--- a/pkg/api/engine.go
+++ b/pkg/api/engine.go
@@ -23,7 +23,8 @@
 	EndLayer     int    `json:"end_layer"`
 	Accelerator  string `json:"accelerator"`
 	Incarnation  uint64 `json:"incarnation"`
-	Slots        int    `json:"slots"`
+	Slots        int    `json:"slots"` // sessions that may be open at once
+	Batch        int    `json:"batch"` // sequences in one pass at most
 	// One pass through one layer takes LayerUS + SequenceUS*sequences +
 	// TokenUS*prefilled tokens, in microseconds.
 	LayerUS    float64    `json:"layer_us"`
--- a/pkg/config/entry.go
+++ b/pkg/config/entry.go
@@ -26,7 +26,7 @@
 }
 
 // Policies are the names that routing_policy may have; the first is the default.
-var Policies = []string{"expected-finish", "least-outstanding", "two-choices", "round-robin"}
+var Policies = []string{"expected-finish", "least-outstanding", "two-choices", "round-robin", "by-capacity"}
 
 const (
 	maxBodyLimitKB = 64 * 1024
--- a/pkg/entry/convert.go
+++ b/pkg/entry/convert.go
@@ -14,6 +14,7 @@
 		Accelerator:  i.Accelerator,
 		Incarnation:  i.Incarnation,
 		Slots:        uint32(i.Slots),
+		Batch:        uint32(i.Batch),
 		LayerUs:      float32(i.LayerUS),
 		SequenceUs:   float32(i.SequenceUS),
 		TokenUs:      float32(i.TokenUS),
--- a/pkg/load/report.go
+++ b/pkg/load/report.go
@@ -44,6 +44,18 @@
 	mu       sync.Mutex
 	accounts map[string]*accountReport
 	complain []string
+	tokens   int // that came in the counted time, of any request
+}
+
+// tokenSeen counts a token. Whole requests say little of throughput in a run
+// that isn't much longer than they are.
+func (r *Report) tokenSeen(now time.Time) {
+	if now.Before(r.from) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens++
 }
 
 func newReport(exp *Experiment) *Report {
@@ -125,19 +137,14 @@
 	return len(r.complain), r.complain[:min(len(r.complain), 5)]
 }
 
-// RequestsPerSecond returns the rate of good answers.
-func (r *Report) RequestsPerSecond() float64 {
-	return float64(r.total().good) / r.to.Sub(r.from).Seconds()
-}
-
 var csvHead = []string{
 	"experiment", "account", "seconds", "good", "wrong", "refused", "requests_per_s", "tokens_per_s",
 	"first_p50_ms", "first_p95_ms", "first_p99_ms", "between_p50_ms", "between_p95_ms", "between_p99_ms",
-	"stalls", "stall_p50_ms", "stall_p95_ms", "stall_max_ms", "bound_requests_per_s", "share_of_bound",
+	"stalls", "stall_p50_ms", "stall_p95_ms", "stall_max_ms", "all_tokens_per_s", "bound_tokens_per_s", "share_of_bound",
 }
 
 // WriteCSV writes a row for each account and one for all. limit is the bound
-// in requests a second, or 0 if it isn't known.
+// in tokens a second, or 0 if it isn't known.
 func (r *Report) WriteCSV(w io.Writer, limit float64, head bool) error {
 	c := csv.NewWriter(w)
 	if head {
@@ -175,9 +182,10 @@
 	row = append(row, strconv.FormatInt(a.stalls.TotalCount(), 10),
 		millis(a.stalls.ValueAtQuantile(50)), millis(a.stalls.ValueAtQuantile(95)), millis(a.stalls.Max()))
 	if limit == 0 {
-		return append(row, "", "")
+		return append(row, "", "", "")
 	}
-	return append(row, number(limit), number(rate/limit))
+	seen := float64(r.tokens) / seconds
+	return append(row, number(seen), number(limit), number(seen/limit))
 }
 
 func number(v float64) string {
@@ -188,8 +196,8 @@
 	return strconv.FormatFloat(float64(us)/1000, 'f', 1, 64)
 }
 
-// Bound reads the engines' curves and computes the most requests a second
-// that they can serve of this experiment's mix.
+// Bound reads the engines' curves and computes the most tokens a second that
+// they can generate of this experiment's mix.
 func (r *Runner) Bound(ctx context.Context) (float64, error) {
 	var engines []bound.Engine
 	for _, address := range r.exp.Engines {
@@ -206,7 +214,9 @@
 			Batch:      r.exp.Batch,
 		})
 	}
-	return bound.Requests(r.exp.Layers, engines, r.work())
+	w := r.work()
+	requests, err := bound.Requests(r.exp.Layers, engines, w)
+	return requests * w.Tokens, err
 }
 
 // work is the average request of the mix. A prompt has two tokens more than
--- a/pkg/load/request.go
+++ b/pkg/load/request.go
@@ -105,7 +105,9 @@
 			_, rest, _ := strings.Cut(line, contentMark)
 			word, _, _ := strings.Cut(rest, `"`)
 			text.WriteString(word)
-			last = out.timed(time.Now(), began, last)
+			now := time.Now()
+			r.report.tokenSeen(now)
+			last = out.timed(now, began, last)
 		}
 	}
 	return text.String(), false
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -22,6 +22,7 @@
 	LeastOutstanding Policy = "least-outstanding"
 	TwoChoices       Policy = "two-choices"
 	RoundRobin       Policy = "round-robin"
+	ByCapacity       Policy = "by-capacity"
 )
 
 // Chain is endpoints that cover a range of layers, in order.
@@ -228,20 +229,24 @@
 	warmUpCost = 4
 )
 
-// cost is by how much a pass of the endpoint slows all its requests down if
-// one more comes, in microseconds: the derivative of sessions * time of a
-// pass. Taking that, and not the pass's time, is what makes the sum of all
-// choices good for throughput and not only each one for its own request.
+// cost is about how long a step of one more request would take at the
+// endpoint, in microseconds: its own pass, and the passes of others that it
+// waits for once there are more sequences than fit into one.
 func (r *Router) cost(e *directory.Endpoint) float64 {
 	info := e.Info()
 	layers := float64(info.GetEndLayer() - info.GetFirstLayer())
-	n := float64(e.Sessions(r.hosts()))
-	pass := layers * (float64(info.GetLayerUs()) + 2*float64(info.GetSequenceUs())*n)
+	batch := float64(max(1, info.GetBatch()))
+	n := float64(e.Sessions(r.hosts()) + 1)
+	full := layers * (float64(info.GetLayerUs()) + float64(info.GetSequenceUs())*batch)
+	own := layers * (float64(info.GetLayerUs()) + float64(info.GetSequenceUs())*math.Min(n, batch))
 	link := float64(e.RTT().Microseconds())
 	if link == 0 && info.GetDomain() != r.domain {
 		link = float64(farLink.Microseconds())
 	}
-	c := pass + link
+	c := own + full*n/batch + link
+	if r.policy == ByCapacity {
+		c = full * n / batch
+	}
 	if age := e.Age(); age < warmUp {
 		c *= 1 + (warmUpCost-1)*(1-float64(age)/float64(warmUp))
 	}
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -180,6 +180,7 @@
 		Accelerator:  e.cfg.Accelerator,
 		Incarnation:  e.cfg.Incarnation,
 		Slots:        e.cfg.Slots,
+		Batch:        e.cfg.Batch,
 		LayerUS:      micros(e.curve.Base),
 		SequenceUS:   micros(e.curve.PerSequence),
 		TokenUS:      micros(e.curve.PerToken),
