Notice a lost stage within the time its steps normally take

Cause, from the entry hosts' logs of the recovery run (kills and 3 s freezes in turn, 60 clients, 40 engines): a silent stage was given 120 ms, 40 ms a hop and twice the learnt bound of a step, although that bound already holds the waiting for others' passes; and a replacement that was itself frozen held the repair, as it held new requests, for a fixed 400 ms. Ruled out: rebuilding, which took one pass.

Change: 80 ms, 25 ms a hop, the bound once; opening a session may take what a pass of that engine may.

--- a/_scripts/measure.sh
+++ b/_scripts/measure.sh
@@ -114,6 +114,7 @@
     try all_ready
     bin/larchwinch-load --experiment "$dir/experiment.toml" --name "$policy" --csv "$out/throughput.csv" --svg "$out/$policy.svg" | grep -E '^experiment|\(all\)'
     stop_entries
+    echo "$policy: $(cat "$dir"/log/entry-*.log | grep -c 'stage lost' || true) stages taken for lost"
   done
   ;;
 recovery)
--- a/pkg/chain/open.go
+++ b/pkg/chain/open.go
@@ -10,10 +10,17 @@
 )
 
 const (
-	openTimeout   = 400 * time.Millisecond
+	probeTimeout  = 400 * time.Millisecond
 	cancelTimeout = 2 * time.Second
 )
 
+// openTimeout returns how long an engine may take to open a session: it may
+// have to end the pass that the session is in.
+func (x *execution) openTimeout(s *stage) time.Duration {
+	pass, _ := x.r.cfg.Router.PassTime(s.endpoint)
+	return x.r.timeout(pass, 0)
+}
+
 // openAll opens the present attempt on every stage at once. It returns the
 // stages that didn't take it.
 func (x *execution) openAll(ctx context.Context) lostStages {
@@ -52,7 +59,7 @@
 	}
 	reply := api.EngineOpened{}
 	began := x.r.cfg.Timer.Now()
-	if err := x.r.call(ctx, openTimeout, s.endpoint.Address(), api.EngineOpenPath, o, &reply); err != nil {
+	if err := x.r.call(ctx, x.openTimeout(s), s.endpoint.Address(), api.EngineOpenPath, o, &reply); err != nil {
 		s.endpoint.Failed()
 		return reasonOf(err)
 	}
--- a/pkg/chain/pace.go
+++ b/pkg/chain/pace.go
@@ -65,12 +65,10 @@
 	// minTimeout is the least time that a stage gives the one after it, and
 	// hopTimeout what each further stage adds, so that the stage next to a
 	// frozen one notices it before those further up do.
-	minTimeout = 120 * time.Millisecond
-	hopTimeout = 40 * time.Millisecond
+	minTimeout = 80 * time.Millisecond
+	hopTimeout = 25 * time.Millisecond
 	// positionSlack widens the time for prefills, which wait for others'.
 	positionSlack = 6
-	// queueSlack is how many passes of other sequences a step may wait for.
-	queueSlack = 2
 )
 
 // stepTimeouts returns, for each stage, how long its call to the next may
@@ -108,5 +106,5 @@
 }
 
 func (r *Runner) timeout(curve time.Duration, hops int) time.Duration {
-	return minTimeout + time.Duration(hops)*hopTimeout + queueSlack*r.pace.bound(curve)
+	return minTimeout + time.Duration(hops)*hopTimeout + r.pace.bound(curve)
 }
--- a/pkg/chain/repair.go
+++ b/pkg/chain/repair.go
@@ -175,7 +175,7 @@
 // kept a replay from ending.
 func (x *execution) silentOf(ctx context.Context, from, to *stage) string {
 	info := api.EngineInfo{}
-	if err := x.r.get(ctx, openTimeout, from.endpoint.Address(), api.EngineInfoPath, &info); err != nil {
+	if err := x.r.get(ctx, probeTimeout, from.endpoint.Address(), api.EngineInfoPath, &info); err != nil {
 		return from.endpoint.Address()
 	}
 	return to.endpoint.Address()
