--- a/_scripts/mutate.sh
+++ b/_scripts/mutate.sh
@@ -3,7 +3,7 @@
 # fuzz notices. Usage: mutate.sh [checks]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-checks=${1:-1500}
+checks=${1:-1000}
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
 survived=0
@@ -17,7 +17,9 @@
     survived=$((survived + 1))
     continue
   fi
-  if (cd "$copy" && timeout 300 go test ./pkg/replica -run Fuzz -rapid.checks="$checks" -rapid.steps=80 -rapid.seed=1 -rapid.nofailfile -rapid.shrinktime=1s >mutate.log 2>&1); then
+  if ! (cd "$copy" && timeout 120 go test ./pkg/raft ./pkg/store >mutate.log 2>&1) && ! grep -q 'build failed' "$copy/mutate.log"; then
+    echo "caught by a directed test: $rule"
+  elif (cd "$copy" && timeout 300 go test ./pkg/replica -run Fuzz -rapid.checks="$checks" -rapid.steps=80 -rapid.seed=1 -rapid.nofailfile -rapid.shrinktime=1s >mutate.log 2>&1); then
     echo "SURVIVED: $rule"
     survived=$((survived + 1))
   elif grep -q 'build failed\|setup failed' "$copy/mutate.log"; then
@@ -27,7 +29,7 @@
     echo "no verdict: $rule"
     survived=$((survived + 1))
   else
-    echo "caught: $rule: $(grep -m1 -o 'failed after .*' "$copy/mutate.log" | cut -c1-110)"
+    echo "caught by the fuzz: $rule: $(grep -m1 -o 'failed after .*' "$copy/mutate.log" | cut -c1-110)"
   fi
   cp "$file" "$copy/$file"
 done <_scripts/mutations.txt
--- a/pkg/control/admin.go
+++ b/pkg/control/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/subtle"
 	"net/http"
+	"sort"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -42,6 +43,16 @@
 	}
 }
 
+// Routes returns each route as "METHOD path role", sorted.
+func (s *Server) Routes() []string {
+	var list []string
+	for _, rt := range s.routes() {
+		list = append(list, rt.method+" "+rt.path+" "+rt.role)
+	}
+	sort.Strings(list)
+	return list
+}
+
 // Admin returns the handler of the administration API.
 func (s *Server) Admin() http.Handler {
 	mux := http.NewServeMux()
--- /dev/null
+++ b/pkg/raft/core_test.go
@@ -0,0 +1,211 @@
+package raft_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/larchwinch/larchwinch/pkg/raft"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRaft(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "raft")
+}
+
+const electionTicks = 10
+
+// fixed is a snapshot that never changes.
+type fixed struct {
+	meta  *rpc.SnapshotMeta
+	state []byte
+}
+
+func (f fixed) Latest() (*rpc.SnapshotMeta, []byte) {
+	return f.meta, f.state
+}
+
+func threeMembers() *rpc.Members {
+	m := &rpc.Members{}
+	for id := uint64(1); id <= 3; id++ {
+		m.List = append(m.List, &rpc.Member{
+			Id: id,
+		})
+	}
+	return m
+}
+
+// newCore returns replica 1 of three, with a log of entries of those terms
+// after the one that names the members.
+func newCore(snap fixed, term uint64, terms ...uint64) *raft.Core {
+	d := raft.Bootstrap(threeMembers())
+	d.HardState.Term = term
+	for i, t := range terms {
+		d.Entries = append(d.Entries, &rpc.LogEntry{
+			Index: uint64(i + 2),
+			Term:  t,
+			Data:  []byte{byte(t)},
+		})
+	}
+	return raft.New(raft.Config{
+		ID:             1,
+		ElectionTicks:  electionTicks,
+		HeartbeatTicks: 2,
+		MaxAppendBytes: 1,
+		ChunkBytes:     4,
+		Rand:           rand.New(rand.NewPCG(1, 1)),
+		Snapshots:      snap,
+	}, d)
+}
+
+// persist does what a Ready asks for, and returns it.
+func persist(c *raft.Core) raft.Ready {
+	rd := c.Take()
+	if n := len(rd.Entries); n > 0 {
+		c.Persisted(rd.Entries[n-1].GetIndex(), rd.Entries[n-1].GetTerm())
+	}
+	return rd
+}
+
+// elect makes the replica the leader of its next term, with 2's votes.
+func elect(c *raft.Core) {
+	for c.Role() != raft.PreCandidate {
+		c.Tick()
+	}
+	persist(c)
+	c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_PRE_VOTE_REPLY, From: 2, Term: c.Term() + 1})
+	persist(c)
+	c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_VOTE_REPLY, From: 2, Term: c.Term()})
+	persist(c)
+	Expect(c.Role()).To(Equal(raft.Leader))
+}
+
+// ack has follower 2 acknowledge entries and a heartbeat round.
+func ack(c *raft.Core, index, round uint64) raft.Ready {
+	c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND_REPLY, From: 2, Term: c.Term(), LogIndex: index, Round: round})
+	return persist(c)
+}
+
+var _ = Describe("Core", func() {
+	It("commits an earlier term's entry only with one of its own", func() {
+		c := newCore(fixed{}, 3, 2)
+		elect(c)
+		ack(c, 2, 0)
+		Expect(c.Commit()).To(Equal(uint64(1)), "entry 2 is on a majority, and may still be replaced")
+		ack(c, 3, 0)
+		Expect(c.Commit()).To(Equal(uint64(3)))
+	})
+
+	It("lets a read through only after a heartbeat round that began after it", func() {
+		c := newCore(fixed{}, 1)
+		elect(c)
+		ack(c, 2, c.Round())
+		Expect(c.ReadIndex(7)).To(Succeed())
+		Expect(persist(c).Reads).To(BeEmpty())
+		old := c.Round()
+		c.Beat()
+		Expect(ack(c, 2, old).Reads).To(BeEmpty(), "an answer to a round before the read says nothing")
+		Expect(ack(c, 2, c.Round()).Reads).To(HaveLen(1))
+	})
+
+	It("lets a read through only once an entry of its own term is committed", func() {
+		c := newCore(fixed{}, 3, 2)
+		elect(c)
+		Expect(c.ReadIndex(7)).To(Succeed())
+		c.Beat()
+		Expect(ack(c, 2, c.Round()).Reads).To(BeEmpty(), "what was acknowledged before may not be known here yet")
+		Expect(ack(c, 3, c.Round()).Reads).To(HaveLen(1))
+	})
+
+	It("takes one membership change at a time", func() {
+		c := newCore(fixed{}, 1)
+		elect(c)
+		ack(c, 2, 0)
+		four := threeMembers()
+		four.List = append(four.List, &rpc.Member{Id: 4})
+		_, _, err := c.ProposeMembers(four)
+		Expect(err).NotTo(HaveOccurred())
+		five := threeMembers()
+		five.List = append(five.List, &rpc.Member{Id: 4}, &rpc.Member{Id: 5})
+		_, _, err = c.ProposeMembers(five)
+		Expect(err).To(MatchError(raft.ErrMembersPending))
+		_, _, err = newLeader().ProposeMembers(five)
+		Expect(err).To(HaveOccurred(), "two at once")
+	})
+
+	It("refuses votes for as long as a leader's lease may run", func() {
+		c := newCore(fixed{}, 1)
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND, From: 2, Term: 1, LogIndex: 1, LogTerm: 1})
+		persist(c)
+		for range electionTicks - 1 {
+			c.Tick()
+		}
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_VOTE, From: 3, Term: 2, LogIndex: 9, LogTerm: 1})
+		Expect(persist(c).Messages).To(BeEmpty())
+		Expect(c.Term()).To(Equal(uint64(1)))
+		c.Tick()
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_VOTE, From: 3, Term: 2, LogIndex: 9, LogTerm: 1})
+		Expect(persist(c).Messages).To(HaveLen(1))
+	})
+
+	It("refuses votes right after a start, since it may have promised not to", func() {
+		c := newCore(fixed{}, 1)
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_VOTE, From: 3, Term: 2, LogIndex: 9, LogTerm: 1})
+		Expect(persist(c).Messages).To(BeEmpty())
+	})
+
+	It("puts a snapshot's chunks together in order, whatever comes twice", func() {
+		c := newCore(fixed{}, 1)
+		chunk := func(offset int, text string, last bool) {
+			c.Step(&rpc.RaftMessage{
+				Kind: rpc.RaftKind_RAFT_SNAPSHOT, From: 2, Term: 1, ChunkOffset: uint64(offset), Chunk: []byte(text), ChunkLast: last,
+				Snapshot: &rpc.SnapshotMeta{Index: 9, Term: 1, Members: threeMembers()},
+			})
+		}
+		chunk(0, "abcd", false)
+		chunk(8, "ij", true)
+		chunk(0, "abcd", false)
+		chunk(4, "efgh", false)
+		chunk(4, "efgh", false)
+		Expect(c.Take().Snapshot).To(BeNil())
+		chunk(8, "ij", true)
+		Expect(string(c.Take().Snapshot.GetState())).To(Equal("abcdefghij"))
+	})
+
+	It("sends a follower that is far behind the snapshot in chunks", func() {
+		c := newCore(fixed{meta: &rpc.SnapshotMeta{Index: 3, Term: 2}, state: []byte("abcdefghij")}, 3, 2, 2)
+		elect(c)
+		ack(c, 4, 0)
+		c.Compact(3)
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND_REPLY, From: 3, Term: c.Term(), Reject: true, LogIndex: 3, Hint: 1})
+		got := ""
+		for range 3 {
+			m := lastTo(c.Take(), 3)
+			Expect(m.GetKind()).To(Equal(rpc.RaftKind_RAFT_SNAPSHOT))
+			got += string(m.GetChunk())
+			c.Step(&rpc.RaftMessage{
+				Kind: rpc.RaftKind_RAFT_SNAPSHOT_REPLY, From: 3, Term: c.Term(), Snapshot: m.GetSnapshot(), ChunkOffset: uint64(len(got)),
+			})
+		}
+		Expect(got).To(Equal("abcdefghij"))
+	})
+})
+
+func newLeader() *raft.Core {
+	c := newCore(fixed{}, 1)
+	elect(c)
+	ack(c, 2, 0)
+	return c
+}
+
+func lastTo(rd raft.Ready, id uint64) *rpc.RaftMessage {
+	var last *rpc.RaftMessage
+	for _, m := range rd.Early {
+		if m.GetTo() == id {
+			last = m
+		}
+	}
+	return last
+}
