Probe endpoints seldom, and report only what was probed

Cause: at 3,200 endpoints with three watchers each a host would probe 21 a second at about 550 bytes, 11 KB/s of the 2 KB/s that control may cost. Change: an endpoint that is well is probed every fifth second, with its tag, so that no change costs no body; one that isn't, or that another watcher doubts, each second; reports hold what was probed since the last; a change is told at once. A host that starts can't be made sure by a confirmation older than 10 s: before, a peer that had been cut off for an hour could make it serve an old set (the new test fails without the change).

--- a/pkg/api/engine.go
+++ b/pkg/api/engine.go
@@ -62,6 +62,8 @@
 	// Have is how many positions the session holds.
 	Have int        `json:"have"`
 	Load EngineLoad `json:"load"`
+	// Leaving says that the engine leaves on plan and wants no new requests.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // EngineGenerate asks the first stage to generate; the answer is a stream of
--- a/pkg/control/presence.go
+++ b/pkg/control/presence.go
@@ -17,7 +17,7 @@
 
 // goneAfter is after how long without a beat an entry host isn't named to
 // callers any more.
-const goneAfter = 4 * time.Second
+const goneAfter = 6 * time.Second
 
 // presence is what the leader knows of entry hosts and endpoints. It isn't
 // replicated: a new leader learns it anew, under a new epoch.
--- a/pkg/entry/presence.go
+++ b/pkg/entry/presence.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/api"
 	"github.com/larchwinch/larchwinch/pkg/group"
@@ -16,9 +17,13 @@
 )
 
 const (
-	beatInterval = time.Second
-	beatTimeout  = time.Second
-	probeTimeout = 800 * time.Millisecond
+	beatInterval  = 2 * time.Second
+	beatTimeout   = time.Second
+	probeInterval = time.Second
+	probeTimeout  = 800 * time.Millisecond
+	// probeEvery is how many intervals pass between two probes of an endpoint
+	// that is well. One that isn't is probed at each.
+	probeEvery = 5
 )
 
 // beatLoop tells the control hosts that this one is there, and takes what
@@ -27,7 +32,6 @@
 	ticks := s.svc.Every(beatInterval)
 	defer ticks.Stop()
 	for {
-		s.watcher.probe(ctx)
 		s.beat(ctx)
 		s.gate.Wake()
 		s.countState()
@@ -35,10 +39,31 @@
 		case <-ctx.Done():
 			return
 		case <-ticks.C():
+		case <-s.watcher.news:
 		}
 	}
 }
 
+// probeLoop probes the endpoints that this host watches.
+func (s *Server) probeLoop(ctx context.Context) {
+	ticks := s.svc.Every(probeInterval)
+	defer ticks.Stop()
+	for turn := uint64(0); ; turn++ {
+		s.watcher.probe(ctx, turn, s.suspected)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks.C():
+		}
+	}
+}
+
+// suspected reports whether some watcher couldn't reach an endpoint.
+func (s *Server) suspected(address string) bool {
+	e := s.dir.Endpoint(address)
+	return e != nil && e.Info().GetState() == rpc.EndpointState_ENDPOINT_SUSPECT
+}
+
 func (s *Server) countState() {
 	waiting, running := s.gate.Waiting()
 	s.metrics.Gauge("queue_waiting").Update(int64(waiting))
@@ -69,11 +94,12 @@
 		reply, err := s.beatOnce(ctx, address, r)
 		if err == nil {
 			s.dir.Take(reply)
-			s.watcher.assign(reply.GetWatch(), reply.GetEpoch())
+			s.watcher.assign(reply.GetWatch())
 			return
 		}
 		s.metrics.Counter("beat_failures").Inc(1)
 	}
+	s.watcher.undo()
 }
 
 func (s *Server) beatOnce(ctx context.Context, address string, r *rpc.BeatRequest) (*rpc.BeatReply, error) {
@@ -86,16 +112,21 @@
 type watcher struct {
 	client *http.Client
 	svc    timer.Service
+	// news wakes the beat when an endpoint has changed.
+	news chan struct{}
 
 	mu    sync.Mutex
-	epoch uint64 // of the leader that holds what was reported in full
 	list  []string
 	seen  map[string]*probed
+	epoch uint64 // of the leader that the reports were made to
 }
 
+// probed is what a watcher knows of one endpoint.
 type probed struct {
 	reachable bool
+	fresh     bool // probed since the last report
 	info      *rpc.Endpoint
+	tag       string // of info, as the endpoint gave it
 	told      uint64 // epoch in which info was reported
 }
 
@@ -103,15 +134,15 @@
 	return &watcher{
 		client: client,
 		svc:    svc,
+		news:   make(chan struct{}, 1),
 		seen:   map[string]*probed{},
 	}
 }
 
-func (w *watcher) assign(list []string, epoch uint64) {
+func (w *watcher) assign(list []string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.list = list
-	w.epoch = epoch
 	keep := map[string]*probed{}
 	for _, a := range list {
 		if p := w.seen[a]; p != nil {
@@ -121,23 +152,30 @@
 	w.seen = keep
 }
 
-// probe asks every assigned endpoint for what it is, all at once.
-func (w *watcher) probe(ctx context.Context) {
+// probe asks those assigned endpoints whose turn it is for what they are.
+func (w *watcher) probe(ctx context.Context, turn uint64, suspected func(string) bool) {
 	w.mu.Lock()
-	list := w.list
+	var due []string
+	for _, a := range w.list {
+		p := w.seen[a]
+		if p == nil || !p.reachable || (turn+xxhash.Sum64String(a))%probeEvery == 0 || suspected(a) {
+			due = append(due, a)
+		}
+	}
 	w.mu.Unlock()
 	g := group.New(ctx)
 	defer g.Stop()
-	for _, address := range list {
+	for _, address := range due {
 		g.Go(func(ctx context.Context) {
-			info, err := w.ask(ctx, address)
-			w.note(address, info, err == nil)
+			w.ask(ctx, address)
 		})
 	}
 	g.Wait()
 }
 
-func (w *watcher) note(address string, info *rpc.Endpoint, reachable bool) {
+// note takes what a probe brought. A probe that says that nothing changed
+// brings no info.
+func (w *watcher) note(address string, info *rpc.Endpoint, tag string, reachable bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	p := w.seen[address]
@@ -145,20 +183,39 @@
 		p = &probed{}
 		w.seen[address] = p
 	}
+	changed := p.reachable != reachable
 	p.reachable = reachable
+	p.fresh = true
 	if info != nil && !proto.Equal(info, p.info) {
 		p.info = info
 		p.told = 0
+		changed = true
+	}
+	if tag != "" {
+		p.tag = tag
+	}
+	if !changed {
+		return
+	}
+	select {
+	case w.news <- struct{}{}:
+	default:
 	}
 }
 
-// reports returns what was seen; what an endpoint said of itself only if the
-// leader of that epoch wasn't told yet.
+// reports returns what was seen since the last report; what an endpoint said
+// of itself only if the leader of that epoch wasn't told yet.
 func (w *watcher) reports(epoch uint64) []*rpc.EndpointReport {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	again := epoch != w.epoch
+	w.epoch = epoch
 	list := make([]*rpc.EndpointReport, 0, len(w.seen))
 	for address, p := range w.seen {
+		if !p.fresh && !again {
+			continue
+		}
+		p.fresh = false
 		r := &rpc.EndpointReport{
 			Address:   address,
 			Reachable: p.reachable,
@@ -172,37 +229,76 @@
 	return list
 }
 
+// undo makes the next report hold again what one that got lost held.
+func (w *watcher) undo() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.epoch = 0
+	for _, p := range w.seen {
+		p.told = 0
+	}
+}
+
 // ask reads an endpoint's info: an engine's, or else a plain service's.
-func (w *watcher) ask(ctx context.Context, address string) (*rpc.Endpoint, error) {
+func (w *watcher) ask(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	engine := api.EngineInfo{}
-	err := w.get(ctx, address, api.EngineInfoPath, &engine)
-	if err == nil && engine.EndLayer > 0 {
-		return engineToWire(engine), nil
+	tag, err := w.get(ctx, address, api.EngineInfoPath, &engine)
+	if err == nil {
+		w.note(address, engineInfo(engine), tag, true)
+		return
 	}
 	service := api.ServiceInfo{}
-	if err := w.get(ctx, address, api.ServiceInfoPath, &service); err != nil {
-		return nil, err
+	if _, err := w.get(ctx, address, api.ServiceInfoPath, &service); err != nil {
+		w.note(address, nil, "", false)
+		return
 	}
-	return serviceToWire(service), nil
+	w.note(address, serviceToWire(service), "", true)
 }
 
-func (w *watcher) get(ctx context.Context, address, path string, out any) error {
+// engineInfo returns nothing for an answer without content.
+func engineInfo(i api.EngineInfo) *rpc.Endpoint {
+	if i.EndLayer == 0 {
+		return nil
+	}
+	return engineToWire(i)
+}
+
+// get reads path into out unless it has the tag that this host has seen. It
+// returns the tag.
+func (w *watcher) get(ctx context.Context, address, path string, out any) (string, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return errors.Wrap(err, "request")
+		return "", errors.Wrap(err, "request")
 	}
+	if tag := w.tag(address); tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	req.Header.Set("User-Agent", "")
 	resp, err := w.client.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "probe")
+		return "", errors.Wrap(err, "probe")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("probe: status %d", resp.StatusCode)
+	switch resp.StatusCode {
+	case http.StatusNotModified:
+		return "", nil
+	case http.StatusOK:
+	default:
+		return "", errors.Errorf("probe: status %d", resp.StatusCode)
 	}
 	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
-		return errors.Wrap(err, "decode")
+		return "", errors.Wrap(err, "decode")
+	}
+	return resp.Header.Get("ETag"), nil
+}
+
+func (w *watcher) tag(address string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if p := w.seen[address]; p != nil {
+		return p.tag
 	}
-	return nil
+	return ""
 }
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -88,6 +88,7 @@
 func (s *Server) Start() {
 	s.group.Go(s.keeper.Run)
 	s.group.Go(s.beatLoop)
+	s.group.Go(s.probeLoop)
 	s.group.Go(s.sweepLoop)
 }
 
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -5,14 +5,14 @@
 //
 // The rules, in the order in which they are tried:
 //
-//  1. Leaving in the list, or said by the endpoint itself: Leaving.
-//  2. No fresh report from a trusted watcher: as before, or Joining if it was
+//  1. Fresh trusted watchers and none reaches it: Dead if there are at least
+//     two, or if the list lacks it as well.
+//  2. Leaving in the list, or said by the endpoint itself: Leaving.
+//  3. No fresh report from a trusted watcher: as before, or Joining if it was
 //     never reached. Silence proves nothing.
-//  3. Every fresh trusted watcher reaches it: Live, listed or not; a flapping
+//  4. Every fresh trusted watcher reaches it: Live, listed or not; a flapping
 //     list can't remove what answers.
-//  4. None of them reaches it: Dead if there are at least two, or if the list
-//     lacks it as well; Suspect otherwise.
-//  5. They disagree: Suspect.
+//  5. They disagree, or the one that reports can't reach it: Suspect.
 //
 // A watcher that reaches fewer than half of what it watches, and watches more
 // than one, is cut off itself and isn't trusted.
@@ -27,8 +27,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// freshness is how old a report may be to count.
-const freshness = 5 * time.Second
+// freshness is how old a report may be to count: a watcher that is well
+// reports every five seconds, and may miss one.
+const freshness = 12 * time.Second
 
 // forgetAfter is how long a dead endpoint that isn't listed is remembered.
 const forgetAfter = 10 * time.Minute
--- a/pkg/rollout/keeper.go
+++ b/pkg/rollout/keeper.go
@@ -24,6 +24,10 @@
 	fetchTimeout = fetchWait + 2*time.Second
 	retryPause   = 250 * time.Millisecond
 	peerTimeout  = time.Second
+	// sureWithin is how old a confirmation may be to make this host sure for
+	// the first time. A host that starts without a disk may have served a
+	// newer set in its last life than an old confirmation speaks of.
+	sureWithin = 10 * time.Second
 )
 
 // Keeper holds the set in force on this host.
@@ -173,6 +177,9 @@
 		return nil
 	}
 	at := sent.Add(-time.Duration(reply.GetConfirmedAgeMs()) * time.Millisecond)
+	if !k.confirmed && k.svc.Now().Sub(at) > sureWithin {
+		return nil
+	}
 	if !k.confirmed || at.After(k.confirmedAt) {
 		k.confirmed = true
 		k.confirmedAt = at
--- /dev/null
+++ b/pkg/rollout/keeper_test.go
@@ -0,0 +1,256 @@
+package rollout_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/rollout"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/twitchtv/twirp"
+)
+
+func TestRollout(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rollout")
+}
+
+const patience = 20 * time.Second
+
+// fakeControl answers fetches with what it is told to.
+type fakeControl struct {
+	mu    sync.Mutex
+	reply *rpc.FetchReply
+	down  bool
+	calls int
+}
+
+func (f *fakeControl) set(r *rpc.FetchReply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reply = r
+}
+
+func (f *fakeControl) Fetch(_ context.Context, _ *rpc.FetchRequest) (*rpc.FetchReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls++
+	if f.down || f.reply == nil {
+		return nil, twirp.Unavailable.Error("down")
+	}
+	return f.reply, nil
+}
+
+// signer signs bundles for the tests.
+type signer struct {
+	public  string
+	private string
+}
+
+func newSigner() signer {
+	public, private, err := bundle.NewKeyPair()
+	Expect(err).NotTo(HaveOccurred())
+	return signer{
+		public:  public,
+		private: private,
+	}
+}
+
+// version is a signed version of a bundle, accepted at a revision.
+func (s signer) version(name string, version, revision uint64) *rpc.BundleVersion {
+	parent := ""
+	if version > 1 {
+		parent = strings.Repeat("0", 64)
+	}
+	text := fmt.Sprintf("name = %q\nversion = %d\nparent = %q\n[[service]]\nname = %q\nbody_limit_kb = %d\n", name, version, parent, name, version)
+	sig, err := bundle.Sign("tiina", s.private, []byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	return &rpc.BundleVersion{
+		Name:       name,
+		Version:    version,
+		Parent:     parent,
+		Digest:     bundle.Digest([]byte(text)),
+		Content:    []byte(text),
+		Signatures: []*rpc.Signature{sig},
+		Revision:   revision,
+	}
+}
+
+func reply(confirmed bool, revision uint64, bundles ...*rpc.BundleVersion) *rpc.FetchReply {
+	return &rpc.FetchReply{
+		Revision:  revision,
+		Confirmed: confirmed,
+		Set: &rpc.BundleSet{
+			Revision: revision,
+			Bundles:  bundles,
+		},
+	}
+}
+
+// withKeeper runs a keeper that asks one fake control host and some peers.
+func withKeeper(s signer, peers []string, f func(k *rollout.Keeper, c *fakeControl)) {
+	c := &fakeControl{}
+	server := httptest.NewServer(rpc.NewRolloutServer(c))
+	defer server.Close()
+	one, err := bundle.NewSigner("tiina", s.public, []string{"*"})
+	Expect(err).NotTo(HaveOccurred())
+	k := rollout.New("entry-1", []string{strings.TrimPrefix(server.URL, "http://")}, func() []string { return peers },
+		bundle.NewTrust([]bundle.Signer{one}, 1), timer.NewSystem(), &http.Client{}, metrics.New())
+	g := group.New(context.Background())
+	defer g.Stop()
+	g.Go(k.Run)
+	f(k, c)
+}
+
+// asked waits until the control host was asked twice more.
+func (f *fakeControl) asked() {
+	f.mu.Lock()
+	from := f.calls
+	f.mu.Unlock()
+	Eventually(func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.calls
+	}, patience, time.Millisecond).Should(BeNumerically(">=", from+2))
+}
+
+func revisionOf(k *rollout.Keeper) func() uint64 {
+	return func() uint64 {
+		return k.Set().Revision()
+	}
+}
+
+var _ = Describe("Keeper", func() {
+	It("isn't sure until a control majority confirmed, and says so", func() {
+		s := newSigner()
+		withKeeper(s, nil, func(k *rollout.Keeper, c *fakeControl) {
+			c.set(reply(false, 4, s.version("a", 1, 4)))
+			Eventually(revisionOf(k), patience, time.Millisecond).Should(Equal(uint64(4)))
+			c.asked()
+			sure, _ := k.Confirmed()
+			Expect(sure).To(BeFalse())
+			c.set(reply(true, 4))
+			Eventually(func() bool {
+				sure, _ := k.Confirmed()
+				return sure
+			}, patience, time.Millisecond).Should(BeTrue())
+		})
+	})
+
+	It("isn't made sure by a confirmation that is an hour old", func() {
+		s := newSigner()
+		withKeeper(s, nil, func(k *rollout.Keeper, c *fakeControl) {
+			old := reply(true, 4, s.version("a", 1, 4))
+			old.ConfirmedAgeMs = 3_600_000
+			c.set(old)
+			Eventually(revisionOf(k), patience, time.Millisecond).Should(Equal(uint64(4)))
+			c.asked()
+			sure, _ := k.Confirmed()
+			Expect(sure).To(BeFalse())
+		})
+	})
+
+	It("never goes back, whoever says so", func() {
+		s := newSigner()
+		withKeeper(s, nil, func(k *rollout.Keeper, c *fakeControl) {
+			c.set(reply(true, 7, s.version("a", 3, 7)))
+			Eventually(revisionOf(k), patience, time.Millisecond).Should(Equal(uint64(7)))
+			older := []struct {
+				name  string
+				reply *rpc.FetchReply
+			}{
+				{name: "a replica that was cut off", reply: reply(false, 5, s.version("a", 2, 5))},
+				{name: "one that is sure of it", reply: reply(true, 5, s.version("a", 2, 5))},
+				{name: "an older version under a newer revision", reply: reply(true, 9, s.version("a", 2, 9))},
+			}
+			for _, o := range older {
+				c.set(o.reply)
+				c.asked()
+				Expect(k.Set().Revision()).To(Equal(uint64(7)), o.name)
+				v, _ := k.Set().Service("a")
+				Expect(v.BodyLimitKB).To(Equal(3), o.name)
+			}
+		})
+	})
+
+	It("takes a set whole or not at all, and only as signed", func() {
+		s := newSigner()
+		stranger := newSigner()
+		changed := s.version("b", 1, 8)
+		changed.Content = append(changed.Content, '#')
+		forged := s.version("b", 1, 8)
+		forged.Content = append(forged.Content, '#')
+		forged.Digest = bundle.Digest(forged.Content)
+		bad := []struct {
+			name   string
+			bundle *rpc.BundleVersion
+		}{
+			{name: "a stranger's signature", bundle: stranger.version("b", 1, 8)},
+			{name: "text without its digest", bundle: changed},
+			{name: "text without its signature", bundle: forged},
+		}
+		withKeeper(s, nil, func(k *rollout.Keeper, c *fakeControl) {
+			c.set(reply(true, 7, s.version("a", 1, 7)))
+			Eventually(revisionOf(k), patience, time.Millisecond).Should(Equal(uint64(7)))
+			for _, b := range bad {
+				c.set(reply(true, 8, s.version("a", 2, 8), b.bundle))
+				c.asked()
+				Expect(k.Set().Revision()).To(Equal(uint64(7)), b.name)
+				v, _ := k.Set().Service("a")
+				Expect(v.BodyLimitKB).To(Equal(1), b.name)
+			}
+			c.set(reply(true, 8, s.version("a", 2, 8)))
+			Eventually(revisionOf(k), patience, time.Millisecond).Should(Equal(uint64(8)))
+		})
+	})
+
+	It("takes only what changed, and keeps the rest", func() {
+		s := newSigner()
+		withKeeper(s, nil, func(k *rollout.Keeper, c *fakeControl) {
+			c.set(reply(true, 2, s.version("a", 1, 1), s.version("b", 1, 2)))
+			Eventually(revisionOf(k), patience, time.Millisecond).Should(Equal(uint64(2)))
+			c.set(reply(true, 3, s.version("b", 2, 3)))
+			Eventually(revisionOf(k), patience, time.Millisecond).Should(Equal(uint64(3)))
+			_, kept := k.Set().Service("a")
+			Expect(kept).To(BeTrue())
+			out, err := k.Fetch(context.Background(), &rpc.FetchRequest{KnownRevision: 2})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(out.GetSet().GetBundles()).To(HaveLen(1))
+		})
+	})
+
+	It("takes a set from a peer when no control host answers, with its age", func() {
+		s := newSigner()
+		withKeeper(s, nil, func(near *rollout.Keeper, c *fakeControl) {
+			c.set(reply(true, 6, s.version("a", 1, 6)))
+			Eventually(func() bool {
+				sure, _ := near.Confirmed()
+				return sure
+			}, patience, time.Millisecond).Should(BeTrue())
+			peer := httptest.NewServer(rpc.NewRolloutServer(near))
+			defer peer.Close()
+			withKeeper(s, []string{strings.TrimPrefix(peer.URL, "http://")}, func(far *rollout.Keeper, cut *fakeControl) {
+				cut.down = true
+				Eventually(func() bool {
+					sure, _ := far.Confirmed()
+					return sure
+				}, patience, time.Millisecond).Should(BeTrue())
+				Expect(far.Set().Revision()).To(Equal(uint64(6)))
+				_, nearAge := near.Confirmed()
+				_, farAge := far.Confirmed()
+				Expect(farAge).To(BeNumerically(">=", nearAge-time.Second))
+			})
+		})
+	})
+})
--- a/pkg/standin/engine/http.go
+++ b/pkg/standin/engine/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 
 	"github.com/larchwinch/larchwinch/pkg/api"
@@ -34,7 +35,14 @@
 	if err := e.faults.beforeInfo(r.Context()); err != nil {
 		return
 	}
-	writeJSON(w, e.Info())
+	info := e.Info()
+	tag := fmt.Sprintf(`"%d-%t"`, info.Incarnation, info.Leaving)
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	writeJSON(w, info)
 }
 
 func (e *Engine) serveOpen(w http.ResponseWriter, r *http.Request) {
