Move a request off a stage that leaves on plan

Cause: an endpoint that leaves took no new work, but a long stream stayed on it until the end, or was cut off with it. Engines say that they leave with each answer to an open, so a host knows at once.

Ruled out: replaying saved activations, which runs positions twice in all.

--- a/pkg/chain/execution.go
+++ b/pkg/chain/execution.go
@@ -36,6 +36,7 @@
 	emitted   []int
 	promptLen int
 	sent      bool // an engine may have begun the request
+	stay      bool // stages that leave can't be replaced
 	result    Result
 
 	accuser   string // the stage that last said it can't reach the next
@@ -138,7 +139,7 @@
 			Value: reason,
 		}).Inc(1)
 		logflags.Info(logflags.Chain, "stage lost", "request", x.req.ID, "endpoint", address, "reason", reason, "emitted", len(x.emitted))
-		if e := x.r.cfg.Directory.Endpoint(address); e != nil {
+		if e := x.r.cfg.Directory.Endpoint(address); e != nil && reason != reasonLeaving {
 			e.Failed()
 		}
 	}
--- a/pkg/chain/matrix_test.go
+++ b/pkg/chain/matrix_test.go
@@ -154,6 +154,81 @@
 	})
 })
 
+var _ = Describe("an endpoint that leaves", func() {
+	It("cuts nothing off: its KV cache moves, and no position runs twice anywhere", func() {
+		for stage := range 3 {
+			cl, err := newCluster(2)
+			Expect(err).NotTo(HaveOccurred())
+			var left *fakeHost
+			a := cl.ask("moved", func(n int) {
+				if n != 3 {
+					return
+				}
+				left = cl.serving(stage)
+				cl.dir.Take(&rpc.BeatReply{
+					Epoch:     1,
+					Version:   2,
+					Endpoints: []*rpc.Endpoint{left.endpoint(rpc.EndpointState_ENDPOINT_LEAVING)},
+				})
+			})
+			Expect(cl.verify("moved", a)).To(Succeed())
+			Expect(a.result.Path).NotTo(ContainElement(left.address))
+			Expect(cl.runsOf("moved", stage)).To(HaveEach(1))
+			cl.stop()
+		}
+	})
+
+	It("ends the request where it is if no one can take its place", func() {
+		cl, err := newCluster(1)
+		Expect(err).NotTo(HaveOccurred())
+		defer cl.stop()
+		a := cl.ask("stays", func(n int) {
+			if n == 3 {
+				cl.hosts[1].engine.SetLeaving(true)
+				cl.dir.Endpoint(cl.hosts[1].address).SetLeaving()
+			}
+		})
+		Expect(cl.verify("stays", a)).To(Succeed())
+		Expect(a.result.Path).To(ContainElement(cl.hosts[1].address))
+	})
+
+	It("gets no new work as soon as it says so itself", func() {
+		cl, err := newCluster(2)
+		Expect(err).NotTo(HaveOccurred())
+		defer cl.stop()
+		cl.hosts[0].engine.SetLeaving(true)
+		for i := range 12 {
+			Expect(cl.verify(fmt.Sprint("new", i), cl.ask(fmt.Sprint("new", i), func(int) {}))).To(Succeed())
+		}
+		began := 0
+		for _, e := range cl.hosts[0].engine.Ledger().All() {
+			if len(e.Runs) > 0 {
+				began++
+			}
+		}
+		Expect(began).To(BeNumerically("<=", 1), "only the request that learnt it may have begun there")
+	})
+})
+
+// runsOf returns how often each position ran on any host of a stage.
+func (c *cluster) runsOf(id string, stage int) []int {
+	const span = layers / 3
+	var sum []int
+	for _, h := range c.hosts {
+		e, _ := h.engine.Ledger().Get(id)
+		if h.first != stage*span {
+			continue
+		}
+		for pos, n := range e.Runs {
+			for len(sum) <= pos {
+				sum = append(sum, 0)
+			}
+			sum[pos] += n
+		}
+	}
+	return sum
+}
+
 var _ = Describe("a request that can't run", func() {
 	It("says that it was not run when no chain covers the model", func() {
 		cl, err := newCluster(1)
--- a/pkg/chain/open.go
+++ b/pkg/chain/open.go
@@ -44,16 +44,7 @@
 
 func (x *execution) openOne(ctx context.Context, i int, t stepTimeout) string {
 	s := x.stages[i]
-	o := api.EngineOpen{
-		Request:        x.req.ID,
-		Attempt:        x.attempt,
-		Model:          x.req.Model.Name,
-		ModelVersion:   x.req.Model.Version,
-		Priority:       x.req.Priority,
-		Seed:           x.req.Seed,
-		NextTimeoutMS:  int(t.base.Milliseconds()),
-		NextPositionUS: int(t.position.Microseconds()),
-	}
+	o := x.openMessage(t)
 	if i+1 < len(x.stages) {
 		o.Next = x.stages[i+1].endpoint.Address()
 	}
@@ -64,6 +55,9 @@
 		return reasonOf(err)
 	}
 	s.have = reply.Have
+	if reply.Leaving {
+		s.endpoint.SetLeaving()
+	}
 	if s.open {
 		s.endpoint.Closed() // opened anew: counted once
 	}
@@ -72,6 +66,19 @@
 	return ""
 }
 
+func (x *execution) openMessage(t stepTimeout) api.EngineOpen {
+	return api.EngineOpen{
+		Request:        x.req.ID,
+		Attempt:        x.attempt,
+		Model:          x.req.Model.Name,
+		ModelVersion:   x.req.Model.Version,
+		Priority:       x.req.Priority,
+		Seed:           x.req.Seed,
+		NextTimeoutMS:  int(t.base.Milliseconds()),
+		NextPositionUS: int(t.position.Microseconds()),
+	}
+}
+
 func (r *Runner) cancel(ctx context.Context, address string, c api.EngineCancel) {
 	_ = r.call(ctx, cancelTimeout, address, api.EngineCancelPath, c, nil) // the engine drops orphans by itself
 }
--- a/pkg/chain/repair.go
+++ b/pkg/chain/repair.go
@@ -25,7 +25,13 @@
 			banned[address] = true
 		}
 		x.attempt++
-		if !x.replace(lost, banned) {
+		moves, ok := x.replace(lost, banned)
+		if !ok {
+			if onlyLeaving(lost) {
+				x.stay = true // no one can take its place: it ends where it is
+				lost = lostStages{}
+				continue
+			}
 			if x.r.cfg.Timer.Now().After(deadline) {
 				return x.failed("no live endpoint can take the place of the stage that was lost")
 			}
@@ -33,8 +39,10 @@
 			_ = timer.Sleep(ctx, x.r.cfg.Timer, repairPause)
 			continue
 		}
+		x.export(ctx, moves)
 		lost = x.openAll(ctx)
 		if len(lost) == 0 {
+			x.load(ctx, moves)
 			lost = x.rebuild(ctx)
 		}
 		if len(lost) == 0 {
@@ -44,8 +52,9 @@
 }
 
 // replace puts endpoints that cover the same layers in the place of each lost
-// stage. It changes nothing and reports false if one can't be replaced.
-func (x *execution) replace(lost lostStages, banned map[string]bool) bool {
+// stage. It changes nothing and reports false if one can't be replaced. It
+// returns the moves of stages that are still there.
+func (x *execution) replace(lost lostStages, banned map[string]bool) ([]*move, bool) {
 	without := map[string]bool{}
 	for address := range banned {
 		without[address] = true
@@ -55,26 +64,35 @@
 	}
 	all := x.candidates()
 	var next, gone []*stage
+	var moves []*move
 	for _, s := range x.stages {
-		if _, is := lost[s.endpoint.Address()]; !is {
+		reason, is := lost[s.endpoint.Address()]
+		if !is {
 			next = append(next, s)
 			continue
 		}
 		c := x.r.cfg.Router.Choose(all, s.first, s.end, without)
 		if c == nil {
-			return false
+			return nil, false
 		}
 		for _, e := range c {
 			without[e.Address()] = true
 		}
-		next = append(next, stagesOf(c)...)
+		fresh := stagesOf(c)
+		if reason == reasonLeaving && len(fresh) == 1 {
+			moves = append(moves, &move{
+				from: s,
+				to:   fresh[0],
+			})
+		}
+		next = append(next, fresh...)
 		gone = append(gone, s)
 	}
 	x.stages = next
 	for _, s := range gone {
 		x.abandon(s)
 	}
-	return true
+	return moves, true
 }
 
 // rebuild fills the KV caches of stages that lack positions, from the first
--- a/pkg/chain/stream.go
+++ b/pkg/chain/stream.go
@@ -89,6 +89,9 @@
 				return nil, err
 			}
 			x.noteToken(curve, w)
+			if moved := x.leavingStages(); moved != nil {
+				return moved, nil
+			}
 		}
 	}
 }
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -107,7 +107,7 @@
 	defer d.mu.Unlock()
 	var list []*Endpoint
 	for _, e := range d.endpoints {
-		if info := e.Info(); match(info) && takesWork(info.GetState()) {
+		if info := e.Info(); match(info) && takesWork(info.GetState()) && !e.Leaving() {
 			list = append(list, e)
 		}
 	}
@@ -133,6 +133,7 @@
 	fails    int
 	avoid    time.Time // until when this host would rather not use it
 	joined   time.Time
+	leaving  bool // by its own word to this host, in this life
 }
 
 // reportLife is for how long a load report says something.
@@ -169,6 +170,7 @@
 		e.fails = 0
 		e.avoid = time.Time{}
 		e.reportAt = time.Time{}
+		e.leaving = false
 	}
 	e.info = info
 }
@@ -191,6 +193,20 @@
 	return e.info
 }
 
+// Leaving reports whether the endpoint leaves on plan and takes no new work.
+func (e *Endpoint) Leaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving || e.info.GetState() == rpc.EndpointState_ENDPOINT_LEAVING
+}
+
+// SetLeaving notes that the endpoint itself said so.
+func (e *Endpoint) SetLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
 // Opened notes that this host opened a session, what load the answer reported
 // and how long the answer took.
 func (e *Endpoint) Opened(sessions int, rtt time.Duration) {
--- a/pkg/standin/engine/ledger.go
+++ b/pkg/standin/engine/ledger.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	entries map[string]*Entry
 	order   []string
+	lives   uint64
 }
 
 // ledgerSize bounds the requests that the ledger remembers.
@@ -67,6 +68,7 @@
 func (l *Ledger) forget() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.lives++
 	for _, e := range l.entries {
 		e.Lives++
 		e.Runs = nil
@@ -90,9 +92,21 @@
 	return e
 }
 
-func (l *Ledger) ran(request string, pos, n int, rebuild bool) {
+// life returns which life the engine is in.
+func (l *Ledger) life() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.lives
+}
+
+// ran notes positions that were run, and reports false, noting nothing, if the
+// life that ran them is over.
+func (l *Ledger) ran(life uint64, request string, pos, n int, rebuild bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if life != l.lives {
+		return false
+	}
 	e := l.entry(request)
 	for len(e.Runs) < pos+n {
 		e.Runs = append(e.Runs, 0)
@@ -103,6 +117,7 @@
 	if rebuild {
 		e.Rebuilt += n
 	}
+	return true
 }
 
 func (l *Ledger) repeated(request string, n int) {
--- a/pkg/standin/engine/session.go
+++ b/pkg/standin/engine/session.go
@@ -24,6 +24,7 @@
 	outputs []uint64
 	used    time.Time
 	usedMu  sync.Mutex
+	life    uint64 // of the engine that it belongs to
 }
 
 func (s *session) touch(now time.Time) {
@@ -51,10 +52,12 @@
 		s = &session{
 			request: o.Request,
 			kv:      make([]uint64, e.layers()),
+			life:    e.ledger.life(),
 		}
 		e.sessions[o.Request] = s
 	}
 	open := len(e.sessions)
+	leaving := e.leaving
 	e.mu.Unlock()
 	s.touch(e.cfg.Timer.Now())
 	s.mu.Lock()
@@ -65,8 +68,9 @@
 	s.attempt = o.Attempt
 	s.open = o
 	return api.EngineOpened{
-		Have: len(s.inputs),
-		Load: e.batcher.load(open),
+		Have:    len(s.inputs),
+		Load:    e.batcher.load(open),
+		Leaving: leaving,
 	}, true, false
 }
 
@@ -113,7 +117,9 @@
 		if err := e.batcher.pass(ctx, len(fresh), s.open.Priority); err != nil {
 			return nil, api.FaultLost
 		}
-		e.ledger.ran(s.request, have, len(fresh), rebuild)
+		if !e.ledger.ran(s.life, s.request, have, len(fresh), rebuild) {
+			return nil, api.FaultLost // the process that ran it is no more
+		}
 	}
 	for _, x := range fresh {
 		s.inputs = append(s.inputs, x)
