--- /dev/null
+++ b/pkg/limits/limits_test.go
@@ -0,0 +1,232 @@
+package limits_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/limits"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestLimits(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "limits")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+func account(name string, weight int) bundle.Account {
+	return bundle.Account{
+		Name:              name,
+		Weight:            weight,
+		RequestsPerSecond: 40,
+		TokensPerSecond:   400,
+		Concurrent:        8,
+	}
+}
+
+func hosts(n int) func() int {
+	return func() int {
+		return n
+	}
+}
+
+// letIn counts how many of n requests are let in, each ending at once.
+func letIn(a *limits.Accounts, acc bundle.Account, n, tokens int) int {
+	in := 0
+	for range n {
+		if a.Enter(acc, tokens) == nil {
+			in++
+			a.Leave(acc, 0)
+		}
+	}
+	return in
+}
+
+var _ = Describe("Accounts", func() {
+	It("holds an account to its rate, over all hosts together", func() {
+		const n = 4
+		svc := timer.NewManual(start)
+		var all []*limits.Accounts
+		for range n {
+			all = append(all, limits.NewAccounts(svc, hosts(n)))
+		}
+		acc := account("a", 1)
+		total := 0
+		for range 100 { // ten seconds of too many requests everywhere
+			for _, a := range all {
+				total += letIn(a, acc, 5, 0)
+			}
+			svc.Advance(100 * time.Millisecond)
+		}
+		// The limit, and the burst of two seconds that a new account begins with.
+		Expect(total).To(BeNumerically("~", 40*10+80, n))
+	})
+
+	It("says when to come back, and then lets the request in", func() {
+		svc := timer.NewManual(start)
+		a := limits.NewAccounts(svc, hosts(1))
+		acc := account("a", 1)
+		Expect(letIn(a, acc, 80, 0)).To(Equal(80))
+		f := failure.From(a.Enter(acc, 0))
+		Expect(f.Kind()).To(Equal(failure.RateLimited))
+		Expect(f.Ran()).To(Equal(failure.RanNo))
+		svc.Advance(f.RetryAfter())
+		Expect(a.Enter(acc, 0)).To(Succeed())
+	})
+
+	It("counts tokens, and gives back those that were not used", func() {
+		svc := timer.NewManual(start)
+		a := limits.NewAccounts(svc, hosts(1))
+		acc := account("a", 1)
+		Expect(a.Enter(acc, 800)).To(Succeed())
+		Expect(failure.Is(a.Enter(acc, 100), failure.TokensLimited)).To(BeTrue())
+		a.Leave(acc, 500)
+		Expect(a.Enter(acc, 400)).To(Succeed())
+	})
+
+	It("bounds requests in flight, and lets one in when another ends", func() {
+		a := limits.NewAccounts(timer.NewManual(start), hosts(2))
+		acc := account("a", 1)
+		for range 4 {
+			Expect(a.Enter(acc, 0)).To(Succeed())
+		}
+		Expect(failure.Is(a.Enter(acc, 0), failure.ConcurrencyLimited)).To(BeTrue())
+		a.Leave(acc, 0)
+		Expect(a.Enter(acc, 0)).To(Succeed())
+	})
+
+	It("forgets an account that is never seen again", func() {
+		svc := timer.NewManual(start)
+		a := limits.NewAccounts(svc, hosts(1))
+		letIn(a, account("a", 1), 1, 0)
+		Expect(a.Sweep()).To(BeEmpty())
+		svc.Advance(time.Hour)
+		Expect(a.Sweep()).To(Equal([]string{"a"}))
+	})
+})
+
+// gateRun has every request wait at a gate and lets them in one by one; it
+// returns the names in the order in which they were let in.
+type gateRun struct {
+	svc  *timer.Manual
+	gate *limits.Gate
+	room int
+	mu   sync.Mutex
+	came []string
+	g    *group.Group
+}
+
+func newGateRun(budget time.Duration) *gateRun {
+	r := &gateRun{
+		svc: timer.NewManual(start),
+		g:   group.New(context.Background()),
+	}
+	r.gate = limits.NewGate(r.svc, budget, func() int { return r.room })
+	return r
+}
+
+// queue adds a waiting request and returns once it waits.
+func (r *gateRun) queue(name string, acc bundle.Account, priority int) {
+	before, _ := r.gate.Waiting()
+	r.g.Go(func(ctx context.Context) {
+		if r.gate.Enter(ctx, acc, priority) != nil {
+			return
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.came = append(r.came, name)
+	})
+	Eventually(func() int {
+		n, _ := r.gate.Waiting()
+		return n
+	}, 10*time.Second, time.Millisecond).Should(Equal(before + 1))
+}
+
+// admit lets n in, one after the other.
+func (r *gateRun) admit(n int) []string {
+	for range n {
+		r.mu.Lock()
+		want := len(r.came) + 1
+		r.mu.Unlock()
+		r.room++
+		r.gate.Wake()
+		Eventually(func() int {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return len(r.came)
+		}, 10*time.Second, time.Millisecond).Should(Equal(want))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]string(nil), r.came...)
+}
+
+var _ = Describe("Gate", func() {
+	It("lets the higher priority go first", func() {
+		r := newGateRun(time.Hour)
+		defer r.g.Stop()
+		r.queue("batch", account("a", 1), 1)
+		r.queue("note", account("a", 1), 9)
+		Expect(r.admit(2)).To(Equal([]string{"note", "batch"}))
+	})
+
+	It("lets what has waited for long go before what has just come", func() {
+		r := newGateRun(time.Hour)
+		defer r.g.Stop()
+		r.queue("batch", account("a", 1), 1)
+		r.svc.Advance(5 * time.Second)
+		r.queue("note", account("a", 1), 9)
+		Expect(r.admit(1)).To(Equal([]string{"batch"}))
+	})
+
+	It("shares by weight, so that a large account can't starve a small one", func() {
+		r := newGateRun(time.Hour)
+		defer r.g.Stop()
+		for i := range 12 {
+			r.queue(fmt.Sprint("large"), account("large", 3), 5)
+			if i < 4 {
+				r.queue("small", account("small", 1), 5)
+			}
+		}
+		small := 0
+		for _, name := range r.admit(8) {
+			if name == "small" {
+				small++
+			}
+		}
+		Expect(small).To(Equal(2), "a quarter of eight")
+	})
+
+	It("refuses at once what would wait for too long, and says when to come back", func() {
+		r := newGateRun(time.Second)
+		defer r.g.Stop()
+		r.room = 1
+		Expect(r.gate.Enter(context.Background(), account("a", 1), 5)).To(Succeed())
+		r.queue("one", account("a", 1), 5)
+		r.queue("two", account("a", 1), 5)
+		f := failure.From(r.gate.Enter(context.Background(), account("a", 1), 5))
+		Expect(f.Kind()).To(Equal(failure.Overloaded))
+		Expect(f.RetryAfter()).To(BeNumerically(">=", time.Second))
+		Expect(r.gate.Enter(context.Background(), account("a", 1), 5)).NotTo(Succeed())
+	})
+
+	It("lets a request that gives up leave the queue", func() {
+		r := newGateRun(time.Hour)
+		defer r.g.Stop()
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		f := failure.From(r.gate.Enter(ctx, account("a", 1), 5))
+		Expect(f.Ran()).To(Equal(failure.RanNo))
+		waiting, running := r.gate.Waiting()
+		Expect(waiting + running).To(BeZero())
+	})
+})
--- a/pkg/raft/core_test.go
+++ b/pkg/raft/core_test.go
@@ -150,6 +150,18 @@
 		Expect(persist(c).Messages).To(HaveLen(1))
 	})
 
+	It("refuses its vote to a log that lacks what it holds", func() {
+		c := newCore(fixed{}, 1, 1, 1)
+		for range electionTicks - 1 {
+			c.Tick()
+		}
+		c.Tick()
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_VOTE, From: 3, Term: 2, LogIndex: 2, LogTerm: 1})
+		Expect(persist(c).Messages[0].GetReject()).To(BeTrue())
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_VOTE, From: 2, Term: 2, LogIndex: 3, LogTerm: 1})
+		Expect(persist(c).Messages[0].GetReject()).To(BeFalse())
+	})
+
 	It("refuses votes right after a start, since it may have promised not to", func() {
 		c := newCore(fixed{}, 1)
 		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_VOTE, From: 3, Term: 2, LogIndex: 9, LogTerm: 1})
