Never start a request anew that must not be repeated; send entry hosts only what changed

A once request whose head was lost before the first token was sent to another head, since repairs did not look at Once. The new test has heads that take the request and close the connection: before, the second head was asked too; after, the caller is told endpoint_failed, ran unknown.

The answer now holds what changed since the version that the host names, and the list to watch only if its digest differs. A directory forgets what a leader that had 30 s to learn never named.

--- a/pkg/chain/fixture_test.go
+++ b/pkg/chain/fixture_test.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/api"
 	"github.com/larchwinch/larchwinch/pkg/bundle"
 	"github.com/larchwinch/larchwinch/pkg/chain"
 	"github.com/larchwinch/larchwinch/pkg/directory"
@@ -143,6 +145,24 @@
 	return h, nil
 }
 
+// abortGenerate has the first hosts take a request to generate and then close
+// the connection, so that no one can tell whether it began. It returns how
+// often they were asked.
+func (c *cluster) abortGenerate(hosts int) *atomic.Int64 {
+	asked := &atomic.Int64{}
+	for _, h := range c.hosts[:hosts] {
+		next := h.server.Handler
+		h.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == api.EngineGeneratePath {
+				asked.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+	return asked
+}
+
 func (c *cluster) stop() {
 	for _, h := range c.hosts {
 		h.kill()
--- a/pkg/chain/matrix_test.go
+++ b/pkg/chain/matrix_test.go
@@ -277,6 +277,36 @@
 		Expect(f.RetryAfter()).To(BeNumerically(">", 0))
 	})
 
+	It("is never started anew if it must not be repeated", func() {
+		cases := []struct {
+			once  bool
+			heads int // that were asked to generate
+		}{
+			{once: true, heads: 1},
+			{once: false, heads: 2},
+		}
+		for _, c := range cases {
+			cl, err := newCluster(2)
+			Expect(err).NotTo(HaveOccurred())
+			asked := cl.abortGenerate(2)
+			_, err = cl.runner.Run(context.Background(), chain.Request{
+				ID:        "first",
+				Model:     theModel,
+				Prompt:    prompt,
+				MaxTokens: maxTokens,
+				Once:      c.once,
+			}, func(chain.Token) error { return nil })
+			Expect(asked.Load()).To(BeNumerically(">=", c.heads))
+			if c.once {
+				f := failure.From(err)
+				Expect(f.Kind()).To(Equal(failure.EndpointFailed))
+				Expect(f.Ran()).To(Equal(failure.RanUnknown))
+				Expect(asked.Load()).To(Equal(int64(1)), "it was asked once, and never again")
+			}
+			cl.stop()
+		}
+	})
+
 	It("ends at once when the caller goes away", func() {
 		cl, err := newCluster(1)
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/chain/runner.go
+++ b/pkg/chain/runner.go
@@ -117,12 +117,29 @@
 			return x.failed("the request was repaired %d times", maxRepairs)
 		}
 		x.faultSeen(lost)
+		if x.req.Once && x.wouldStartAnew(lost) {
+			return x.failed("the request must not be repeated, and no stage is left that holds it")
+		}
 		if err := x.repair(ctx, lost); err != nil {
 			return err
 		}
 	}
 }
 
+// wouldStartAnew reports whether a repair would run the request again rather
+// than carry it on: nothing was emitted and the stage that may have begun it
+// is lost, or no stage that held it is left.
+func (x *execution) wouldStartAnew(lost lostStages) bool {
+	kept := 0
+	for _, s := range x.stages {
+		if _, is := lost[s.endpoint.Address()]; !is {
+			kept++
+		}
+	}
+	_, headLost := lost[x.stages[0].endpoint.Address()]
+	return kept == 0 || (headLost && len(x.emitted) == 0)
+}
+
 // failed returns the failure of a request that can't be carried on.
 func (x *execution) failed(format string, args ...any) error {
 	return failure.New(failure.EndpointFailed, format, args...).WithRan(x.ran())
--- a/pkg/cmds/loadcmd/load.go
+++ b/pkg/cmds/loadcmd/load.go
@@ -40,6 +40,7 @@
 	f.StringVar(&o.csv, "csv", "", "file to add the figures to")
 	f.StringVar(&o.svg, "svg", "", "file for a plot")
 	_ = cmd.MarkFlagRequired("experiment") // the flag exists
+	cmd.AddCommand(fitCommand(out))
 	return cmd
 }
 
--- a/pkg/control/presence.go
+++ b/pkg/control/presence.go
@@ -5,14 +5,17 @@
 	"encoding/json"
 	"net/http"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/api"
 	"github.com/larchwinch/larchwinch/pkg/logflags"
 	"github.com/larchwinch/larchwinch/pkg/membership"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"google.golang.org/protobuf/proto"
 )
 
 // goneAfter is after how long without a beat an entry host isn't named to
@@ -26,13 +29,17 @@
 	epoch   uint64
 	listed  bool // the platform's list was read in this epoch
 	entries map[string]*entryRow
+	version uint64 // of entries; it rises when one changes
 	table   *membership.Table
 	watch   map[string][]string
 }
 
+// entryRow is one entry host. Its version is the table's when something that
+// other entry hosts must learn last changed.
 type entryRow struct {
-	info *rpc.EntryHost
-	at   time.Time
+	info    *rpc.EntryHost
+	at      time.Time
+	version uint64
 }
 
 func newPresence() *presence {
@@ -45,6 +52,7 @@
 	p.epoch = epoch
 	p.listed = false
 	p.entries = map[string]*entryRow{}
+	p.version = 0
 	p.table = membership.New()
 	p.watch = map[string][]string{}
 }
@@ -53,22 +61,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.enter(epoch)
-	p.entries[r.GetHost().GetHost()] = &entryRow{
-		info: r.GetHost(),
-		at:   now,
-	}
+	p.hear(now, r.GetHost())
 	p.table.Report(now, r.GetHost().GetHost(), r.GetReports())
 	reply := &rpc.BeatReply{
-		Entries: p.present(now),
-		Watch:   p.watch[r.GetHost().GetHost()],
+		EntriesVersion: p.version,
+	}
+	watch := p.watch[r.GetHost().GetHost()]
+	if reply.WatchDigest = digest(watch); reply.WatchDigest != r.GetWatchDigest() {
+		reply.Watch = watch
 	}
+	fresh := r.GetEpoch() != p.epoch
+	reply.Entries = p.entriesSince(r.GetEntriesVersion(), fresh)
 	if !p.listed {
 		return reply
 	}
 	reply.Epoch = p.epoch
 	reply.Version = p.table.Version()
 	known := r.GetVersion()
-	if r.GetEpoch() != p.epoch {
+	if fresh {
 		known = 0
 		reply.Whole = true
 	}
@@ -76,6 +86,59 @@
 	return reply
 }
 
+// hear notes a beat of an entry host.
+func (p *presence) hear(now time.Time, info *rpc.EntryHost) {
+	e := p.entries[info.GetHost()]
+	if e == nil {
+		e = &entryRow{}
+		p.entries[info.GetHost()] = e
+	}
+	if !sameToOthers(e.info, info) {
+		p.version++
+		e.version = p.version
+	}
+	e.info = info
+	e.at = now
+}
+
+// sameToOthers reports whether other entry hosts need not learn of a change.
+// The revision in force is left out: it changes everywhere with each bundle.
+func sameToOthers(a, b *rpc.EntryHost) bool {
+	return a.GetHost() == b.GetHost() && a.GetDomain() == b.GetDomain() &&
+		a.GetCallerAddress() == b.GetCallerAddress() && a.GetRpcAddress() == b.GetRpcAddress() &&
+		a.GetReady() == b.GetReady() && a.GetLeaving() == b.GetLeaving() && a.GetGone() == b.GetGone()
+}
+
+// entriesSince returns the entry hosts that changed since a version.
+func (p *presence) entriesSince(known uint64, whole bool) []*rpc.EntryHost {
+	var list []*rpc.EntryHost
+	for _, e := range p.entries {
+		if whole || e.version > known {
+			list = append(list, e.info)
+		}
+	}
+	return list
+}
+
+// bury marks the hosts that were not heard of for long as gone.
+func (p *presence) bury(now time.Time) {
+	for _, e := range p.entries {
+		if now.Sub(e.at) <= goneAfter || e.info.GetGone() {
+			continue
+		}
+		gone := proto.Clone(e.info).(*rpc.EntryHost)
+		gone.Gone = true
+		p.version++
+		e.version = p.version
+		e.info = gone
+	}
+}
+
+// digest names a list, so that it is sent only where it isn't known.
+func digest(list []string) uint64 {
+	return xxhash.Sum64String(strings.Join(list, "\n"))
+}
+
 // enter forgets what was known in an earlier lead.
 func (p *presence) enter(epoch uint64) {
 	if epoch != p.epoch {
@@ -109,6 +172,7 @@
 	defer p.mu.Unlock()
 	p.enter(epoch)
 	p.table.Judge(now)
+	p.bury(now)
 	p.assign(now)
 }
 
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -22,22 +22,36 @@
 	epoch     uint64
 	version   uint64
 	endpoints map[string]*Endpoint
-	entries   []*rpc.EntryHost
+	entries   map[string]entryRow
+	entriesAt uint64    // version of the entry hosts
+	epochAt   time.Time // when epoch was first seen
 }
 
+// entryRow is an entry host as the leader of an epoch named it.
+type entryRow struct {
+	info  *rpc.EntryHost
+	epoch uint64
+}
+
+// settleTime is how long a new leader is given to learn what there is, before
+// what it doesn't name is forgotten.
+const settleTime = 30 * time.Second
+
 // New returns an empty directory.
 func New(svc timer.Service) *Directory {
 	return &Directory{
 		svc:       svc,
 		endpoints: map[string]*Endpoint{},
+		entries:   map[string]entryRow{},
 	}
 }
 
-// Known returns up to which version of which epoch this host holds the table.
-func (d *Directory) Known() (epoch, version uint64) {
+// Known returns up to which version of which epoch this host holds the tables
+// of endpoints and of entry hosts.
+func (d *Directory) Known() (epoch, version, entries uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.epoch, d.version
+	return d.epoch, d.version, d.entriesAt
 }
 
 // Take joins a reply of the control hosts to the view. A whole table of a new
@@ -45,12 +59,13 @@
 func (d *Directory) Take(r *rpc.BeatReply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(r.GetEntries()) > 0 {
-		d.entries = r.GetEntries()
-	}
+	d.takeEntries(r)
 	if r.GetEpoch() == 0 {
 		return
 	}
+	if d.epoch != r.GetEpoch() {
+		d.epochAt = d.svc.Now()
+	}
 	d.epoch = r.GetEpoch()
 	d.version = r.GetVersion()
 	for _, info := range r.GetEndpoints() {
@@ -58,26 +73,58 @@
 		if e == nil {
 			e = newEndpoint(d.svc, info)
 			d.endpoints[info.GetAddress()] = e
-			continue
 		}
-		e.update(info)
+		e.update(info, d.epoch)
 	}
-	d.forgetDead()
+	d.forget()
 }
 
-func (d *Directory) forgetDead() {
+func (d *Directory) takeEntries(r *rpc.BeatReply) {
+	d.entriesAt = r.GetEntriesVersion()
+	for _, e := range r.GetEntries() {
+		d.entries[e.GetHost()] = entryRow{
+			info:  e,
+			epoch: r.GetEpoch(),
+		}
+		if e.GetGone() {
+			delete(d.entries, e.GetHost())
+		}
+	}
+}
+
+// forget drops what is dead, and what a leader that has had the time to learn
+// of it never named.
+func (d *Directory) forget() {
+	settled := d.svc.Now().Sub(d.epochAt) > settleTime
 	for address, e := range d.endpoints {
-		if e.gone() {
+		if e.gone() || (settled && e.unnamed(d.epoch)) {
 			delete(d.endpoints, address)
 		}
 	}
+	for host, row := range d.entries {
+		if settled && row.epoch != d.epoch && row.epoch != 0 {
+			delete(d.entries, host)
+		}
+	}
 }
 
-// Entries returns the entry hosts.
+// Entries returns the entry hosts, sorted.
 func (d *Directory) Entries() []*rpc.EntryHost {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.entries
+	list := make([]*rpc.EntryHost, 0, len(d.entries))
+	for _, row := range d.entries {
+		list = append(list, row.info)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].GetHost() < list[j].GetHost() })
+	return list
+}
+
+// Hosts returns how many entry hosts there are.
+func (d *Directory) Hosts() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.entries)
 }
 
 // Endpoint returns the endpoint at an address, or nil.
@@ -125,6 +172,7 @@
 
 	mu       sync.Mutex
 	info     *rpc.Endpoint
+	epoch    uint64 // of the leader that named it last
 	inflight int
 	reported int       // sessions, by the newest report
 	since    int       // sessions this host opened less those it closed since
@@ -159,9 +207,10 @@
 
 // update takes what a control host says. A new leader that hasn't learnt yet
 // whether the endpoint answers doesn't make a live one unusable.
-func (e *Endpoint) update(info *rpc.Endpoint) {
+func (e *Endpoint) update(info *rpc.Endpoint, epoch uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.epoch = epoch
 	if info.GetState() == rpc.EndpointState_ENDPOINT_JOINING && takesWork(e.info.GetState()) {
 		return
 	}
@@ -175,6 +224,13 @@
 	e.info = info
 }
 
+// unnamed reports whether the leader of an epoch never named the endpoint.
+func (e *Endpoint) unnamed(epoch uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.epoch != epoch && e.inflight == 0
+}
+
 func (e *Endpoint) gone() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/pkg/entry/fixture_test.go
+++ b/pkg/entry/fixture_test.go
@@ -252,11 +252,16 @@
 	return e
 }
 
+// newClient makes the client of an entry host; measurements count its bytes.
+var newClient = func() *http.Client {
+	return &http.Client{}
+}
+
 // startEntry starts a new life of an entry host.
 func (s *system) startEntry(e *entryHost) {
 	once, err := netutil.NewOnceClient("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	e.server, err = entry.New(e.cfg, timer.NewSystem(), &http.Client{}, once, metrics.New(), e.group)
+	e.server, err = entry.New(e.cfg, timer.NewSystem(), newClient(), once, metrics.New(), e.group)
 	Expect(err).NotTo(HaveOccurred())
 	e.callers.set(e.server.Handler())
 	e.peers.set(e.server.RPC())
--- /dev/null
+++ b/pkg/entry/measure_test.go
@@ -0,0 +1,134 @@
+//go:build measure
+
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/bundle"
+	. "github.com/onsi/gomega"
+)
+
+// counted is a connection whose bytes are counted, both ways.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// countingClient counts what all entry hosts send and receive for control:
+// beats, probes and rollout.
+func countingClient(bytes *atomic.Int64) func() *http.Client {
+	return func() *http.Client {
+		return &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 16,
+				DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+					c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+					if err != nil {
+						return nil, err
+					}
+					return counted{Conn: c, bytes: bytes}, nil
+				},
+			},
+		}
+	}
+}
+
+func cpu() time.Duration {
+	u := syscall.Rusage{}
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func heap() int64 {
+	runtime.GC()
+	m := runtime.MemStats{}
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// TestMeasureControl measures what entry hosts cost at rest and at a change,
+// as a slope over their number. Everything runs in one process, so that the
+// processor time of a host holds the leader's part for it too.
+func TestMeasureControl(t *testing.T) {
+	RegisterTestingT(t)
+	f, err := os.Create("../../docs/measurements/control.csv")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = f.Close() }()
+	fmt.Fprintln(f, "entry_hosts,rest_bytes_per_s_per_host,rest_cpu_us_per_s_per_host,heap_kb_per_host,change_bytes_per_host,in_force_everywhere_ms_median,in_force_everywhere_ms_max")
+	for _, n := range []int{5, 20, 60, 120} {
+		bytes := &atomic.Int64{}
+		newClient = countingClient(bytes)
+		before := heap()
+		withSystem(3, n, func(s *system) {
+			time.Sleep(8 * time.Second)
+			used := heap() - before
+			const rest = 12
+			b0, c0 := bytes.Load(), cpu()
+			time.Sleep(rest * time.Second)
+			restBytes, restCPU := float64(bytes.Load()-b0)/rest, (cpu()-c0)/rest
+			var times []time.Duration
+			parent := bundle.Digest([]byte(s.bundleText(1, "")))
+			const changes = 7
+			b1 := bytes.Load()
+			began := time.Now()
+			for v := 2; v < 2+changes; v++ {
+				text := s.bundleText(v, parent)
+				parent = bundle.Digest([]byte(text))
+				at := time.Now()
+				s.submit(text)
+				for !s.everywhere(uint64(v)) {
+					time.Sleep(time.Millisecond)
+				}
+				times = append(times, time.Since(at))
+			}
+			took := time.Since(began).Seconds()
+			changeBytes := (float64(bytes.Load()-b1) - restBytes*took) / changes
+			sortDurations(times)
+			fmt.Fprintf(f, "%d,%.0f,%d,%d,%.0f,%.1f,%.1f\n", n, restBytes/float64(n), restCPU.Microseconds()/int64(n), used/1024/int64(n),
+				changeBytes/float64(n), ms(times[changes/2]), ms(times[changes-1]))
+		})
+	}
+}
+
+func ms(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+func sortDurations(d []time.Duration) {
+	for i := range d {
+		for j := i; j > 0 && d[j] < d[j-1]; j-- {
+			d[j], d[j-1] = d[j-1], d[j]
+		}
+	}
+}
+
+func (s *system) everywhere(revision uint64) bool {
+	for _, e := range s.entries {
+		if e.server.Keeper().Set().Revision() < revision {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/entry/presence.go
+++ b/pkg/entry/presence.go
@@ -74,7 +74,7 @@
 }
 
 func (s *Server) beat(ctx context.Context) {
-	epoch, version := s.dir.Known()
+	epoch, version, entries := s.dir.Known()
 	ready, _ := s.ready()
 	r := &rpc.BeatRequest{
 		Host: &rpc.EntryHost{
@@ -86,15 +86,17 @@
 			Revision:      s.keeper.Set().Revision(),
 			Leaving:       s.leaving.Load(),
 		},
-		Epoch:   epoch,
-		Version: version,
-		Reports: s.watcher.reports(epoch),
+		Epoch:          epoch,
+		Version:        version,
+		EntriesVersion: entries,
+		WatchDigest:    s.watcher.digest(),
+		Reports:        s.watcher.reports(epoch),
 	}
 	for _, address := range s.cfg.Control {
 		reply, err := s.beatOnce(ctx, address, r)
 		if err == nil {
 			s.dir.Take(reply)
-			s.watcher.assign(reply.GetWatch())
+			s.watcher.assign(reply.GetWatch(), reply.GetWatchDigest())
 			return
 		}
 		s.metrics.Counter("beat_failures").Inc(1)
@@ -119,6 +121,8 @@
 	list  []string
 	seen  map[string]*probed
 	epoch uint64 // of the leader that the reports were made to
+	// listDigest is the leader's name for list.
+	listDigest uint64
 }
 
 // probed is what a watcher knows of one endpoint.
@@ -139,10 +143,22 @@
 	}
 }
 
-func (w *watcher) assign(list []string) {
+// digest names the list of endpoints that this host holds.
+func (w *watcher) digest() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.listDigest
+}
+
+// assign takes the list of endpoints to watch, unless it is the one held.
+func (w *watcher) assign(list []string, digest uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if digest == w.listDigest {
+		return
+	}
 	w.list = list
+	w.listDigest = digest
 	keep := map[string]*probed{}
 	for _, a := range list {
 		if p := w.seen[a]; p != nil {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -133,7 +133,7 @@
 
 // hosts returns how many entry hosts there are, this one included.
 func (s *Server) hosts() int {
-	return max(1, len(s.dir.Entries()))
+	return max(1, s.dir.Hosts())
 }
 
 // peers returns where other entry hosts are asked for sets: those that the
