--- a/_scripts/measure.sh
+++ b/_scripts/measure.sh
@@ -78,6 +78,9 @@
   for k in $(seq 1 150); do "$@" >"$dir/log/try.log" 2>&1 && return 0; sleep 0.2; done
   cat "$dir/log/try.log"; echo "gave up: $*"; exit 1
 }
+entry_ticks() { # clock ticks that the entry hosts have used
+  for i in 1 2 3; do awk '{print $14+$15}' "/proc/${pid_of[entry-$i]}/stat"; done | awk '{s+=$1} END {print s}'
+}
 live() { [ "$(bin/larchwinch status | grep -c ' live ')" -ge 40 ]; }
 ready() { bin/larchwinch ask --key lw_example_haabersti --entry "127.0.2.$1:8080" --pipeline daily-note --max-tokens 2 x; }
 all_ready() { live && ready 1 && ready 2 && ready 3; }
@@ -117,6 +120,27 @@
     echo "$policy: $(cat "$dir"/log/entry-*.log | grep -c 'stage lost' || true) stages taken for lost"
   done
   ;;
+cost)
+  # Processor time and memory of the entry hosts against the tokens they pass.
+  echo "clients,tokens_per_s_per_host,cpu_us_per_s_per_host,rss_kb_per_host" >"$out/entry-cost.csv"
+  start_entries expected-finish
+  try all_ready
+  for clients in 30 60 120 240; do
+    experiment "$clients" >"$dir/experiment.toml"
+    bin/larchwinch-load --experiment "$dir/experiment.toml" --csv "$dir/cost.csv" >"$dir/load.txt" &
+    load=$!
+    sleep 8
+    before=$(entry_ticks)
+    sleep "$((seconds / 2))"
+    after=$(entry_ticks)
+    wait "$load"
+    tokens=$(grep '(all)' "$dir/load.txt" | cut -d, -f19)
+    rss=$(for i in 1 2 3; do awk '/VmRSS/{print $2}' "/proc/${pid_of[entry-$i]}/status"; done | awk '{s+=$1} END {print int(s/3)}')
+    awk -v c="$clients" -v t="$tokens" -v b="$before" -v a="$after" -v s="$((seconds / 2))" -v r="$rss" -v hz="$(getconf CLK_TCK)" \
+      'BEGIN {printf "%d,%.1f,%.0f,%d\n", c, t/3, (a-b)/hz/s/3*1e6, r}' | tee -a "$out/entry-cost.csv"
+    sleep 2
+  done
+  ;;
 recovery)
   rm -f "$out/recovery.csv"
   start_entries expected-finish
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"net/http/pprof"
 	"strings"
 	"time"
 
@@ -83,13 +84,18 @@
 	return b.String()
 }
 
-// Handler shows the set in the Prometheus text format.
+// Handler shows the set in the Prometheus text format, and below /debug/pprof/
+// the profiles of the process.
 func (s *Set) Handler() http.Handler {
 	r := prometheus.NewRegistry()
 	r.MustRegister(&collector{
 		set: s,
 	})
-	return promhttp.HandlerFor(r, promhttp.HandlerOpts{})
+	mux := http.NewServeMux()
+	mux.Handle("/", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	return mux
 }
 
 // collector bridges the registry. The known bridge can't be had, so this is
