--- a/pkg/entry/output.go
+++ b/pkg/entry/output.go
@@ -19,6 +19,9 @@
 	// writeTimeout ends a stream whose caller doesn't read, so that slow
 	// readers hold neither memory nor engines.
 	writeTimeout = 10 * time.Second
+	// renewDeadline is how often a stream's write deadline is set anew; doing
+	// so for each token costs as much as encoding it.
+	renewDeadline = time.Second
 )
 
 // output writes one generation's answer: as server-sent events, or whole.
@@ -34,6 +37,8 @@
 	keep    bool // text is kept although the answer is a stream
 	text    strings.Builder
 	buf     []byte
+	frame   frame     // of a token's event
+	renewed time.Time // when the write deadline was set last
 }
 
 func newOutput(w http.ResponseWriter, g *generation) *output {
@@ -94,14 +99,17 @@
 	if !o.stream {
 		o.begin()
 	}
-	o.buf = append(o.buf[:0], "id: "...)
-	o.buf = append(o.buf, eventID(o.g, t.Index)...)
-	o.buf = append(o.buf, '\n')
-	return o.event(o.g.format.chunk(o.g, t.Text))
+	text, err := json.Marshal(t.Text)
+	if err != nil {
+		return err
+	}
+	o.buf = o.frame.appendEvent(o.buf[:0], t.Index, text)
+	return o.write(o.buf)
 }
 
 func (o *output) begin() {
 	o.stream = true
+	o.frame = newFrame(o.g)
 	o.w.Header().Set("Content-Type", sseType)
 	o.w.Header().Set("Cache-Control", "no-cache")
 	o.w.WriteHeader(http.StatusOK)
@@ -124,7 +132,10 @@
 }
 
 func (o *output) write(b []byte) error {
-	_ = o.control.SetWriteDeadline(time.Now().Add(writeTimeout)) // not every writer has one
+	if now := time.Now(); now.Sub(o.renewed) > renewDeadline {
+		o.renewed = now
+		_ = o.control.SetWriteDeadline(now.Add(writeTimeout)) // not every writer has one
+	}
 	if _, err := o.w.Write(b); err != nil {
 		return err
 	}
