--- a/pkg/chain/stream.go
+++ b/pkg/chain/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/api"
@@ -29,7 +30,7 @@
 		return x.headLost(ctx, head, reasonOf(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return x.read(ctx, head, newEventReader(resp.Body), w)
+	return x.read(ctx, head, json.NewDecoder(resp.Body), w)
 }
 
 // promptEstimate is about how many positions the next step passes on.
@@ -57,12 +58,12 @@
 // maxHeld bounds the events that are held because earlier ones are missing.
 const maxHeld = 16
 
-func (x *execution) read(ctx context.Context, head string, events *eventReader, w *watch) (lostStages, error) {
+func (x *execution) read(ctx context.Context, head string, dec *json.Decoder, w *watch) (lostStages, error) {
 	held := map[int]api.EngineEvent{}
-	t := x.newTempo()
+	curve, _ := x.curve()
 	for {
-		ev, err := events.next()
-		if err != nil {
+		ev := api.EngineEvent{}
+		if err := dec.Decode(&ev); err != nil {
 			reason := api.FaultLost
 			if w.hasExpired() {
 				reason = "silent"
@@ -87,7 +88,7 @@
 			if done, err := x.take(ev); done || err != nil {
 				return nil, err
 			}
-			x.noteToken(t, w)
+			x.noteToken(curve, w)
 			if moved := x.leavingStages(); moved != nil {
 				return moved, nil
 			}
@@ -95,36 +96,15 @@
 	}
 }
 
-// tempo is what a stream's tokens are held against. It is worked out anew only
-// every few tokens: the engines' load doesn't change faster.
-type tempo struct {
-	curve  time.Duration
-	whole  time.Duration
-	tokens int
-}
-
-const tempoTokens = 16
-
-func (x *execution) newTempo() *tempo {
-	curve, _ := x.curve()
-	return &tempo{
-		curve: curve,
-		whole: x.wholeTimeout(1),
-	}
-}
-
 // noteToken learns from the time that a token took, and waits for the next.
-func (x *execution) noteToken(t *tempo, w *watch) {
+func (x *execution) noteToken(curve time.Duration, w *watch) {
 	now := x.r.cfg.Timer.Now()
 	if len(x.emitted) > 1 && x.faultAt.IsZero() {
-		x.r.pace.observe(now.Sub(x.lastEvent), t.curve)
+		x.r.pace.observe(now.Sub(x.lastEvent), curve)
 	}
 	x.resumed(now)
 	x.lastEvent = now
-	if t.tokens++; t.tokens%tempoTokens == 0 {
-		*t = *x.newTempo()
-	}
-	w.extend(now.Add(t.whole))
+	w.extend(now.Add(x.wholeTimeout(1)))
 }
 
 // take handles the event that comes next.
--- a/pkg/entry/output.go
+++ b/pkg/entry/output.go
@@ -19,9 +19,6 @@
 	// writeTimeout ends a stream whose caller doesn't read, so that slow
 	// readers hold neither memory nor engines.
 	writeTimeout = 10 * time.Second
-	// renewDeadline is how often a stream's write deadline is set anew; doing
-	// so for each token costs as much as encoding it.
-	renewDeadline = time.Second
 )
 
 // output writes one generation's answer: as server-sent events, or whole.
@@ -37,8 +34,6 @@
 	keep    bool // text is kept although the answer is a stream
 	text    strings.Builder
 	buf     []byte
-	frame   frame     // of a token's event
-	renewed time.Time // when the write deadline was set last
 }
 
 func newOutput(w http.ResponseWriter, g *generation) *output {
@@ -99,17 +94,14 @@
 	if !o.stream {
 		o.begin()
 	}
-	text, err := json.Marshal(t.Text)
-	if err != nil {
-		return err
-	}
-	o.buf = o.frame.appendEvent(o.buf[:0], t.Index, text)
-	return o.write(o.buf)
+	o.buf = append(o.buf[:0], "id: "...)
+	o.buf = append(o.buf, eventID(o.g, t.Index)...)
+	o.buf = append(o.buf, '\n')
+	return o.event(o.g.format.chunk(o.g, t.Text))
 }
 
 func (o *output) begin() {
 	o.stream = true
-	o.frame = newFrame(o.g)
 	o.w.Header().Set("Content-Type", sseType)
 	o.w.Header().Set("Cache-Control", "no-cache")
 	o.w.WriteHeader(http.StatusOK)
@@ -132,10 +124,7 @@
 }
 
 func (o *output) write(b []byte) error {
-	if now := time.Now(); now.Sub(o.renewed) > renewDeadline {
-		o.renewed = now
-		_ = o.control.SetWriteDeadline(now.Add(writeTimeout)) // not every writer has one
-	}
+	_ = o.control.SetWriteDeadline(time.Now().Add(writeTimeout)) // not every writer has one
 	if _, err := o.w.Write(b); err != nil {
 		return err
 	}
