Mutual TLS between the system's own processes

Where settings name a certificate, key and authority, calls between entry and control hosts and between replicas are mutual TLS 1.3; files that change are in force for the next connection, and files that can't be read leave the old ones. Ways weighed: the library's own verification, which can't follow an authority that changes; a restart for each new certificate, which at 450 hosts is daily work.

Callers' and operators' addresses stay plain HTTP; that is listed as not done.

--- a/_scripts/measure.sh
+++ b/_scripts/measure.sh
@@ -120,6 +120,17 @@
     echo "$policy: $(cat "$dir"/log/entry-*.log | grep -c 'stage lost' || true) stages taken for lost"
   done
   ;;
+storm)
+  # The same engines at their capacity, and under far more clients who come back.
+  rm -f "$out/storm.csv"
+  start_entries expected-finish
+  try all_ready
+  for clients in 600 6000; do
+    experiment "$clients" | sed 's/^retries = .*/retries = 1000/' >"$dir/experiment.toml"
+    bin/larchwinch-load --experiment "$dir/experiment.toml" --name "clients-$clients" --csv "$out/storm.csv" | grep -E '^experiment|\(all\)'
+    sleep 3
+  done
+  ;;
 cost)
   # Processor time and memory of the entry hosts against the tokens they pass.
   echo "clients,tokens_per_s_per_host,cpu_us_per_s_per_host,rss_kb_per_host" >"$out/entry-cost.csv"
--- a/pkg/cmds/cmdutil/run.go
+++ b/pkg/cmds/cmdutil/run.go
@@ -11,7 +11,9 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/keys"
 	"github.com/larchwinch/larchwinch/pkg/netutil"
+	"github.com/larchwinch/larchwinch/pkg/timer"
 	"github.com/oklog/run"
 	"github.com/spf13/cobra"
 )
@@ -68,6 +70,14 @@
 	return ExitFailed
 }
 
+// Keys returns the process's keys, or nil if settings name none.
+func Keys(files keys.Files) (*keys.Pair, error) {
+	if !files.Set() {
+		return nil, nil
+	}
+	return keys.New(files, timer.NewSystem())
+}
+
 // AddServer adds an HTTP server to the run group.
 func AddServer(g *run.Group, s *netutil.Server) {
 	g.Add(s.Serve, func(error) {
--- a/pkg/cmds/controlcmd/control.go
+++ b/pkg/cmds/controlcmd/control.go
@@ -10,6 +10,7 @@
 	"github.com/larchwinch/larchwinch/pkg/config"
 	"github.com/larchwinch/larchwinch/pkg/control"
 	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/keys"
 	"github.com/larchwinch/larchwinch/pkg/logflags"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/netutil"
@@ -65,19 +66,23 @@
 		return err
 	}
 	defer func() { _ = disk.Close() }()
-	client, err := netutil.NewClient(cfg.RPCAddress)
+	pair, err := cmdutil.Keys(cfg.TLS)
+	if err != nil {
+		return err
+	}
+	clients, err := newClients(cfg.RPCAddress, pair)
 	if err != nil {
 		return err
 	}
 	set := metrics.New()
 	work := group.New(context.Background())
 	defer work.Stop()
-	s, err := control.New(cfg, disk, start, timer.NewSystem(), client, set, work)
+	s, err := control.New(cfg, disk, start, timer.NewSystem(), clients, set, work)
 	if err != nil {
 		return err
 	}
 	var g run.Group
-	if err := addServers(&g, cfg, s, set); err != nil {
+	if err := addServers(&g, cfg, s, set, pair); err != nil {
 		return err
 	}
 	cmdutil.AddLoop(&g, s.Run)
@@ -85,8 +90,20 @@
 	return g.Run()
 }
 
-func addServers(g *run.Group, cfg *config.Control, s *control.Server, set *metrics.Set) error {
-	rpcServer, err := netutil.Listen(cfg.RPCAddress, s.RPC())
+func newClients(address string, pair *keys.Pair) (control.Clients, error) {
+	platform, err := netutil.NewClient(address)
+	if err != nil {
+		return control.Clients{}, err
+	}
+	rpc, err := netutil.NewRPCClient(address, pair)
+	return control.Clients{
+		Platform: platform,
+		RPC:      rpc,
+	}, err
+}
+
+func addServers(g *run.Group, cfg *config.Control, s *control.Server, set *metrics.Set, pair *keys.Pair) error {
+	rpcServer, err := netutil.ListenRPC(cfg.RPCAddress, s.RPC(), pair)
 	if err != nil {
 		return err
 	}
--- a/pkg/cmds/entrycmd/entry.go
+++ b/pkg/cmds/entrycmd/entry.go
@@ -10,6 +10,7 @@
 	"github.com/larchwinch/larchwinch/pkg/config"
 	"github.com/larchwinch/larchwinch/pkg/entry"
 	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/keys"
 	"github.com/larchwinch/larchwinch/pkg/logflags"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/netutil"
@@ -52,23 +53,23 @@
 	if err := logflags.Setup(cfg.Log); err != nil {
 		return cmdutil.Usage(err)
 	}
-	client, err := netutil.NewClient(cfg.RPCAddress)
+	pair, err := cmdutil.Keys(cfg.TLS)
 	if err != nil {
 		return err
 	}
-	onceClient, err := netutil.NewOnceClient(cfg.RPCAddress)
+	clients, err := newClients(cfg.RPCAddress, pair)
 	if err != nil {
 		return err
 	}
 	set := metrics.New()
 	work := group.New(context.Background())
 	defer work.Stop()
-	s, err := entry.New(cfg, timer.NewSystem(), client, onceClient, set, work)
+	s, err := entry.New(cfg, timer.NewSystem(), clients, set, work)
 	if err != nil {
 		return err
 	}
 	var g run.Group
-	if err := addServers(&g, cfg, s, set); err != nil {
+	if err := addServers(&g, cfg, s, set, pair); err != nil {
 		return err
 	}
 	cmdutil.AddSignals(&g, cfg.DrainTimeout.Or(defaultDrain), func(ctx context.Context) {
@@ -78,13 +79,30 @@
 	return g.Run()
 }
 
-func addServers(g *run.Group, cfg *config.Entry, s *entry.Server, set *metrics.Set) error {
+func newClients(address string, pair *keys.Pair) (entry.Clients, error) {
+	endpoints, err := netutil.NewClient(address)
+	if err != nil {
+		return entry.Clients{}, err
+	}
+	once, err := netutil.NewOnceClient(address)
+	if err != nil {
+		return entry.Clients{}, err
+	}
+	rpc, err := netutil.NewRPCClient(address, pair)
+	return entry.Clients{
+		Endpoints: endpoints,
+		Once:      once,
+		RPC:       rpc,
+	}, err
+}
+
+func addServers(g *run.Group, cfg *config.Entry, s *entry.Server, set *metrics.Set, pair *keys.Pair) error {
 	callers, err := netutil.Listen(cfg.CallerAddress, s.Handler())
 	if err != nil {
 		return err
 	}
 	cmdutil.AddServer(g, callers)
-	peers, err := netutil.Listen(cfg.RPCAddress, s.RPC())
+	peers, err := netutil.ListenRPC(cfg.RPCAddress, s.RPC(), pair)
 	if err != nil {
 		return err
 	}
--- a/pkg/config/common.go
+++ b/pkg/config/common.go
@@ -9,6 +9,8 @@
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/bundle"
 	"github.com/larchwinch/larchwinch/pkg/check"
+	"github.com/larchwinch/larchwinch/pkg/keys"
+	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
 // Duration is a length of time, written with a unit as in "250ms" or "10s".
@@ -91,6 +93,16 @@
 	return bundle.NewTrust(signers, t.RequiredSignatures), nil
 }
 
+// checkKeys notes problems with the files of mutual TLS, if any are named.
+func checkKeys(f keys.Files, p *check.Problems) {
+	if !f.Set() {
+		return
+	}
+	if _, err := keys.New(f, timer.NewSystem()); err != nil {
+		p.Add("tls", "certificate, key and authority, each a PEM file that can be read", "%v", err)
+	}
+}
+
 func read(file string, v any, p *check.Problems) bool {
 	text, err := os.ReadFile(file)
 	if err != nil {
--- a/pkg/config/control.go
+++ b/pkg/config/control.go
@@ -2,12 +2,14 @@
 
 import (
 	"github.com/larchwinch/larchwinch/pkg/check"
+	"github.com/larchwinch/larchwinch/pkg/keys"
 )
 
 // Control is the settings of a control replica.
 type Control struct {
 	Place
 	Trust
+	TLS          keys.Files `toml:"tls"`
 	ID           uint64     `toml:"id"`
 	RPCAddress   string     `toml:"rpc_address"`
 	AdminAddress string     `toml:"admin_address"`
@@ -56,6 +58,7 @@
 func (c *Control) check(p *check.Problems) {
 	c.Place.check(p)
 	c.Trust.check(p)
+	checkKeys(c.TLS, p)
 	p.Address("rpc_address", c.RPCAddress)
 	p.Address("admin_address", c.AdminAddress)
 	if c.Data == "" {
--- a/pkg/config/entry.go
+++ b/pkg/config/entry.go
@@ -6,23 +6,25 @@
 	"net/url"
 
 	"github.com/larchwinch/larchwinch/pkg/check"
+	"github.com/larchwinch/larchwinch/pkg/keys"
 )
 
 // Entry is the settings of an entry host.
 type Entry struct {
 	Place
 	Trust
-	CallerAddress string   `toml:"caller_address"`
-	RPCAddress    string   `toml:"rpc_address"`
-	Control       []string `toml:"control"`
-	Peers         []string `toml:"peers"`
-	HostList      string   `toml:"host_list"`
-	BodyLimitKB   int      `toml:"body_limit_kb"`
-	Queue         int      `toml:"queue"`
-	LatencyBudget Duration `toml:"latency_budget"`
-	DrainTimeout  Duration `toml:"drain_timeout"`
-	RequestLimit  Duration `toml:"request_timeout"`
-	Policy        string   `toml:"routing_policy"`
+	TLS           keys.Files `toml:"tls"`
+	CallerAddress string     `toml:"caller_address"`
+	RPCAddress    string     `toml:"rpc_address"`
+	Control       []string   `toml:"control"`
+	Peers         []string   `toml:"peers"`
+	HostList      string     `toml:"host_list"`
+	BodyLimitKB   int        `toml:"body_limit_kb"`
+	Queue         int        `toml:"queue"`
+	LatencyBudget Duration   `toml:"latency_budget"`
+	DrainTimeout  Duration   `toml:"drain_timeout"`
+	RequestLimit  Duration   `toml:"request_timeout"`
+	Policy        string     `toml:"routing_policy"`
 }
 
 // Policies are the names that routing_policy may have; the first is the default.
@@ -53,6 +55,7 @@
 func (c *Entry) check(p *check.Problems) {
 	c.Place.check(p)
 	c.Trust.check(p)
+	checkKeys(c.TLS, p)
 	p.Address("caller_address", c.CallerAddress)
 	p.Address("rpc_address", c.RPCAddress)
 	checkAddresses("control", c.Control, p)
--- a/pkg/control/admin_test.go
+++ b/pkg/control/admin_test.go
@@ -141,7 +141,7 @@
 		},
 	}
 	disk := fakedisk.New(rand.New(rand.NewPCG(1, id)))
-	s, err := control.New(cfg, disk, control.Start{NewCluster: true}, timer.NewSystem(), &http.Client{}, metrics.New(), g)
+	s, err := control.New(cfg, disk, control.Start{NewCluster: true}, timer.NewSystem(), control.Clients{Platform: &http.Client{}, RPC: &http.Client{}}, metrics.New(), g)
 	Expect(err).NotTo(HaveOccurred())
 	return s
 }
--- a/pkg/control/forward.go
+++ b/pkg/control/forward.go
@@ -61,7 +61,7 @@
 	if ferr != nil {
 		return nil, ferr
 	}
-	return rpc.NewClaimsProtobufClient(address, s.client).Claim(fctx, r)
+	return rpc.NewClaimsProtobufClient(address, s.clients.RPC).Claim(fctx, r)
 }
 
 // Settle implements rpc.Claims.
@@ -78,7 +78,7 @@
 	if ferr != nil {
 		return nil, ferr
 	}
-	return rpc.NewClaimsProtobufClient(address, s.client).Settle(fctx, r)
+	return rpc.NewClaimsProtobufClient(address, s.clients.RPC).Settle(fctx, r)
 }
 
 // Beat implements rpc.Presence.
@@ -93,5 +93,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return rpc.NewPresenceProtobufClient(address, s.client).Beat(fctx, r)
+	return rpc.NewPresenceProtobufClient(address, s.clients.RPC).Beat(fctx, r)
 }
--- a/pkg/control/presence.go
+++ b/pkg/control/presence.go
@@ -225,7 +225,7 @@
 	if err != nil {
 		return list, errors.Wrap(err, "request")
 	}
-	resp, err := s.client.Do(req)
+	resp, err := s.clients.Platform.Do(req)
 	if err != nil {
 		return list, errors.Wrap(err, "read host list")
 	}
--- a/pkg/control/rollout.go
+++ b/pkg/control/rollout.go
@@ -24,7 +24,7 @@
 			Host:          r.GetHost(),
 			KnownRevision: r.GetKnownRevision(),
 		}
-		if reply, err := rpc.NewRolloutProtobufClient(address, s.client).Fetch(fctx, at); err == nil {
+		if reply, err := rpc.NewRolloutProtobufClient(address, s.clients.RPC).Fetch(fctx, at); err == nil {
 			return reply, nil
 		}
 	}
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -37,7 +37,7 @@
 type Server struct {
 	cfg      *config.Control
 	svc      timer.Service
-	client   *http.Client
+	clients  Clients
 	trust    *bundle.Trust
 	machine  *state.Machine
 	store    *store.Store
@@ -57,9 +57,16 @@
 	Join       bool
 }
 
+// Clients are a control host's ways to call others.
+type Clients struct {
+	// Platform reads the host list, and RPC calls the system's own processes.
+	Platform *http.Client
+	RPC      *http.Client
+}
+
 // New opens the data folder and returns a control host; its transport's
 // goroutines run in g.
-func New(cfg *config.Control, disk store.Disk, start Start, svc timer.Service, client *http.Client, set *metrics.Set, g *group.Group) (*Server, error) {
+func New(cfg *config.Control, disk store.Disk, start Start, svc timer.Service, clients Clients, set *metrics.Set, g *group.Group) (*Server, error) {
 	trust, err := cfg.Build()
 	if err != nil {
 		return nil, err
@@ -74,7 +81,7 @@
 	s := &Server{
 		cfg:      cfg,
 		svc:      svc,
-		client:   client,
+		clients:  clients,
 		trust:    trust,
 		machine:  state.New(cfg.ClaimWindow.Or(defaultClaimWindow).Milliseconds()),
 		store:    st,
@@ -86,7 +93,7 @@
 		Tick:      cfg.Tick.Or(defaultTick),
 		Store:     st,
 		Machine:   s.machine,
-		Transport: replica.NewTwirpTransport(cfg.ID, client, g),
+		Transport: replica.NewTwirpTransport(cfg.ID, clients.RPC, g),
 		Timer:     svc,
 		Seed:      uint64(svc.Now().UnixNano()),
 	}
--- a/pkg/entry/fixture_test.go
+++ b/pkg/entry/fixture_test.go
@@ -217,7 +217,7 @@
 			}},
 		}
 		disk := fakedisk.New(rand.New(rand.NewPCG(1, 1)))
-		c, err := control.New(cfg, disk, control.Start{NewCluster: true}, timer.NewSystem(), &http.Client{}, metrics.New(), s.group)
+		c, err := control.New(cfg, disk, control.Start{NewCluster: true}, timer.NewSystem(), control.Clients{Platform: &http.Client{}, RPC: &http.Client{}}, metrics.New(), s.group)
 		Expect(err).NotTo(HaveOccurred())
 		s.rpc[i].set(c.RPC())
 		s.admin[i].set(c.Admin())
@@ -261,7 +261,8 @@
 func (s *system) startEntry(e *entryHost) {
 	once, err := netutil.NewOnceClient("127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	e.server, err = entry.New(e.cfg, timer.NewSystem(), newClient(), once, metrics.New(), e.group)
+	client := newClient()
+	e.server, err = entry.New(e.cfg, timer.NewSystem(), entry.Clients{Endpoints: client, Once: once, RPC: client}, metrics.New(), e.group)
 	Expect(err).NotTo(HaveOccurred())
 	e.callers.set(e.server.Handler())
 	e.peers.set(e.server.RPC())
--- a/pkg/entry/presence.go
+++ b/pkg/entry/presence.go
@@ -107,7 +107,7 @@
 func (s *Server) beatOnce(ctx context.Context, address string, r *rpc.BeatRequest) (*rpc.BeatReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	return rpc.NewPresenceProtobufClient("http://"+address, s.client).Beat(ctx, r)
+	return rpc.NewPresenceProtobufClient("http://"+address, s.clients.RPC).Beat(ctx, r)
 }
 
 // watcher probes the endpoints that the control hosts assigned to this host.
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -29,21 +29,19 @@
 
 // Server is an entry host.
 type Server struct {
-	cfg    *config.Entry
-	svc    timer.Service
-	client *http.Client
-	// onceClient keeps no connections.
-	onceClient *http.Client
-	metrics    *metrics.Set
-	group      *group.Group
-	keeper     *rollout.Keeper
-	dir        *directory.Directory
-	router     *route.Router
-	runner     *chain.Runner
-	accounts   *limits.Accounts
-	gate       *limits.Gate
-	claims     *claimer
-	watcher    *watcher
+	cfg      *config.Entry
+	svc      timer.Service
+	clients  Clients
+	metrics  *metrics.Set
+	group    *group.Group
+	keeper   *rollout.Keeper
+	dir      *directory.Directory
+	router   *route.Router
+	runner   *chain.Runner
+	accounts *limits.Accounts
+	gate     *limits.Gate
+	claims   *claimer
+	watcher  *watcher
 
 	incarnation uint64
 	leaving     atomic.Bool
@@ -51,8 +49,17 @@
 	nextID      atomic.Uint64
 }
 
+// Clients are an entry host's ways to call others.
+type Clients struct {
+	// Endpoints calls engines and plain services, Once calls that must not be
+	// repeated, and RPC the system's own processes.
+	Endpoints *http.Client
+	Once      *http.Client
+	RPC       *http.Client
+}
+
 // New returns an entry host. Its goroutines run in g once Start is called.
-func New(cfg *config.Entry, svc timer.Service, client, onceClient *http.Client, set *metrics.Set, g *group.Group) (*Server, error) {
+func New(cfg *config.Entry, svc timer.Service, clients Clients, set *metrics.Set, g *group.Group) (*Server, error) {
 	trust, err := cfg.Build()
 	if err != nil {
 		return nil, err
@@ -60,17 +67,16 @@
 	s := &Server{
 		cfg:         cfg,
 		svc:         svc,
-		client:      client,
-		onceClient:  onceClient,
+		clients:     clients,
 		metrics:     set,
 		group:       g,
 		dir:         directory.New(svc),
 		incarnation: uint64(svc.Now().UnixNano()),
 	}
-	s.keeper = rollout.New(cfg.Host, cfg.Control, s.peers, trust, svc, client, set)
+	s.keeper = rollout.New(cfg.Host, cfg.Control, s.peers, trust, svc, clients.RPC, set)
 	s.router = route.New(route.Policy(cfg.Policy), cfg.Domain, s.hosts, rand.New(rand.NewPCG(s.incarnation, 1)))
 	s.runner = chain.New(chain.Config{
-		Client:    client,
+		Client:    clients.Endpoints,
 		Directory: s.dir,
 		Router:    s.router,
 		Timer:     svc,
@@ -79,8 +85,8 @@
 	})
 	s.accounts = limits.NewAccounts(svc, s.hosts)
 	s.gate = limits.NewGate(svc, cfg.LatencyBudget.Or(defaultBudget), s.capacity)
-	s.claims = newClaimer(cfg.Host, s.incarnation, cfg.Control, client, cfg.RequestLimit.Or(defaultRequestTimeout))
-	s.watcher = newWatcher(client, svc)
+	s.claims = newClaimer(cfg.Host, s.incarnation, cfg.Control, clients.RPC, cfg.RequestLimit.Or(defaultRequestTimeout))
+	s.watcher = newWatcher(clients.Endpoints, svc)
 	return s, nil
 }
 
--- a/pkg/entry/service.go
+++ b/pkg/entry/service.go
@@ -223,9 +223,9 @@
 // just closed, net/http itself would send some requests again.
 func (s *Server) clientFor(c *call) *http.Client {
 	if c.once {
-		return s.onceClient
+		return s.clients.Once
 	}
-	return s.client
+	return s.clients.Endpoints
 }
 
 var passedHeaders = []string{"Content-Type", "Accept", "Accept-Language", api.HeaderIdempotencyKey}
--- /dev/null
+++ b/pkg/keys/keys.go
@@ -0,0 +1,207 @@
+// Package keys is mutual TLS between the system's own processes: both sides
+// show a certificate of the same authority that names their IP number.
+package keys
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// Files names the PEM files of one process.
+type Files struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	Authority   string `toml:"authority"`
+}
+
+// Set reports whether settings name any file.
+func (f Files) Set() bool {
+	return f.Certificate != "" || f.Key != "" || f.Authority != ""
+}
+
+// checkInterval is how often, at most, the files are looked at for changes.
+const checkInterval = time.Second
+
+// Pair is a certificate with its key and the authority's certificates. It
+// follows the files: new ones are in force for the next connection, without a
+// restart. Files that can't be read leave the old ones in force.
+type Pair struct {
+	files Files
+	svc   timer.Service
+
+	mu      sync.Mutex
+	checked time.Time
+	stamp   [3]time.Time
+	cert    *tls.Certificate
+	pool    *x509.CertPool
+	err     error
+}
+
+// New reads the files.
+func New(files Files, svc timer.Service) (*Pair, error) {
+	p := &Pair{
+		files: files,
+		svc:   svc,
+	}
+	if err := p.read(); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Err returns why changed files could not be read, if they could not.
+func (p *Pair) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
+func (p *Pair) read() error {
+	cert, err := tls.LoadX509KeyPair(p.files.Certificate, p.files.Key)
+	if err != nil {
+		return errors.Wrap(err, "certificate")
+	}
+	text, err := os.ReadFile(p.files.Authority)
+	if err != nil {
+		return errors.Wrap(err, "authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return errors.Errorf("authority: %s holds no certificate", p.files.Authority)
+	}
+	p.cert = &cert
+	p.pool = pool
+	return nil
+}
+
+// current returns what is in force, reading the files anew if they changed.
+func (p *Pair) current() (*tls.Certificate, *x509.CertPool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.svc.Now()
+	if now.Sub(p.checked) < checkInterval {
+		return p.cert, p.pool
+	}
+	p.checked = now
+	if stamp := p.stamps(); stamp != p.stamp {
+		p.stamp = stamp
+		p.err = p.read()
+	}
+	return p.cert, p.pool
+}
+
+func (p *Pair) stamps() [3]time.Time {
+	var s [3]time.Time
+	for i, name := range []string{p.files.Certificate, p.files.Key, p.files.Authority} {
+		if info, err := os.Stat(name); err == nil {
+			s[i] = info.ModTime()
+		}
+	}
+	return s
+}
+
+// Server returns the settings of a listener.
+func (p *Pair) Server() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			cert, pool := p.current()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{*cert},
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				ClientCAs:    pool,
+			}, nil
+		},
+	}
+}
+
+// client returns the settings of a connection to the IP number or name host.
+func (p *Pair) client(host string) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			cert, _ := p.current()
+			return cert, nil
+		},
+		// The library can't follow a changing authority; verify does all that
+		// it would do. The host is passed on here since a connection's state
+		// holds no server name when that is an IP number.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(c tls.ConnectionState) error {
+			return p.verify(c, host)
+		},
+	}
+}
+
+func (p *Pair) verify(c tls.ConnectionState, host string) error {
+	if len(c.PeerCertificates) == 0 {
+		return errors.New("the other side showed no certificate")
+	}
+	_, pool := p.current()
+	between := x509.NewCertPool()
+	for _, cert := range c.PeerCertificates[1:] {
+		between.AddCert(cert)
+	}
+	_, err := c.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         pool,
+		Intermediates: between,
+		DNSName:       host,
+		CurrentTime:   p.svc.Now(),
+	})
+	return err
+}
+
+// Transport makes an HTTP transport speak TLS to whomever it is asked to call
+// by plain HTTP, so that callers need not know whether keys are set.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a transport over base.
+func NewTransport(base *http.Transport, p *Pair) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secure := tls.Client(conn, p.client(host))
+		if err := secure.HandshakeContext(ctx); err != nil {
+			_ = conn.Close()
+			return nil, err
+		}
+		return secure, nil
+	}
+	return &Transport{
+		base: base,
+	}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	secure := r.Clone(r.Context())
+	secure.URL.Scheme = "https"
+	return t.base.RoundTrip(secure)
+}
+
+// Listener wraps a listener in TLS.
+func Listener(l net.Listener, p *Pair) net.Listener {
+	return tls.NewListener(l, p.Server())
+}
--- a/pkg/limits/limits_test.go
+++ b/pkg/limits/limits_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -192,7 +191,7 @@
 		r := newGateRun(time.Hour)
 		defer r.g.Stop()
 		for i := range 12 {
-			r.queue(fmt.Sprint("large"), account("large", 3), 5)
+			r.queue("large", account("large", 3), 5)
 			if i < 4 {
 				r.queue("small", account("small", 1), 5)
 			}
--- a/pkg/netutil/netutil.go
+++ b/pkg/netutil/netutil.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/keys"
 )
 
 const (
@@ -34,6 +35,28 @@
 	return newClient(address, true)
 }
 
+// NewRPCClient returns a client for the system's own processes: with keys it
+// speaks mutual TLS, with nil plain HTTP.
+func NewRPCClient(address string, pair *keys.Pair) (*http.Client, error) {
+	c, err := NewClient(address)
+	if err != nil || pair == nil {
+		return c, err
+	}
+	c.Transport = keys.NewTransport(c.Transport.(*http.Transport), pair)
+	return c, nil
+}
+
+// ListenRPC is Listen for the system's own processes: with keys it speaks
+// mutual TLS, with nil plain HTTP.
+func ListenRPC(address string, h http.Handler, pair *keys.Pair) (*Server, error) {
+	s, err := Listen(address, h)
+	if err != nil || pair == nil {
+		return s, err
+	}
+	s.listener = keys.Listener(s.listener, pair)
+	return s, nil
+}
+
 func newClient(address string, once bool) (*http.Client, error) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
