Tell an engine that is full from one that failed

Cause, from the entry hosts' counters in a storm of 6,000 clients on engines with room for 832: hosts let in a quarter more than there are slots, each refused open marked the engine as failed and avoided it, and 2,300 to 2,600 requests a host ended in no_chain after trying chain after chain; some repairs found no one either. Change: a host lets in its share of the slots and no more; a full engine's load is noted instead of a failure; after four full chains the request is refused as overloaded, with a time to come back. The time in the queue was measured from after the queue; it is measured from before it now.

--- a/_scripts/measure.sh
+++ b/_scripts/measure.sh
@@ -125,7 +125,7 @@
   rm -f "$out/storm.csv"
   start_entries expected-finish
   try all_ready
-  for clients in 600 6000; do
+  for clients in ${STORM:-600 6000}; do
     experiment "$clients" | sed 's/^retries = .*/retries = 1000/' >"$dir/experiment.toml"
     bin/larchwinch-load --experiment "$dir/experiment.toml" --name "clients-$clients" --csv "$out/storm.csv" | grep -E '^experiment|\(all\)'
     sleep 3
--- a/pkg/chain/call.go
+++ b/pkg/chain/call.go
@@ -94,6 +94,9 @@
 	_ = resp.Body.Close()
 }
 
+// reasonFull is the reason of an engine that has no slot left.
+const reasonFull = "full"
+
 // reasonOf names the reason of a failed call as engines do.
 func reasonOf(err error) string {
 	var op *net.OpError
@@ -102,6 +105,9 @@
 	}
 	var status *statusError
 	if errors.As(err, &status) {
+		if status.status == http.StatusServiceUnavailable {
+			return reasonFull
+		}
 		return "refused"
 	}
 	return api.FaultLost
--- a/pkg/chain/execution.go
+++ b/pkg/chain/execution.go
@@ -63,11 +63,19 @@
 	return x.r.cfg.Directory.Stages(x.req.Model.Name, x.req.Model.Version)
 }
 
+// maxStarts is how many chains are tried when engines are full: looking
+// further costs more than coming back later.
+const maxStarts = 4
+
 // start chooses a chain and opens it. Nothing was run if it fails.
 func (x *execution) start(ctx context.Context) error {
 	without := map[string]bool{}
-	for {
+	full := false
+	for try := 0; ; try++ {
 		c := x.r.cfg.Router.Choose(x.candidates(), 0, x.req.Model.Layers, without)
+		if full && (c == nil || try >= maxStarts) {
+			return failure.New(failure.Overloaded, "the engines of model %q are full", x.req.Model.Name)
+		}
 		if c == nil {
 			return failure.New(failure.NoChain, "no set of live endpoints covers the %d layers of model %q", x.req.Model.Layers, x.req.Model.Name)
 		}
@@ -79,8 +87,9 @@
 		if len(failed) == 0 {
 			return nil
 		}
-		for address := range failed {
+		for address, reason := range failed {
 			without[address] = true
+			full = full || reason == reasonFull
 		}
 		x.abandonStages()
 		x.attempt++
--- a/pkg/chain/matrix_test.go
+++ b/pkg/chain/matrix_test.go
@@ -262,6 +262,22 @@
 		}
 	})
 
+	It("says that the engines are full, and when to come back, and blames no engine", func() {
+		cl, err := newCluster(2)
+		Expect(err).NotTo(HaveOccurred())
+		defer cl.stop()
+		for _, h := range cl.hosts[2:4] {
+			h.engine.SetFault(engine.Fault{Full: true})
+		}
+		f := failure.From(cl.ask("full", func(int) {}).err)
+		Expect(f.Kind()).To(Equal(failure.Overloaded))
+		Expect(f.Ran()).To(Equal(failure.RanNo))
+		Expect(f.RetryAfter()).To(BeNumerically(">", 0))
+		for _, h := range cl.hosts {
+			Expect(cl.dir.Endpoint(h.address).Avoided()).To(BeFalse())
+		}
+	})
+
 	It("gives up when no one can take a lost stage's place, and says that it ran", func() {
 		cl, err := newCluster(1)
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/chain/open.go
+++ b/pkg/chain/open.go
@@ -51,8 +51,13 @@
 	reply := api.EngineOpened{}
 	began := x.r.cfg.Timer.Now()
 	if err := x.r.call(ctx, x.openTimeout(s), s.endpoint.Address(), api.EngineOpenPath, o, &reply); err != nil {
-		s.endpoint.Failed()
-		return reasonOf(err)
+		reason := reasonOf(err)
+		if reason == reasonFull {
+			s.endpoint.Full()
+		} else {
+			s.endpoint.Failed()
+		}
+		return reason
 	}
 	s.have = reply.Have
 	if reply.Leaving {
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -328,6 +328,16 @@
 	e.since--
 }
 
+// Full notes that the endpoint refused a session since every slot is taken.
+// That is no failure: it is as loaded as can be, and alive.
+func (e *Endpoint) Full() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reported = int(e.info.GetSlots())
+	e.since = 0
+	e.reportAt = e.svc.Now()
+}
+
 // Failed notes that the endpoint failed a request of this host.
 func (e *Endpoint) Failed() {
 	e.mu.Lock()
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -195,6 +195,7 @@
 }
 
 func (s *Server) admitAndRun(ctx context.Context, w http.ResponseWriter, g *generation, out *output) (chain.Result, error) {
+	queued := s.svc.Now()
 	if err := s.gate.Enter(ctx, g.account, g.pipeline.Priority); err != nil {
 		return chain.Result{}, err
 	}
@@ -202,7 +203,7 @@
 	defer func() {
 		s.gate.Leave(s.svc.Now().Sub(entered))
 	}()
-	s.observe("queue_wait_us", g.account.Name, entered.Sub(out.began(s.svc)))
+	s.observe("queue_wait_us", g.account.Name, entered.Sub(queued))
 	if g.once {
 		return s.runOnce(ctx, w, g, out)
 	}
--- a/pkg/entry/output.go
+++ b/pkg/entry/output.go
@@ -10,7 +10,6 @@
 	"github.com/larchwinch/larchwinch/pkg/api"
 	"github.com/larchwinch/larchwinch/pkg/chain"
 	"github.com/larchwinch/larchwinch/pkg/failure"
-	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
 const (
@@ -26,7 +25,6 @@
 	w       http.ResponseWriter
 	control *http.ResponseController
 	g       *generation
-	started time.Time
 	first   time.Time
 	last    time.Time
 	stream  bool // the stream's header is written
@@ -45,14 +43,6 @@
 	}
 }
 
-// began returns when the request was admitted to the queue.
-func (o *output) began(svc timer.Service) time.Time {
-	if o.started.IsZero() {
-		o.started = svc.Now()
-	}
-	return o.started
-}
-
 func (o *output) observe(now time.Time) {
 	if o.first.IsZero() {
 		o.first = now
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -154,10 +154,6 @@
 	return append(list, s.cfg.Peers...)
 }
 
-// headroom lets a host take more than an equal share of the engines' slots,
-// since callers don't spread evenly; an engine that is full says so.
-const headroom = 1.25
-
 // capacity returns how many requests this host lets in at once: its share of
 // the slots at the layer, over all models, of which there are the fewest.
 func (s *Server) capacity() int {
@@ -167,7 +163,7 @@
 			total += route.Slots(s.dir.Stages(m.Name, m.Version), m.Layers)
 		}
 	}
-	return max(1, int(float64(total)*headroom)/s.hosts())
+	return max(1, total/s.hosts())
 }
 
 func (s *Server) sweepLoop(ctx context.Context) {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -229,6 +229,9 @@
 	warmUpCost = 4
 )
 
+// fullCost keeps requests away from an endpoint whose slots seem to be taken.
+const fullCost = 100
+
 // cost is about how long a step of one more request would take at the
 // endpoint, in microseconds: its own pass, and the passes of others that it
 // waits for once there are more sequences than fit into one.
@@ -247,6 +250,9 @@
 	if r.policy == ByCapacity {
 		c = full * n / batch
 	}
+	if slots := float64(info.GetSlots()); slots > 0 && n > slots {
+		c *= fullCost
+	}
 	if age := e.Age(); age < warmUp {
 		c *= 1 + (warmUpCost-1)*(1-float64(age)/float64(warmUp))
 	}
--- a/pkg/standin/engine/faults.go
+++ b/pkg/standin/engine/faults.go
@@ -34,6 +34,8 @@
 	Cut bool `json:"cut"`
 	// CutOut fails every call to the next stage.
 	CutOut bool `json:"cut_out"`
+	// Full refuses every new session, as if each slot were taken.
+	Full bool `json:"full"`
 	// Forget drops every session, as a restart does.
 	Forget bool `json:"forget"`
 }
--- a/pkg/standin/engine/session.go
+++ b/pkg/standin/engine/session.go
@@ -45,7 +45,7 @@
 	e.mu.Lock()
 	s := e.sessions[o.Request]
 	if s == nil {
-		if len(e.sessions) >= e.cfg.Slots {
+		if len(e.sessions) >= e.cfg.Slots || e.faults.get().Full {
 			e.mu.Unlock()
 			return api.EngineOpened{}, false, true
 		}
