--- a/pkg/chain/watchdog.go
+++ b/pkg/chain/watchdog.go
@@ -36,16 +36,7 @@
 }
 
 func (d *watchdog) run(ctx context.Context) {
-	ticks := d.svc.Every(watchdogTick)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-			d.check(d.svc.Now())
-		}
-	}
+	timer.Loop(ctx, d.svc, watchdogTick, d.check)
 }
 
 func (d *watchdog) check(now time.Time) {
--- a/pkg/cmds/cmdutil/run.go
+++ b/pkg/cmds/cmdutil/run.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"os"
 	"os/signal"
 	"syscall"
@@ -85,6 +86,26 @@
 	})
 }
 
+// Listener is one address that a program serves. With keys it speaks mutual
+// TLS.
+type Listener struct {
+	Address string
+	Handler http.Handler
+	Keys    *keys.Pair
+}
+
+// AddListeners opens each address, and adds its server to the run group.
+func AddListeners(g *run.Group, list []Listener) error {
+	for _, l := range list {
+		s, err := netutil.ListenRPC(l.Address, l.Handler, l.Keys)
+		if err != nil {
+			return err
+		}
+		AddServer(g, s)
+	}
+	return nil
+}
+
 // AddSignals ends the run group on SIGINT or SIGTERM, after before has
 // returned or taken longer than timeout.
 func AddSignals(g *run.Group, timeout time.Duration, before func(ctx context.Context)) {
--- a/pkg/cmds/controlcmd/control.go
+++ b/pkg/cmds/controlcmd/control.go
@@ -82,7 +82,12 @@
 		return err
 	}
 	var g run.Group
-	if err := addServers(&g, cfg, s, set, pair); err != nil {
+	err = cmdutil.AddListeners(&g, []cmdutil.Listener{
+		{Address: cfg.RPCAddress, Handler: s.RPC(), Keys: pair},
+		{Address: cfg.AdminAddress, Handler: s.Admin()},
+		{Address: cfg.Metrics, Handler: set.Handler()},
+	})
+	if err != nil {
 		return err
 	}
 	cmdutil.AddLoop(&g, s.Run)
@@ -101,22 +106,3 @@
 		RPC:      rpc,
 	}, err
 }
-
-func addServers(g *run.Group, cfg *config.Control, s *control.Server, set *metrics.Set, pair *keys.Pair) error {
-	rpcServer, err := netutil.ListenRPC(cfg.RPCAddress, s.RPC(), pair)
-	if err != nil {
-		return err
-	}
-	cmdutil.AddServer(g, rpcServer)
-	admin, err := netutil.Listen(cfg.AdminAddress, s.Admin())
-	if err != nil {
-		return err
-	}
-	cmdutil.AddServer(g, admin)
-	scrape, err := netutil.Listen(cfg.Metrics, set.Handler())
-	if err != nil {
-		return err
-	}
-	cmdutil.AddServer(g, scrape)
-	return nil
-}
--- a/pkg/cmds/entrycmd/entry.go
+++ b/pkg/cmds/entrycmd/entry.go
@@ -69,7 +69,12 @@
 		return err
 	}
 	var g run.Group
-	if err := addServers(&g, cfg, s, set, pair); err != nil {
+	err = cmdutil.AddListeners(&g, []cmdutil.Listener{
+		{Address: cfg.CallerAddress, Handler: s.Handler()},
+		{Address: cfg.RPCAddress, Handler: s.RPC(), Keys: pair},
+		{Address: cfg.Metrics, Handler: set.Handler()},
+	})
+	if err != nil {
 		return err
 	}
 	cmdutil.AddSignals(&g, cfg.DrainTimeout.Or(defaultDrain), func(ctx context.Context) {
@@ -95,22 +100,3 @@
 		RPC:       rpc,
 	}, err
 }
-
-func addServers(g *run.Group, cfg *config.Entry, s *entry.Server, set *metrics.Set, pair *keys.Pair) error {
-	callers, err := netutil.Listen(cfg.CallerAddress, s.Handler())
-	if err != nil {
-		return err
-	}
-	cmdutil.AddServer(g, callers)
-	peers, err := netutil.ListenRPC(cfg.RPCAddress, s.RPC(), pair)
-	if err != nil {
-		return err
-	}
-	cmdutil.AddServer(g, peers)
-	scrape, err := netutil.Listen(cfg.Metrics, set.Handler())
-	if err != nil {
-		return err
-	}
-	cmdutil.AddServer(g, scrape)
-	return nil
-}
--- a/pkg/cmds/opcmd/ask.go
+++ b/pkg/cmds/opcmd/ask.go
@@ -15,6 +15,7 @@
 	"github.com/larchwinch/larchwinch/pkg/cmds/cmdutil"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/opclient"
+	"github.com/larchwinch/larchwinch/pkg/timer"
 	"github.com/spf13/cobra"
 )
 
@@ -69,7 +70,9 @@
 		if wait == 0 {
 			wait = time.Second
 		}
-		time.Sleep(min(wait, time.Second))
+		if err := timer.Sleep(ctx, timer.NewSystem(), min(wait, time.Second)); err != nil {
+			return err
+		}
 	}
 	return exit(last)
 }
--- a/pkg/cmds/opcmd/status.go
+++ b/pkg/cmds/opcmd/status.go
@@ -146,27 +146,23 @@
 		Short: "Replace control replicas",
 	}
 	v := api.ReplicaView{}
-	add := &cobra.Command{
-		Use:   "add ID",
-		Short: "Add a control replica under an id that was never used",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			c, err := o.client()
-			if err != nil {
-				return err
-			}
-			out := api.Replicas{}
-			if err := c.Put(cmd.Context(), api.AdminReplicasPath+"/"+args[0], v, &out); err != nil {
-				return exit(err)
-			}
-			return o.show(out, replicaTable(out))
-		},
-	}
+	add := o.replicaChange("add ID", "Add a control replica under an id that was never used", func(cmd *cobra.Command, c *opclient.Client, path string, out *api.Replicas) error {
+		return c.Put(cmd.Context(), path, v, out)
+	})
 	add.Flags().StringVar(&v.Address, "address", "", "the replica's rpc_address (required)")
 	add.Flags().StringVar(&v.AdminAddress, "admin-address", "", "the replica's admin_address (required)")
-	remove := &cobra.Command{
-		Use:   "remove ID",
-		Short: "Remove a control replica; its id must not be used again",
+	remove := o.replicaChange("remove ID", "Remove a control replica; its id must not be used again", func(cmd *cobra.Command, c *opclient.Client, path string, out *api.Replicas) error {
+		return c.Delete(cmd.Context(), path, out)
+	})
+	cmd.AddCommand(add, remove)
+	return cmd
+}
+
+// replicaChange is a command that changes one replica, and shows all.
+func (o *options) replicaChange(use, short string, change func(cmd *cobra.Command, c *opclient.Client, path string, out *api.Replicas) error) *cobra.Command {
+	return &cobra.Command{
+		Use:   use,
+		Short: short,
 		Args:  cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			c, err := o.client()
@@ -174,14 +170,12 @@
 				return err
 			}
 			out := api.Replicas{}
-			if err := c.Delete(cmd.Context(), api.AdminReplicasPath+"/"+args[0], &out); err != nil {
+			if err := change(cmd, c, api.AdminReplicasPath+"/"+args[0], &out); err != nil {
 				return exit(err)
 			}
 			return o.show(out, replicaTable(out))
 		},
 	}
-	cmd.AddCommand(add, remove)
-	return cmd
 }
 
 func replicaTable(list api.Replicas) table {
--- a/pkg/control/presence.go
+++ b/pkg/control/presence.go
@@ -15,6 +15,7 @@
 	"github.com/larchwinch/larchwinch/pkg/logflags"
 	"github.com/larchwinch/larchwinch/pkg/membership"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -212,18 +213,11 @@
 }
 
 func (s *Server) whileLeading(ctx context.Context, interval time.Duration, do func()) {
-	ticks := s.svc.Every(interval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-		}
+	timer.Loop(ctx, s.svc, interval, func(time.Time) {
 		if s.node.HoldsLease() {
 			do()
 		}
-	}
+	})
 }
 
 func (s *Server) readList(ctx context.Context) (api.HostList, error) {
--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -170,27 +170,24 @@
 
 // countRole follows the role, and logs when it changes.
 func (s *Server) countRole(ctx context.Context) {
-	ticks := s.svc.Every(judgeInterval)
-	defer ticks.Stop()
 	last := raft.Follower
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-		}
+	timer.Loop(ctx, s.svc, judgeInterval, func(time.Time) {
 		st := s.node.Status()
 		if st.Role != last {
 			logflags.Info(logflags.Raft, "role changed", "role", st.Role.String(), "term", st.Term)
 			last = st.Role
 		}
-		s.metrics.Gauge("raft_term").Update(int64(st.Term))
-		s.metrics.Gauge("raft_commit").Update(int64(st.Commit))
-		s.metrics.Gauge("raft_leader").Update(boolGauge(st.Role == raft.Leader))
-		s.metrics.Gauge("log_bytes").Update(st.LogBytes)
-		s.metrics.Gauge("revision").Update(int64(s.machine.Revision()))
-		s.metrics.Gauge("claims").Update(int64(s.machine.Claims()))
-	}
+		s.count(st)
+	})
+}
+
+func (s *Server) count(st replica.Status) {
+	s.metrics.Gauge("raft_term").Update(int64(st.Term))
+	s.metrics.Gauge("raft_commit").Update(int64(st.Commit))
+	s.metrics.Gauge("raft_leader").Update(boolGauge(st.Role == raft.Leader))
+	s.metrics.Gauge("log_bytes").Update(st.LogBytes)
+	s.metrics.Gauge("revision").Update(int64(s.machine.Revision()))
+	s.metrics.Gauge("claims").Update(int64(s.machine.Claims()))
 }
 
 func boolGauge(b bool) int64 {
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -167,18 +167,11 @@
 }
 
 func (s *Server) sweepLoop(ctx context.Context) {
-	ticks := s.svc.Every(sweepInterval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks.C():
-		}
+	timer.Loop(ctx, s.svc, sweepInterval, func(time.Time) {
 		for _, name := range s.accounts.Sweep() {
 			s.metrics.Remove(accountLabel(name))
 		}
-	}
+	})
 }
 
 func accountLabel(name string) metrics.Label {
--- a/pkg/standin/engine/engine.go
+++ b/pkg/standin/engine/engine.go
@@ -205,16 +205,9 @@
 
 // sweep drops sessions that nobody calls any more.
 func (e *Engine) sweep(ctx context.Context) {
-	ticks := e.cfg.Timer.Every(sweepInterval)
-	defer ticks.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticks.C():
-			e.dropOrphans(now.Add(-orphanAge))
-		}
-	}
+	timer.Loop(ctx, e.cfg.Timer, sweepInterval, func(now time.Time) {
+		e.dropOrphans(now.Add(-orphanAge))
+	})
 }
 
 func (e *Engine) dropOrphans(before time.Time) {
--- a/pkg/timer/timer.go
+++ b/pkg/timer/timer.go
@@ -46,3 +46,17 @@
 		return nil
 	}
 }
+
+// Loop calls f at each period of d until ctx ends.
+func Loop(ctx context.Context, svc Service, d time.Duration, f func(now time.Time)) {
+	ticks := svc.Every(d)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticks.C():
+			f(now)
+		}
+	}
+}
