Refuse calls that lack what they need; measure claims

Cause, from the stack of a control host that died while claims were measured: a beat without a host was noted as one with nothing in it, and six seconds later the leader took its silence for a host that is gone, and crashed. Change: beats and claims that lack a required field are refused. Before: the leader dies within seconds of one such beat; after: the new test's cluster accepts bundles after it.

--- a/pkg/control/admin_test.go
+++ b/pkg/control/admin_test.go
@@ -23,6 +23,7 @@
 	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/opclient"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -300,6 +301,23 @@
 	return all
 }
 
+var _ = Describe("calls of the system's own processes", func() {
+	It("are refused if they lack what they need, and do no harm", func() {
+		withCluster(func(c *cluster) {
+			c.accept(text("team-1", 1, "", "a", 1))
+			for _, s := range c.servers {
+				_, err := s.Beat(context.Background(), &rpc.BeatRequest{})
+				Expect(err).To(MatchError(ContainSubstring("host is required")))
+				_, err = s.Claim(context.Background(), &rpc.ClaimRequest{Account: "a"})
+				Expect(err).To(MatchError(ContainSubstring("required")))
+				_, err = s.Deliver(context.Background(), &rpc.RaftBatch{Messages: []*rpc.RaftMessage{{}, nil}})
+				Expect(err).NotTo(HaveOccurred())
+			}
+			c.accept(text("team-2", 1, "", "b", 1))
+		})
+	})
+})
+
 var _ = Describe("the OpenAPI description", func() {
 	It("has the handlers' paths, methods and roles, and no others", func() {
 		withCluster(func(c *cluster) {
--- a/pkg/control/forward.go
+++ b/pkg/control/forward.go
@@ -48,6 +48,9 @@
 
 // Claim implements rpc.Claims.
 func (s *Server) Claim(ctx context.Context, r *rpc.ClaimRequest) (*rpc.ClaimReply, error) {
+	if r.GetAccount() == "" || r.GetKey() == "" || r.GetEntry() == "" {
+		return nil, twirp.RequiredArgumentError("account, key and entry")
+	}
 	reply, err := s.propose(ctx, &rpc.Command{
 		Kind: &rpc.Command_Claim{
 			Claim: r,
@@ -83,6 +86,9 @@
 
 // Beat implements rpc.Presence.
 func (s *Server) Beat(ctx context.Context, r *rpc.BeatRequest) (*rpc.BeatReply, error) {
+	if r.GetHost().GetHost() == "" {
+		return nil, twirp.RequiredArgumentError("host")
+	}
 	if s.node.HoldsLease() {
 		return s.presence.beat(s.svc.Now(), s.node.Status().Term, r), nil
 	}
--- a/pkg/control/measure_test.go
+++ b/pkg/control/measure_test.go
@@ -11,11 +11,13 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	. "github.com/onsi/gomega"
 )
@@ -93,7 +95,7 @@
 func leaderOf() int {
 	for {
 		for i := 1; i <= 3; i++ {
-			req, _ := http.NewRequest(http.MethodPost, fmt.Sprintf("http://127.0.21.%d:7000/twirp/larchwinch.Presence/Beat", i), strings.NewReader("{}"))
+			req, _ := http.NewRequest(http.MethodPost, fmt.Sprintf("http://127.0.21.%d:7000/twirp/larchwinch.Presence/Beat", i), strings.NewReader(`{"host":{"host":"probe"}}`))
 			req.Header.Set("Content-Type", "application/json")
 			req.Header.Set("Larchwinch-Forwarded", "1")
 			client := &http.Client{Timeout: 200 * time.Millisecond}
@@ -155,3 +157,46 @@
 func at(h *hdrhistogram.Histogram, q float64) float64 {
 	return float64(h.ValueAtQuantile(q)) / 1000
 }
+
+// TestMeasureClaims measures claims a second on real programs with that many
+// callers at once.
+func TestMeasureClaims(t *testing.T) {
+	RegisterTestingT(t)
+	f, err := os.Create("../../docs/measurements/claims.csv")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = f.Close() }()
+	fmt.Fprintln(f, "callers,claims_per_s,p50_ms,p99_ms")
+	list := startPrograms(t)
+	newClaimer().claim()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	leader := rpc.NewClaimsProtobufClient(fmt.Sprintf("http://127.0.21.%d:7000", leaderOf()+1), client)
+	const length = 4 * time.Second
+	for _, callers := range []int{1, 10, 100, 400} {
+		h := hdrhistogram.New(1, 60_000_000, 3)
+		var mu sync.Mutex
+		g := group.New(context.Background())
+		until := time.Now().Add(length)
+		for w := range callers {
+			g.Go(func(ctx context.Context) {
+				for i := 0; time.Now().Before(until); i++ {
+					began := time.Now()
+					_, err := leader.Claim(ctx, &rpc.ClaimRequest{
+						Account: fmt.Sprint("a", w), Key: fmt.Sprint(callers, "-", i), Entry: "e", RunsMs: 1000,
+						BodyDigest: strings.Repeat("0", 64),
+					})
+					if err != nil {
+						continue
+					}
+					mu.Lock()
+					_ = h.RecordValue(time.Since(began).Microseconds())
+					mu.Unlock()
+				}
+			})
+		}
+		g.Wait()
+		fmt.Fprintf(f, "%d,%.0f,%.1f,%.1f\n", callers, float64(h.TotalCount())/length.Seconds(), at(h, 50), at(h, 99))
+	}
+	for _, p := range list {
+		p.kill()
+	}
+}
