Keep the stages that opened when others are full

Cause, by the entry hosts' counters in a run at 700 clients on engines with 832 slots: all refusals were chains that found no room, with 580 requests running. Each refused stage gave up the whole chain and began anew, so three stages had to have room at the same try; four tries (ten in a trial) were soon used up.

Change: only the stages that don't open are replaced, as in a repair. A step's timeout is also never below half of the whole chain's, since what is learnt is how the whole varies.

--- a/pkg/chain/execution.go
+++ b/pkg/chain/execution.go
@@ -63,23 +63,21 @@
 	return x.r.cfg.Directory.Stages(x.req.Model.Name, x.req.Model.Version)
 }
 
-// maxStarts is how many chains are tried when engines are full: looking
-// further costs more than coming back later.
-const maxStarts = 4
+// maxStarts is how many times stages that don't open are replaced when engines
+// are full: looking further costs more than coming back later.
+const maxStarts = 10
 
-// start chooses a chain and opens it. Nothing was run if it fails.
+// start chooses a chain and opens it, replacing the stages that don't open and
+// keeping those that do. Nothing was run if it fails.
 func (x *execution) start(ctx context.Context) error {
-	without := map[string]bool{}
+	c := x.r.cfg.Router.Choose(x.candidates(), 0, x.req.Model.Layers, nil)
+	if c == nil {
+		return x.noChain(false)
+	}
+	x.setStages(c)
+	banned := map[string]bool{}
 	full := false
 	for try := 0; ; try++ {
-		c := x.r.cfg.Router.Choose(x.candidates(), 0, x.req.Model.Layers, without)
-		if full && (c == nil || try >= maxStarts) {
-			return failure.New(failure.Overloaded, "the engines of model %q are full", x.req.Model.Name)
-		}
-		if c == nil {
-			return failure.New(failure.NoChain, "no set of live endpoints covers the %d layers of model %q", x.req.Model.Layers, x.req.Model.Name)
-		}
-		x.setStages(c)
 		failed := x.openAll(ctx)
 		if err := ctx.Err(); err != nil {
 			return contextFailure(err).WithRan(failure.RanNo)
@@ -88,12 +86,23 @@
 			return nil
 		}
 		for address, reason := range failed {
-			without[address] = true
+			banned[address] = true
 			full = full || reason == reasonFull
 		}
-		x.abandonStages()
 		x.attempt++
+		if _, ok := x.replace(failed, banned); !ok || (full && try >= maxStarts) {
+			return x.noChain(full)
+		}
+	}
+}
+
+// noChain says that no chain could be opened: since engines are full, or since
+// there are none.
+func (x *execution) noChain(full bool) error {
+	if full {
+		return failure.New(failure.Overloaded, "the engines of model %q are full", x.req.Model.Name)
 	}
+	return failure.New(failure.NoChain, "no set of live endpoints covers the %d layers of model %q", x.req.Model.Layers, x.req.Model.Name)
 }
 
 func (x *execution) setStages(c route.Chain) {
--- a/pkg/chain/pace.go
+++ b/pkg/chain/pace.go
@@ -73,12 +73,17 @@
 
 // stepTimeouts returns, for each stage, how long its call to the next may
 // take. The last stage calls nobody.
+//
+// What is learnt is how much the time of a whole chain varies, which varies
+// less, by its share, than that of one stage. A part of the chain is therefore
+// never given less than half of what the whole is.
 func (x *execution) stepTimeouts() []stepTimeout {
 	list := make([]stepTimeout, len(x.stages))
+	whole, _ := x.curve()
 	var curve, position time.Duration
 	for i := len(x.stages) - 1; i >= 0; i-- {
 		list[i] = stepTimeout{
-			base:     x.r.timeout(curve, len(x.stages)-1-i),
+			base:     x.r.timeout(max(curve, whole/2), len(x.stages)-1-i),
 			position: positionSlack * position,
 		}
 		pass, per := x.r.cfg.Router.PassTime(x.stages[i].endpoint)
