Send a follower that rejects one append for each answer

Cause, from the stack of a mutated fuzz run that never ended: an append that a follower rejects was answered by one at an earlier place, and by those that follow it, each rejected in turn; with logs that differ for long the messages multiplied. Ruled out: the simulation's own duplicates, which are one in twenty. Change: from a rejection until an append is accepted one append is sent for each answer (the probing state of the literature).

--- a/pkg/raft/replicate.go
+++ b/pkg/raft/replicate.go
@@ -17,6 +17,10 @@
 	active bool   // answered since the last quorum check
 	offset uint64 // of the snapshot chunk being sent
 	snap   uint64 // index of the snapshot being sent, 0 if none
+	// probing is true from a rejection until an append is accepted. Only one
+	// append is sent for each answer then: sending more ahead would bring as
+	// many rejections, each answered by more.
+	probing bool
 }
 
 func (c *Core) tickLeader() {
@@ -73,7 +77,7 @@
 		return
 	}
 	for _, id := range c.peerIDs() {
-		if c.peers[id].next <= c.log.last() {
+		if p := c.peers[id]; p.next <= c.log.last() && !p.probing {
 			c.sendAppend(id, false)
 		}
 	}
@@ -206,11 +210,13 @@
 	c.confirmReads()
 	if m.GetReject() {
 		if m.GetLogIndex() > p.match {
+			p.probing = true
 			p.next = max(p.match+1, min(m.GetLogIndex(), m.GetHint()+1))
 			c.sendAppend(m.GetFrom(), true)
 		}
 		return
 	}
+	p.probing = false
 	if m.GetLogIndex() > p.match {
 		p.match = m.GetLogIndex()
 		p.next = max(p.next, p.match+1)
