--- a/_scripts/run.sh
+++ b/_scripts/run.sh
@@ -6,21 +6,9 @@
 cd "$(dirname "$0")/.."
 mode=${1:-run}
 rm -rf run && mkdir -p run/log
-pids=()
-declare -A pid_of
-
-start() { # start NAME COMMAND...
-  local name=$1; shift
-  "$@" >"run/log/$name.log" 2>&1 &
-  pids+=($!)
-  pid_of[$name]=$!
-}
-
-stop_all() {
-  for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
-  wait 2>/dev/null || true
-}
-trap stop_all EXIT
+dir=run
+# shellcheck source=_scripts/common.sh
+. _scripts/common.sh
 trap 'exit 0' INT TERM
 
 start host-list bin/larchwinch-standin host-list --address 127.0.4.1:6000 --hosts examples/local/hosts.json --lag 1s
@@ -32,20 +20,9 @@
 for i in 1 2 3; do start "control-$i" bin/larchwinch-control --config "examples/local/control-$i.toml" --new-cluster; done
 for i in 1 2 3; do start "entry-$i" bin/larchwinch-entry --config "examples/local/entry-$i.toml"; done
 
-export LARCHWINCH_ADMIN=127.0.1.1:7001,127.0.1.2:7001,127.0.1.3:7001
-export LARCHWINCH_KEY=lw_example_operator
 entries=127.0.2.1:8080,127.0.2.2:8080,127.0.2.3:8080
 cp examples/mesipuu.toml run/mesipuu.toml
 
-try() { # try COMMAND... until it succeeds, for 20 seconds at most
-  local n
-  for n in $(seq 1 100); do
-    if "$@" >run/log/try.log 2>&1; then return 0; fi
-    sleep 0.2
-  done
-  cat run/log/try.log; echo "gave up: $*"; exit 1
-}
-
 echo "== sign and submit the bundle"
 bin/larchwinch bundle sign run/mesipuu.toml --signer tiina --key-file examples/local/operator.private-key
 try bin/larchwinch bundle submit run/mesipuu.toml
--- a/pkg/config/entry.go
+++ b/pkg/config/entry.go
@@ -18,7 +18,6 @@
 	RPCAddress    string     `toml:"rpc_address"`
 	Control       []string   `toml:"control"`
 	Peers         []string   `toml:"peers"`
-	HostList      string     `toml:"host_list"`
 	BodyLimitKB   int        `toml:"body_limit_kb"`
 	Queue         int        `toml:"queue"`
 	LatencyBudget Duration   `toml:"latency_budget"`
@@ -62,7 +61,6 @@
 	for i, a := range c.Peers {
 		p.Address(fmt.Sprintf("peers.%d", i), a)
 	}
-	checkURL("host_list", c.HostList, p)
 	p.Range("body_limit_kb", c.BodyLimitKB, 1, maxBodyLimitKB)
 	p.Range("queue", c.Queue, 1, maxQueue)
 	checkPolicy(c.Policy, p)
