--- /dev/null
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -0,0 +1,194 @@
+// Package fleetcmd is the command line of larchwinch-fleet.
+package fleetcmd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/cmds/cmdutil"
+	"github.com/larchwinch/larchwinch/pkg/config"
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	"github.com/larchwinch/larchwinch/pkg/version"
+	"github.com/larchwinch/larchwinch/platform"
+	"github.com/spf13/cobra"
+)
+
+const (
+	// gcPercent lets the heap grow to four times what is live: live heaps are
+	// a few MB, and the collector's work is processor time.
+	gcPercent = 300
+	// memoryShare of the host's memory makes the collector work harder.
+	memoryShare = 0.4
+	// logLines is the budget of lines a second: a host serves 7 requests a
+	// second on the users' deployments, and thrice that in a burst.
+	logLines = 200
+	// metrics ports, as deploy/system.toml names them.
+	entryMetricsPort   = "9190"
+	controlMetricsPort = "9191"
+)
+
+// New returns the command.
+func New() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "larchwinch-fleet",
+		Short:   "Run a host of a deployment whose endpoints announce themselves",
+		Version: version.String(),
+	}
+	cmd.AddCommand(roleCommand("control", "Hold a replica of the deployment's state, and place layers", serveControl))
+	cmd.AddCommand(roleCommand("entry", "Carry callers' requests", serveEntry))
+	return cmd
+}
+
+func roleCommand(name, short string, serve func(cfg *config.Fleet, file string) error) *cobra.Command {
+	file := ""
+	check := false
+	cmd := &cobra.Command{
+		Use:   name + " --config FILE",
+		Short: short,
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if file == "" {
+				file = platform.SettingsFile()
+			}
+			cfg, err := config.ReadFleet(file)
+			if err != nil {
+				return cmdutil.Usage(err)
+			}
+			if check {
+				cmd.Println(file + ": good")
+				return nil
+			}
+			return serve(cfg, file)
+		},
+	}
+	cmd.Flags().StringVar(&file, "config", "", "settings file; without it, the one that the platform names")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings, and do nothing else")
+	return cmd
+}
+
+// process is what both roles need.
+type process struct {
+	cfg    atomic.Pointer[config.Fleet]
+	file   string
+	role   string
+	svc    timer.Service
+	log    *eventlog.Log
+	set    *metrics.Set
+	client *http.Client // to the system's own processes
+	group  *group.Group
+}
+
+func newProcess(cfg *config.Fleet, file, role string) *process {
+	debug.SetGCPercent(gcPercent)
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	p := &process{
+		file:   file,
+		role:   role,
+		svc:    timer.NewSystem(),
+		set:    metrics.New(),
+		client: ownClient(cfg.IP),
+		group:  group.New(context.Background()),
+	}
+	p.cfg.Store(cfg)
+	p.log = eventlog.New(os.Stdout, p.svc, cfg.Host, logLines)
+	return p
+}
+
+const (
+	ownDial = 400 * time.Millisecond
+	ownIdle = 30 * time.Second
+	// ownConns is how many connections to one control host are kept.
+	ownConns = 8
+)
+
+// ownClient returns the client for the system's own processes.
+func ownClient(ip string) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer(ip, ownDial).DialContext,
+			MaxIdleConnsPerHost: ownConns,
+			IdleConnTimeout:     ownIdle,
+			DisableCompression:  true,
+		},
+		CheckRedirect: noRedirect,
+	}
+}
+
+// endpointDial bounds a connection's making: twice the second's half in which
+// an endpoint that takes connections at all has answered.
+const endpointDial = 400 * time.Millisecond
+
+// endpointClient returns the client for endpoints: a connection for each call.
+func endpointClient(ip string) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:        dialer(ip, endpointDial).DialContext,
+			DisableCompression: true,
+			DisableKeepAlives:  true,
+		},
+		CheckRedirect: noRedirect,
+	}
+}
+
+func dialer(ip string, timeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout: timeout,
+		LocalAddr: &net.TCPAddr{
+			IP: net.ParseIP(ip),
+		},
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
+// start logs the start, and writes the log until the group ends.
+func (p *process) start() {
+	p.group.Go(p.log.Run)
+	cfg := p.cfg.Load()
+	p.log.Event(eventlog.Started, eventlog.Str("role", p.role), eventlog.Str("version", version.String()),
+		eventlog.Str("domain", cfg.Domain), eventlog.Str("ip", cfg.IP))
+}
+
+// stop logs the end and waits for the log.
+func (p *process) stop() {
+	p.log.Event(eventlog.Stopped, eventlog.Str("role", p.role), eventlog.Int("lines_left_out", p.log.Dropped()))
+	p.group.Stop()
+}
+
+// server is an HTTP server of one of the process's addresses.
+type server struct {
+	address string
+	handler http.Handler
+}
+
+const (
+	headTimeout = 10 * time.Second
+	// keepIdle is over four times the users' limit for a connection at rest.
+	keepIdle     = 65 * time.Second
+	maxHeadBytes = 64 << 10
+)
+
+func (s server) open() (net.Listener, *http.Server, error) {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return l, &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: headTimeout,
+		IdleTimeout:       keepIdle,
+		MaxHeaderBytes:    maxHeadBytes,
+	}, nil
+}
--- /dev/null
+++ b/pkg/cmds/fleetcmd/run.go
@@ -0,0 +1,176 @@
+package fleetcmd
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/cmds/cmdutil"
+	"github.com/larchwinch/larchwinch/pkg/config"
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/fleetcontrol"
+	"github.com/larchwinch/larchwinch/pkg/fleetentry"
+	"github.com/larchwinch/larchwinch/pkg/gateway"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	"github.com/larchwinch/larchwinch/platform"
+	"github.com/oklog/run"
+)
+
+const (
+	// reloadInterval is how often the settings file is read: it may change
+	// without a signal.
+	reloadInterval = 2 * time.Second
+	// directoryKeep is how long callers are told to keep an answer; shorter
+	// answers cost processor time, longer ones keep callers at hosts that left.
+	directoryKeep = 2 * time.Second
+	controlDrain  = 300 * time.Millisecond
+)
+
+func serveControl(cfg *config.Fleet, file string) error {
+	if err := cfg.CheckControl(); err != nil {
+		return cmdutil.Usage(err)
+	}
+	p := newProcess(cfg, file, "control")
+	s := fleetcontrol.New(fleetcontrol.Config{
+		Folder: cfg.Data,
+		IP:     cfg.IP,
+		Port:   cfg.ControlPort(),
+		Founding: fleetcontrol.Founding{
+			New: cfg.Founding,
+			IPs: cfg.SeedIPs(),
+		},
+		SeedIPs:   func() []string { return p.cfg.Load().SeedIPs() },
+		Losses:    cfg.Bounds.Losses,
+		Heartbeat: cfg.Bounds.Heartbeat.Or(time.Second),
+		Decoder:   platform.Decoder{},
+		Orders:    platform.NewBackend(endpointClient(cfg.IP)),
+		Client:    p.client,
+		Timer:     p.svc,
+		Log:       p.log,
+		Metrics:   p.set,
+	}, p.group)
+	return p.run([]server{
+		{address: cfg.Listen.Control, handler: platform.NewControl(s, p.log)},
+		{address: net.JoinHostPort(cfg.IP, cfg.ControlPort()), handler: fleetcontrol.Forwarded(s.RPC())},
+		{address: net.JoinHostPort(cfg.IP, controlMetricsPort), handler: p.set.Handler()},
+	}, s.Run, func(ctx context.Context) {
+		_ = timer.Sleep(ctx, p.svc, controlDrain) // calls under way get their answers
+	}, controlDrain)
+}
+
+func serveEntry(cfg *config.Fleet, file string) error {
+	if err := cfg.CheckEntry(); err != nil {
+		return cmdutil.Usage(err)
+	}
+	p := newProcess(cfg, file, "entry")
+	f := fleetentry.NewFollower(fleetentry.FollowerConfig{
+		Name:          cfg.Host,
+		Domain:        cfg.Domain,
+		CallerAddress: cfg.Listen.Callers,
+		Seeds:         func() []string { return p.cfg.Load().SeedAddresses() },
+		Revoke:        cfg.Bounds.RevokeBound(),
+		Decoder:       platform.Decoder{},
+		Client:        p.client,
+		Timer:         p.svc,
+		Log:           p.log,
+	})
+	budget := gateway.Budget{
+		Ratio:  cfg.Bounds.RepeatRatio,
+		Extra:  cfg.Bounds.RepeatExtra,
+		Window: cfg.Bounds.RepeatWindow.Or(time.Second),
+	}
+	g := gateway.New(platform.NewBackend(endpointClient(cfg.IP)), f, budget, p.svc, p.log, p.set)
+	f.Tell(g.Tracker())
+	grace := cfg.Bounds.Grace.Or(time.Second)
+	host := fleetentry.NewHost(f, grace, p.svc, p.log)
+	keep := min(directoryKeep, cfg.Bounds.DirectoryKeep.Or(directoryKeep))
+	return p.run([]server{
+		{address: cfg.Listen.Callers, handler: platform.NewFront(g, host, p.svc)},
+		{address: cfg.Listen.Ready, handler: platform.NewReady(host)},
+		{address: cfg.Listen.Directory, handler: platform.NewDirectory(host, keep)},
+		{address: net.JoinHostPort(cfg.IP, entryMetricsPort), handler: p.set.Handler()},
+	}, func(ctx context.Context) error {
+		f.Run(ctx)
+		return nil
+	}, host.Drain, grace)
+}
+
+// run serves until a signal ends it: drain returns once nothing is under way.
+func (p *process) run(servers []server, work func(ctx context.Context) error, drain func(ctx context.Context), grace time.Duration) error {
+	g := &run.Group{}
+	for _, s := range servers {
+		l, srv, err := s.open()
+		if err != nil {
+			return err
+		}
+		g.Add(func() error {
+			return ignoreClosed(srv.Serve(l))
+		}, func(error) {
+			_ = srv.Close() // the process ends
+		})
+	}
+	p.start()
+	defer p.stop()
+	cmdutil.AddLoop(g, work)
+	cmdutil.AddLoop(g, p.watchSettings)
+	cmdutil.AddSignals(g, grace, drain)
+	return g.Run()
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// watchSettings reads the settings file again at a hang-up signal, and now and
+// then.
+func (p *process) watchSettings(ctx context.Context) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	ticks := p.svc.Every(reloadInterval)
+	defer ticks.Stop()
+	last, _ := os.ReadFile(p.file) // read with success at the start
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-signals:
+			signalled = true
+		case <-ticks.C():
+		}
+		text, err := os.ReadFile(p.file)
+		if err != nil {
+			p.log.Event(eventlog.Unexpected, eventlog.Str("what", "the settings file can't be read; the old settings stay"), eventlog.Err(err))
+			continue
+		}
+		if !signalled && bytes.Equal(text, last) {
+			continue
+		}
+		last = text
+		p.reload()
+	}
+}
+
+// reload takes over new seeds; everything else stands until the next start.
+func (p *process) reload() {
+	next, err := config.ReadFleet(p.file)
+	if err != nil {
+		p.log.Event(eventlog.Unexpected, eventlog.Str("what", "the settings are wrong; the old ones stay"), eventlog.Err(err))
+		return
+	}
+	old := p.cfg.Load()
+	merged := *old
+	merged.Seeds = next.Seeds
+	p.cfg.Store(&merged)
+	p.log.Event(eventlog.Reloaded, eventlog.Str("what", "settings"), eventlog.Int("seeds", int64(len(next.Seeds))))
+}
--- a/pkg/failure/kind.go
+++ b/pkg/failure/kind.go
@@ -27,6 +27,7 @@
 	TokensLimited
 	Overloaded
 	NoChain
+	NoEndpoint
 	Draining
 	NotReady
 	DeadlineExceeded
@@ -41,6 +42,7 @@
 	ParentConflict
 	SignatureMissing
 	ResumeInvalid
+	HeadTooLarge
 	numKinds
 )
 
@@ -86,6 +88,7 @@
 	TokensLimited:      {Name: "tokens_limited", Status: http.StatusTooManyRequests, Ran: RanNo, RetryAfter: 2 * time.Second, Meaning: "The client account has used its tokens for now."},
 	Overloaded:         {Name: "overloaded", Status: http.StatusServiceUnavailable, Ran: RanNo, RetryAfter: time.Second, Meaning: "The queue is longer than the latency budget allows."},
 	NoChain:            {Name: "no_chain", Status: http.StatusServiceUnavailable, Ran: RanNo, RetryAfter: 2 * time.Second, Meaning: "No set of live endpoints covers every layer of the model."},
+	NoEndpoint:         {Name: "no_endpoint", Status: http.StatusServiceUnavailable, Ran: RanNo, RetryAfter: time.Second, Meaning: "No endpoint of the service takes work."},
 	Draining:           {Name: "draining", Status: http.StatusServiceUnavailable, Ran: RanNo, RetryAfter: time.Second, Meaning: "This host is leaving; use another address."},
 	NotReady:           {Name: "not_ready", Status: http.StatusServiceUnavailable, Ran: RanNo, RetryAfter: time.Second, Meaning: "This host isn't sure yet which bundles are in force."},
 	DeadlineExceeded:   {Name: "deadline_exceeded", Status: http.StatusGatewayTimeout, Ran: RanUnknown, RetryAfter: time.Second, Meaning: "The request's time ran out."},
@@ -99,6 +102,7 @@
 	VersionConflict:    {Name: "version_conflict", Status: http.StatusConflict, Ran: RanNo, Meaning: "This version stands already with other content."},
 	ParentConflict:     {Name: "parent_conflict", Status: http.StatusConflict, Ran: RanNo, Meaning: "The bundle isn't built on the version that stands."},
 	SignatureMissing:   {Name: "signature_missing", Status: http.StatusForbidden, Ran: RanNo, Meaning: "Too few operators who may sign this bundle have signed it."},
+	HeadTooLarge:       {Name: "head_too_large", Status: http.StatusRequestHeaderFieldsTooLarge, Ran: RanNo, Meaning: "The request's head is larger than the limits allow."},
 	ResumeInvalid:      {Name: "resume_invalid", Status: http.StatusBadRequest, Ran: RanNo, Meaning: "The Last-Event-ID isn't one that this request could have had."},
 }
 
--- /dev/null
+++ b/pkg/fleet/endpoint.go
@@ -0,0 +1,52 @@
+package fleet
+
+import "time"
+
+// Endpoint is the newest that is known of one incarnation of an endpoint.
+type Endpoint struct {
+	ID      string
+	Service string
+	Address string
+	Domain  string
+	Slots   int
+	// Leaving endpoints take no new work; Gone ones have ended.
+	Leaving bool
+	Gone    bool
+	// Sequence is the number of the heartbeat that told it; a lower one is late.
+	Sequence uint64
+	// Kind is the accelerator's; empty for ordinary services.
+	Kind  string
+	Model string
+	// Layers is what the endpoint holds.
+	Layers Range
+	// Loading says that an order is under way.
+	Loading bool
+	// HeardAt is when a control host last had a heartbeat.
+	HeardAt time.Time
+	// Silent endpoints have missed heartbeats.
+	Silent bool
+}
+
+// Usable reports whether new work may be sent to the endpoint.
+func (e *Endpoint) Usable() bool {
+	return !e.Leaving && !e.Gone
+}
+
+// Range is layers From up to but without To.
+type Range struct {
+	From int
+	To   int
+}
+
+// Len returns how many layers the range has.
+func (r Range) Len() int {
+	return r.To - r.From
+}
+
+// Part is one endpoint's share of a path.
+type Part struct {
+	ID      string
+	Address string
+	Domain  string
+	Layers  Range
+}
--- /dev/null
+++ b/pkg/fleet/index.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"net"
+	"strings"
+)
+
+// Index answers the questions that each request asks of a configuration. It
+// doesn't change once it is built.
+type Index struct {
+	cfg      *Configuration
+	routes   map[place]*Route
+	services map[string]*Service
+	accounts map[string]*Account // by key
+}
+
+// NewIndex returns the index of a valid configuration.
+func NewIndex(cfg *Configuration) *Index {
+	x := &Index{
+		cfg:      cfg,
+		routes:   make(map[place]*Route, len(cfg.Routes)),
+		services: make(map[string]*Service, len(cfg.Services)),
+		accounts: map[string]*Account{},
+	}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		x.routes[place{host: strings.ToLower(r.Host), prefix: r.Prefix}] = r
+	}
+	for i := range cfg.Services {
+		x.services[cfg.Services[i].Name] = &cfg.Services[i]
+	}
+	for i := range cfg.Accounts {
+		for _, k := range cfg.Accounts[i].Keys {
+			x.accounts[k] = &cfg.Accounts[i]
+		}
+	}
+	return x
+}
+
+// Version returns the configuration's version.
+func (x *Index) Version() uint64 {
+	return x.cfg.Version
+}
+
+// Limits returns what callers may send.
+func (x *Index) Limits() Limits {
+	return x.cfg.Limits
+}
+
+// HasAccounts reports whether requests must carry a key at all.
+func (x *Index) HasAccounts() bool {
+	return len(x.cfg.Accounts) > 0
+}
+
+// Route returns the route of host with the longest prefix of path, or nil.
+func (x *Index) Route(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	host = strings.ToLower(host)
+	for i := len(path); i > 0; {
+		i = strings.LastIndexByte(path[:i], '/')
+		if i < 0 {
+			return nil
+		}
+		if r := x.routes[place{host: host, prefix: path[:i+1]}]; r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the service of that name, or nil.
+func (x *Index) Service(name string) *Service {
+	return x.services[name]
+}
+
+// Services returns all services.
+func (x *Index) Services() []Service {
+	return x.cfg.Services
+}
+
+// Account returns the client account that holds key, or nil.
+func (x *Index) Account(key string) *Account {
+	return x.accounts[key]
+}
+
+// Pick returns the share on which point falls; point is in [0, 1).
+func (r *Route) Pick(point float64) string {
+	sum := 0
+	for _, s := range r.Split {
+		sum += s.Weight
+	}
+	at := point * float64(sum)
+	for _, s := range r.Split {
+		at -= float64(s.Weight)
+		if at < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- /dev/null
+++ b/pkg/fleet/validate.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Validate returns the first reason why a configuration can't be put in force.
+func (c *Configuration) Validate() error {
+	if c.Version == 0 {
+		return errors.New("version is missing or 0")
+	}
+	services := map[string]bool{}
+	for _, s := range c.Services {
+		if s.Name == "" || services[s.Name] {
+			return errors.Errorf("service %q has no name or stands twice", s.Name)
+		}
+		services[s.Name] = true
+	}
+	if err := c.validateRoutes(services); err != nil {
+		return err
+	}
+	return c.validateAccounts()
+}
+
+type place struct {
+	host   string
+	prefix string
+}
+
+func (c *Configuration) validateRoutes(services map[string]bool) error {
+	places := map[place]string{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if err := r.validate(services); err != nil {
+			return err
+		}
+		p := place{
+			host:   strings.ToLower(r.Host),
+			prefix: r.Prefix,
+		}
+		if other, taken := places[p]; taken {
+			return errors.Errorf("routes %q and %q share host and prefix", other, r.Name)
+		}
+		places[p] = r.Name
+	}
+	return nil
+}
+
+func (r *Route) validate(services map[string]bool) error {
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return errors.Errorf("route %q: host or prefix is missing", r.Name)
+	}
+	if r.Timeout <= 0 {
+		return errors.Errorf("route %q: the time-out is 0", r.Name)
+	}
+	sum := 0
+	for _, s := range r.Split {
+		if !services[s.Service] {
+			return errors.Errorf("route %q: no service %q", r.Name, s.Service)
+		}
+		if s.Weight < 0 {
+			return errors.Errorf("route %q: negative weight", r.Name)
+		}
+		sum += s.Weight
+	}
+	if sum <= 0 {
+		return errors.Errorf("route %q: the weights add up to 0", r.Name)
+	}
+	return nil
+}
+
+func (c *Configuration) validateAccounts() error {
+	names := map[string]bool{}
+	holders := map[string]string{}
+	for _, a := range c.Accounts {
+		if a.Name == "" || names[a.Name] {
+			return errors.Errorf("client account %q has no name or stands twice", a.Name)
+		}
+		names[a.Name] = true
+		for _, k := range a.Keys {
+			if other, taken := holders[k]; taken && other != a.Name {
+				return errors.Errorf("client accounts %q and %q share a key", other, a.Name)
+			}
+			holders[k] = a.Name
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/fleet/wire.go
@@ -0,0 +1,69 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+)
+
+// ToWire returns an endpoint as it is sent at now.
+func (e *Endpoint) ToWire(now time.Time) *rpc.Announcement {
+	return &rpc.Announcement{
+		Id:         e.ID,
+		Service:    e.Service,
+		Address:    e.Address,
+		Domain:     e.Domain,
+		Slots:      uint32(e.Slots),
+		Leaving:    e.Leaving,
+		Gone:       e.Gone,
+		Sequence:   e.Sequence,
+		Kind:       e.Kind,
+		Model:      e.Model,
+		FirstLayer: uint32(e.Layers.From),
+		EndLayer:   uint32(e.Layers.To),
+		Loading:    e.Loading,
+		HeardMsAgo: uint64(max(0, now.Sub(e.HeardAt).Milliseconds())),
+		Silent:     e.Silent,
+	}
+}
+
+// EndpointFromWire returns an endpoint as it was received at now.
+func EndpointFromWire(a *rpc.Announcement, now time.Time) Endpoint {
+	return Endpoint{
+		ID:       a.GetId(),
+		Service:  a.GetService(),
+		Address:  a.GetAddress(),
+		Domain:   a.GetDomain(),
+		Slots:    int(a.GetSlots()),
+		Leaving:  a.GetLeaving(),
+		Gone:     a.GetGone(),
+		Sequence: a.GetSequence(),
+		Kind:     a.GetKind(),
+		Model:    a.GetModel(),
+		Layers: Range{
+			From: int(a.GetFirstLayer()),
+			To:   int(a.GetEndLayer()),
+		},
+		Loading: a.GetLoading(),
+		HeardAt: now.Add(-time.Duration(a.GetHeardMsAgo()) * time.Millisecond),
+		Silent:  a.GetSilent(),
+	}
+}
+
+// EndpointsToWire returns a list of endpoints as it is sent at now.
+func EndpointsToWire(list []Endpoint, now time.Time) []*rpc.Announcement {
+	out := make([]*rpc.Announcement, 0, len(list))
+	for i := range list {
+		out = append(out, list[i].ToWire(now))
+	}
+	return out
+}
+
+// EndpointsFromWire returns a list of endpoints as it was received at now.
+func EndpointsFromWire(list []*rpc.Announcement, now time.Time) []Endpoint {
+	out := make([]Endpoint, 0, len(list))
+	for _, a := range list {
+		out = append(out, EndpointFromWire(a, now))
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/fleetcontrol/announce.go
@@ -0,0 +1,150 @@
+package fleetcontrol
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// ErrAlone says that a leave is known here only.
+var ErrAlone = errors.New("no other control replica could be told")
+
+// Announce takes an endpoint's heartbeat. That an endpoint leaves is
+// acknowledged only if this replica leads or another one knows it too.
+func (s *Server) Announce(ctx context.Context, e fleet.Endpoint) error {
+	fresh := s.table.Announce(e)
+	if e.Leaving {
+		return s.spreadNow(ctx, e)
+	}
+	if fresh {
+		s.group.Go(func(ctx context.Context) {
+			if err := s.spreadNow(ctx, e); err != nil {
+				s.cfg.Metrics.Counter("spread_alone").Inc(1) // the regular round mends it
+			}
+		})
+	}
+	return nil
+}
+
+// Deregister takes an endpoint's last word.
+func (s *Server) Deregister(ctx context.Context, id string) error {
+	return s.spreadNow(ctx, s.table.Gone(id))
+}
+
+// spreadNow tells the other replicas of one endpoint at once, and waits for
+// the answers, but not for long.
+func (s *Server) spreadNow(ctx context.Context, e fleet.Endpoint) error {
+	e.HeardAt = s.cfg.Timer.Now()
+	told := s.spread(ctx, s.others(), []fleet.Endpoint{e})
+	if told > 0 {
+		return nil
+	}
+	if machine, _, _ := s.replica.Leads(ctx); machine != nil {
+		return nil
+	}
+	return ErrAlone
+}
+
+// others returns the addresses of the other replicas.
+func (s *Server) others() []string {
+	var list []string
+	for _, a := range s.replica.Members() {
+		if a != s.replica.address() {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// spread sends announcements to other replicas, and returns how many took them.
+func (s *Server) spread(ctx context.Context, to []string, list []fleet.Endpoint) int64 {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	told := atomic.Int64{}
+	g := group.New(ctx)
+	q := &rpc.SpreadRequest{
+		Endpoints: fleet.EndpointsToWire(list, s.cfg.Timer.Now()),
+	}
+	for _, address := range to {
+		g.Go(func(ctx context.Context) {
+			if _, err := rpc.NewFleetProtobufClient("http://"+address, s.cfg.Client).Spread(ctx, q); err != nil {
+				s.cfg.Metrics.Counter("spread_failures").Inc(1) // the regular round mends it
+				return
+			}
+			told.Add(1)
+		})
+	}
+	g.Wait()
+	return told.Load()
+}
+
+// Spread implements rpc.Fleet.
+func (s *Server) Spread(_ context.Context, q *rpc.SpreadRequest) (*rpc.SpreadReply, error) {
+	now := s.cfg.Timer.Now()
+	s.table.Merge(known(q.GetEndpoints(), now))
+	reply := &rpc.SpreadReply{}
+	if q.GetWhole() {
+		reply.Endpoints = fleet.EndpointsToWire(s.table.All(), now)
+	}
+	return reply, nil
+}
+
+// known leaves out rows that tell nothing but an id.
+func known(list []*rpc.Announcement, now time.Time) []fleet.Endpoint {
+	var out []fleet.Endpoint
+	for _, e := range fleet.EndpointsFromWire(list, now) {
+		if e.Address != "" || e.Gone {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// spreadHeard tells the leader regularly whom this replica heard of.
+func (s *Server) spreadHeard(ctx context.Context) {
+	timer.Loop(ctx, s.cfg.Timer, spreadInterval, func(time.Time) {
+		_, _, leader := s.replica.Leads(ctx)
+		if leader == "" || leader == s.replica.address() {
+			return
+		}
+		if list := s.table.HeardSince(spreadInterval + spreadInterval/2); len(list) > 0 {
+			s.spread(ctx, []string{leader}, list)
+		}
+	})
+}
+
+// learn asks the other replicas for all they know until one has answered, so
+// that a replica that was restarted doesn't begin without a list.
+func (s *Server) learn(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, address := range append(s.others(), s.seedAddresses()...) {
+			if address != s.replica.address() && s.learnFrom(ctx, address) {
+				return
+			}
+		}
+		if timer.Sleep(ctx, s.cfg.Timer, spreadInterval) != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) learnFrom(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	reply, err := rpc.NewFleetProtobufClient("http://"+address, s.cfg.Client).Spread(ctx, &rpc.SpreadRequest{
+		Whole: true,
+	})
+	if err != nil {
+		return false
+	}
+	n := s.table.Merge(known(reply.GetEndpoints(), s.cfg.Timer.Now()))
+	s.cfg.Log.Event(eventlog.Reloaded, eventlog.Str("what", "endpoints"), eventlog.Str("from", address), eventlog.Int("count", int64(n)))
+	return true
+}
--- /dev/null
+++ b/pkg/fleetcontrol/members.go
@@ -0,0 +1,203 @@
+package fleetcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/raft"
+	"github.com/larchwinch/larchwinch/pkg/replica"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	// silentMember is how long a replica isn't heard of before one that wants
+	// to join takes its place: a few election time-outs.
+	silentMember = 1500 * time.Millisecond
+	// surplusMember is how long one that isn't needed may be silent.
+	surplusMember = 4 * time.Second
+)
+
+// keepMembership asks to be taken in if this replica isn't a member or hears
+// nothing, and, as leader, takes out members that are gone.
+func (r *Replica) keepMembership(ctx context.Context) {
+	began := r.svc.Now()
+	last := raft.Follower
+	timer.Loop(ctx, r.svc, joinPause, func(now time.Time) {
+		node, _ := r.current()
+		if node == nil {
+			return
+		}
+		st := node.Status()
+		if st.Role != last {
+			r.log.Event(eventlog.RoleChanged, eventlog.Str("role", st.Role.String()), eventlog.Int("term", int64(st.Term)))
+			last = st.Role
+			began = now
+		}
+		if st.Role == raft.Leader {
+			r.dropSurplus(ctx, node, st, began)
+			return
+		}
+		if r.lonely(st, now, began) {
+			r.askToJoin(ctx, st)
+		}
+	})
+}
+
+// lonely reports whether this replica may not be a member any more.
+func (r *Replica) lonely(st replica.Status, now, began time.Time) bool {
+	if !holds(st.Members, st.ID) {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newest := began
+	for _, at := range r.heard {
+		if at.After(newest) {
+			newest = at
+		}
+	}
+	return now.Sub(newest) > joinAfter
+}
+
+func holds(members *rpc.Members, id uint64) bool {
+	for _, m := range members.GetList() {
+		if m.GetId() == id {
+			return true
+		}
+	}
+	return false
+}
+
+// askToJoin asks every replica that is known; the leader answers.
+func (r *Replica) askToJoin(ctx context.Context, st replica.Status) {
+	asked := map[string]bool{
+		r.address(): true,
+	}
+	list := r.peers()
+	for _, m := range st.Members.GetList() {
+		list = append(list, m.GetAddress())
+	}
+	for len(list) > 0 && ctx.Err() == nil {
+		address := list[0]
+		list = list[1:]
+		if address == "" || asked[address] {
+			continue
+		}
+		asked[address] = true
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		reply, err := rpc.NewFleetProtobufClient("http://"+address, r.client).Join(callCtx, &rpc.JoinRequest{
+			Id:      st.ID,
+			Address: r.address(),
+		})
+		cancel()
+		if err != nil {
+			continue // asked again with the next round
+		}
+		if reply.GetMember() {
+			return
+		}
+		list = append([]string{reply.GetLeader()}, list...)
+	}
+}
+
+// takeIn makes a replica a member, in the place of an earlier one at its
+// address or of one that is silent.
+func (r *Replica) takeIn(ctx context.Context, q *rpc.JoinRequest) (*rpc.JoinReply, error) {
+	node, _ := r.current()
+	if node == nil {
+		return nil, errNoNode
+	}
+	st := node.Status()
+	if st.Role != raft.Leader {
+		return &rpc.JoinReply{
+			Leader: st.Leader.GetAddress(),
+		}, nil
+	}
+	if holds(st.Members, q.GetId()) {
+		return &rpc.JoinReply{
+			Member: true,
+		}, nil
+	}
+	r.log.Event(eventlog.ReplicaJoining, eventlog.Str("address", q.GetAddress()))
+	if old := r.replaceable(st, q.GetAddress()); old != 0 {
+		if err := r.change(ctx, node, without(st.Members, old)); err != nil {
+			return nil, err
+		}
+	}
+	members := without(node.Status().Members, q.GetId())
+	members.List = append(members.List, &rpc.Member{
+		Id:      q.GetId(),
+		Address: q.GetAddress(),
+	})
+	if err := r.change(ctx, node, members); err != nil {
+		return nil, err
+	}
+	return &rpc.JoinReply{
+		Member: true,
+	}, nil
+}
+
+// replaceable returns the member whose place a replica at address takes: the
+// one at the same address, or one that is silent, if two others are left.
+func (r *Replica) replaceable(st replica.Status, address string) uint64 {
+	for _, m := range st.Members.GetList() {
+		if m.GetAddress() == address {
+			return m.GetId()
+		}
+	}
+	if len(st.Members.GetList()) < 3 {
+		return 0
+	}
+	for _, m := range st.Members.GetList() {
+		if m.GetId() != st.ID && r.silentFor(m.GetId(), time.Time{}) > silentMember {
+			return m.GetId()
+		}
+	}
+	return 0
+}
+
+// dropSurplus takes out a silent member if as many are left as the losses
+// that must be borne ask for.
+func (r *Replica) dropSurplus(ctx context.Context, node *replica.Node, st replica.Status, since time.Time) {
+	if len(st.Members.GetList())-1 < r.least() {
+		return
+	}
+	for _, m := range st.Members.GetList() {
+		if m.GetId() == st.ID || r.silentFor(m.GetId(), since) < surplusMember {
+			continue
+		}
+		if err := r.change(ctx, node, without(st.Members, m.GetId())); err != nil {
+			r.log.Event(eventlog.Unexpected, eventlog.Str("what", "a silent replica couldn't be taken out"), eventlog.Err(err))
+		}
+		return
+	}
+}
+
+func (r *Replica) change(ctx context.Context, node *replica.Node, members *rpc.Members) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := node.ChangeMembers(ctx, members)
+	if err == nil {
+		r.log.Event(eventlog.ReplicasChanged, eventlog.Str("replicas", members.String()))
+	}
+	return err
+}
+
+// without returns members less the one with that id.
+func without(members *rpc.Members, id uint64) *rpc.Members {
+	out := &rpc.Members{}
+	for _, m := range members.GetList() {
+		if m.GetId() != id {
+			out.List = append(out.List, m)
+		}
+	}
+	return out
+}
+
+// least is how many replicas are kept: a majority is left when as many disks
+// as must be borne are lost.
+func (r *Replica) least() int {
+	return 2*r.losses + 1
+}
--- /dev/null
+++ b/pkg/fleetcontrol/replica.go
@@ -0,0 +1,266 @@
+package fleetcontrol
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/raft"
+	"github.com/larchwinch/larchwinch/pkg/replica"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/state"
+	"github.com/larchwinch/larchwinch/pkg/store"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	// raftTick makes an election time-out of 0.5 to 1 s: well over a disk's
+	// sync of 5 ms and the hosts' pauses, well under the 4 s that operators
+	// wait for an acknowledgement.
+	raftTick = 50 * time.Millisecond
+	// reopenPause is how long a replica whose storage failed waits before it
+	// opens the folder again.
+	reopenPause = 500 * time.Millisecond
+	// joinAfter is how long a replica hears nothing before it asks whether it
+	// still is one: longer than an election takes.
+	joinAfter = 2 * time.Second
+	joinPause = 500 * time.Millisecond
+	// claimWindow isn't used by deployments with whole configurations; the
+	// state machine wants one.
+	claimWindow = 10 * time.Minute
+	callTimeout = time.Second
+)
+
+// Founding says how a replica with an empty disk starts.
+type Founding struct {
+	// New is set at the very first start of the whole system.
+	New bool
+	// IPs are the founders'.
+	IPs []string
+}
+
+// Replica is one replica of the log that outlives failures of its storage: it
+// is opened again, and if its disk was replaced it joins under a new id.
+type Replica struct {
+	folder   string
+	ip       string
+	port     string
+	founding Founding
+	losses   int
+	peers    func() []string
+	client   *http.Client
+	svc      timer.Service
+	log      *eventlog.Log
+
+	mu      sync.Mutex
+	node    *replica.Node
+	machine *state.Machine
+	id      uint64
+	heard   map[uint64]time.Time
+	member  bool
+	sure    uint64 // term in which a read barrier has passed
+}
+
+// Run keeps a node running until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	failing := false
+	for ctx.Err() == nil {
+		err := r.runOnce(ctx, func() {
+			if failing {
+				r.log.Event(eventlog.StorageRecovered)
+			}
+			failing = false
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		if !failing {
+			r.log.Event(eventlog.StorageFailed, eventlog.Err(err))
+		}
+		failing = true
+		if timer.Sleep(ctx, r.svc, reopenPause) != nil {
+			return
+		}
+	}
+}
+
+// identify returns the id, and the founders if this replica is one of them and
+// starts for the first time.
+func (r *Replica) identify() (uint64, *rpc.Members, error) {
+	id, err := readIdentity(r.folder)
+	if err != nil {
+		return 0, nil, err
+	}
+	found := r.founding.New && r.founds()
+	if id == 0 {
+		if found {
+			id = founderID(r.ip)
+		} else if id, err = newID(); err != nil {
+			return 0, nil, err
+		}
+		if err := writeIdentity(r.folder, id); err != nil {
+			return 0, nil, err
+		}
+	}
+	if found && id == founderID(r.ip) {
+		return id, founders(r.founding.IPs, r.port), nil
+	}
+	return id, nil, nil
+}
+
+func (r *Replica) founds() bool {
+	for _, ip := range r.founding.IPs {
+		if ip == r.ip {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Replica) runOnce(ctx context.Context, opened func()) error {
+	id, members, err := r.identify()
+	if err != nil {
+		return err
+	}
+	disk, err := store.OpenFolder(filepath.Join(r.folder, logFolder))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = disk.Close() }() // only the lock
+	st, err := store.Open(disk)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = st.Close() }() // everything acknowledged is synced
+	g := group.New(ctx)
+	defer g.Stop()
+	machine := state.New(claimWindow.Milliseconds())
+	node, err := replica.New(replica.Config{
+		ID:        id,
+		Tick:      raftTick,
+		Store:     st,
+		Machine:   machine,
+		Transport: replica.NewTwirpTransport(id, r.client, g),
+		Timer:     r.svc,
+		Seed:      id ^ uint64(r.svc.Now().UnixNano()),
+		Bootstrap: members,
+	})
+	if err != nil {
+		return err
+	}
+	opened()
+	r.install(node, machine, id)
+	defer r.install(nil, nil, 0)
+	g.Go(r.keepMembership)
+	return node.Run(ctx)
+}
+
+func (r *Replica) install(node *replica.Node, machine *state.Machine, id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.node = node
+	r.machine = machine
+	r.id = id
+	r.heard = map[uint64]time.Time{}
+	r.sure = 0
+}
+
+// current returns the running node and its state; nil while storage fails.
+func (r *Replica) current() (*replica.Node, *state.Machine) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node, r.machine
+}
+
+// Deliver hands on the messages that are meant for this replica's id: an
+// earlier id of the same address may still be a member.
+func (r *Replica) Deliver(batch *rpc.RaftBatch) {
+	r.mu.Lock()
+	node := r.node
+	now := r.svc.Now()
+	kept := make([]*rpc.RaftMessage, 0, len(batch.GetMessages()))
+	for _, m := range batch.GetMessages() {
+		if m.GetTo() == r.id {
+			r.heard[m.GetFrom()] = now
+			kept = append(kept, m)
+		}
+	}
+	r.mu.Unlock()
+	if node != nil && len(kept) > 0 {
+		node.Deliver(kept)
+	}
+}
+
+// Leads returns the state if this replica leads, is sure that it holds all
+// that was acknowledged, and no other can lead at this moment; and else the
+// address of who may.
+func (r *Replica) Leads(ctx context.Context) (*state.Machine, uint64, string) {
+	node, machine := r.current()
+	if node == nil {
+		return nil, 0, ""
+	}
+	st := node.Status()
+	if st.Role != raft.Leader {
+		return nil, 0, st.Leader.GetAddress()
+	}
+	if !r.isSure(st.Term) {
+		if err := node.ReadBarrier(ctx); err != nil {
+			return nil, 0, ""
+		}
+		r.setSure(st.Term)
+	}
+	if !node.HoldsLease() || node.Status().Term != st.Term {
+		return nil, 0, ""
+	}
+	return machine, st.Term, ""
+}
+
+func (r *Replica) isSure(term uint64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sure == term
+}
+
+func (r *Replica) setSure(term uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sure = term
+}
+
+// Members returns the addresses of the replicas.
+func (r *Replica) Members() []string {
+	node, _ := r.current()
+	if node == nil {
+		return nil
+	}
+	var list []string
+	for _, m := range node.Status().Members.GetList() {
+		list = append(list, m.GetAddress())
+	}
+	return list
+}
+
+func (r *Replica) address() string {
+	return net.JoinHostPort(r.ip, r.port)
+}
+
+// silentFor returns how long nothing was heard of a member; at most since this
+// node began.
+func (r *Replica) silentFor(id uint64, since time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := r.heard[id]
+	if at.Before(since) {
+		at = since
+	}
+	return r.svc.Now().Sub(at)
+}
+
+// errNoNode is returned while storage fails.
+var errNoNode = errors.New("the replica's storage is being opened again")
--- /dev/null
+++ b/pkg/fleetcontrol/server.go
@@ -0,0 +1,327 @@
+// Package fleetcontrol is a control host of a deployment whose operator sends
+// whole configurations and whose endpoints announce themselves.
+package fleetcontrol
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/placement"
+	"github.com/larchwinch/larchwinch/pkg/registry"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// spreadInterval is how often a replica tells the leader whom it heard of.
+	spreadInterval = 500 * time.Millisecond
+	judgeInterval  = 300 * time.Millisecond
+	// leaveTimeout bounds how long the acknowledgement of a leave waits for
+	// another replica; endpoints wait a second.
+	leaveTimeout = 400 * time.Millisecond
+	// proposeTimeout is under the second after which operators try elsewhere.
+	proposeTimeout = 900 * time.Millisecond
+	// settleBeats is how many heartbeat intervals a leader waits before it
+	// takes the list of endpoints for whole.
+	settleBeats = 2
+)
+
+// Decoder reads and checks a configuration as the operator sends it.
+type Decoder interface {
+	Decode(content []byte) (*fleet.Configuration, error)
+}
+
+// Config is what a Server is made of. Every field must be set but Founding.
+type Config struct {
+	Folder string
+	IP     string
+	// Port is of the system's own calls, on every control host.
+	Port      string
+	Founding  Founding
+	SeedIPs   func() []string
+	Losses    int // disks that may be lost at once
+	Heartbeat time.Duration
+	Decoder   Decoder
+	Orders    placement.Orderer
+	Client    *http.Client
+	Timer     timer.Service
+	Log       *eventlog.Log
+	Metrics   *metrics.Set
+}
+
+// Server is a control host.
+type Server struct {
+	cfg     Config
+	replica *Replica
+	table   *registry.Table
+	hosts   *hosts
+	keeper  *placement.Keeper
+	group   *group.Group
+
+	mu      sync.Mutex
+	leading leading
+}
+
+// leading is since when this replica leads, and in which term.
+type leading struct {
+	term  uint64
+	since time.Time
+}
+
+// noteLeading remembers when a term's lead was first seen.
+func (s *Server) noteLeading(term uint64, now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leading.term != term {
+		s.leading = leading{
+			term:  term,
+			since: now,
+		}
+	}
+	return s.leading.since
+}
+
+func (s *Server) leadingSince(term uint64) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leading.since, s.leading.term == term
+}
+
+// New returns a control host; its goroutines run in g.
+func New(cfg Config, g *group.Group) *Server {
+	s := &Server{
+		cfg:   cfg,
+		table: registry.New(cfg.Timer, cfg.Log, cfg.Heartbeat),
+		hosts: newHosts(),
+		group: g,
+	}
+	s.replica = &Replica{
+		folder:   cfg.Folder,
+		ip:       cfg.IP,
+		port:     cfg.Port,
+		founding: cfg.Founding,
+		losses:   cfg.Losses,
+		peers:    s.seedAddresses,
+		client:   cfg.Client,
+		svc:      cfg.Timer,
+		log:      cfg.Log,
+		heard:    map[uint64]time.Time{},
+	}
+	s.keeper = placement.NewKeeper(cfg.Orders, s.table, cfg.Timer, cfg.Log, g)
+	return s
+}
+
+func (s *Server) seedAddresses() []string {
+	var list []string
+	for _, ip := range s.cfg.SeedIPs() {
+		list = append(list, net.JoinHostPort(ip, s.cfg.Port))
+	}
+	return list
+}
+
+// Run works until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	g := group.New(ctx)
+	defer g.Stop()
+	g.Go(s.learn)
+	g.Go(s.spreadHeard)
+	g.Go(s.lead)
+	s.replica.Run(ctx)
+	return nil
+}
+
+// RPC returns the handler of the system's own calls.
+func (s *Server) RPC() http.Handler {
+	mux := http.NewServeMux()
+	replicaServer := rpc.NewReplicaServer(s)
+	fleetServer := rpc.NewFleetServer(s)
+	mux.Handle(replicaServer.PathPrefix(), replicaServer)
+	mux.Handle(fleetServer.PathPrefix(), fleetServer)
+	return mux
+}
+
+// Deliver implements rpc.Replica.
+func (s *Server) Deliver(_ context.Context, batch *rpc.RaftBatch) (*rpc.Empty, error) {
+	s.replica.Deliver(batch)
+	return &rpc.Empty{}, nil
+}
+
+// Join implements rpc.Fleet.
+func (s *Server) Join(ctx context.Context, q *rpc.JoinRequest) (*rpc.JoinReply, error) {
+	return s.replica.takeIn(ctx, q)
+}
+
+// lead does what only the leader does.
+func (s *Server) lead(ctx context.Context) {
+	timer.Loop(ctx, s.cfg.Timer, judgeInterval, func(now time.Time) {
+		machine, term, _ := s.replica.Leads(ctx)
+		if machine == nil {
+			s.noteLeading(0, now)
+			s.keeper.Forget()
+			return
+		}
+		since := s.noteLeading(term, now)
+		s.hosts.bury(now)
+		if now.Sub(since) < settleBeats*s.cfg.Heartbeat {
+			return
+		}
+		s.table.Judge()
+		doc := machine.Document()
+		if doc == nil {
+			return
+		}
+		cfg, err := s.cfg.Decoder.Decode(doc.GetContent())
+		if err != nil {
+			s.cfg.Log.Event(eventlog.Unexpected, eventlog.Str("what", "the configuration that stands can't be read"), eventlog.Err(err))
+			return
+		}
+		s.keeper.Tend(ctx, cfg, func() bool {
+			m, t, _ := s.replica.Leads(ctx)
+			return m != nil && t == term
+		})
+	})
+}
+
+// Replace puts a whole configuration in force, and returns once a majority
+// holds it, or a newer one. Its error is an *InvalidError if it was refused.
+func (s *Server) Replace(ctx context.Context, content []byte) error {
+	cfg, err := s.cfg.Decoder.Decode(content)
+	if err == nil {
+		err = cfg.Validate()
+	}
+	if err != nil {
+		s.cfg.Log.Event(eventlog.ConfigRefused, eventlog.Err(err))
+		return &InvalidError{
+			cause: err,
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	reply, err := s.Submit(ctx, &rpc.Document{
+		Version: cfg.Version,
+		Content: content,
+	})
+	if err != nil {
+		s.cfg.Log.Event(eventlog.ConfigFailed, eventlog.Int("version", int64(cfg.Version)), eventlog.Err(err))
+		return err
+	}
+	s.cfg.Log.Event(eventlog.ConfigAccepted, eventlog.Int("version", int64(cfg.Version)),
+		eventlog.Int("stands", int64(reply.GetVersion())))
+	return nil
+}
+
+// InvalidError says why a configuration was refused.
+type InvalidError struct {
+	cause error
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return "invalid configuration: " + e.cause.Error()
+}
+
+// Unwrap returns the breach.
+func (e *InvalidError) Unwrap() error {
+	return e.cause
+}
+
+type forwardedKey struct{}
+
+// Submit implements rpc.Fleet: the leader replicates, others pass on once.
+func (s *Server) Submit(ctx context.Context, d *rpc.Document) (*rpc.DocumentReply, error) {
+	machine, _, leader := s.replica.Leads(ctx)
+	if machine == nil {
+		return s.forwardSubmit(ctx, d, leader)
+	}
+	if held := machine.Document().GetVersion(); held >= d.GetVersion() {
+		return &rpc.DocumentReply{
+			Version: held,
+		}, nil
+	}
+	data, err := proto.Marshal(&rpc.Command{
+		UnixMs: s.cfg.Timer.Now().UnixMilli(),
+		Kind: &rpc.Command_Document{
+			Document: d,
+		},
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	node, _ := s.replica.current()
+	if node == nil {
+		return nil, errNoNode
+	}
+	answer, err := node.Propose(ctx, data)
+	if err != nil {
+		return nil, err
+	}
+	reply := &rpc.CommandReply{}
+	if err := proto.Unmarshal(answer, reply); err != nil {
+		return nil, errors.Wrap(err, "decode reply")
+	}
+	return reply.GetDocument(), nil
+}
+
+func (s *Server) forwardSubmit(ctx context.Context, d *rpc.Document, leader string) (*rpc.DocumentReply, error) {
+	ctx, err := s.forward(ctx, leader)
+	if err != nil {
+		return nil, err
+	}
+	return rpc.NewFleetProtobufClient("http://"+leader, s.cfg.Client).Submit(ctx, d)
+}
+
+// ErrNoLeader says that no leader of the control replicas is known here.
+var ErrNoLeader = errors.New("no leader of the control replicas is known")
+
+const forwardedHeader = "Larchwinch-Forwarded"
+
+// forward returns the context of a call that is passed on to the leader, once.
+func (s *Server) forward(ctx context.Context, leader string) (context.Context, error) {
+	if leader == "" || leader == s.replica.address() || ctx.Value(forwardedKey{}) != nil {
+		return nil, ErrNoLeader
+	}
+	h := http.Header{}
+	h.Set(forwardedHeader, "1")
+	return twirp.WithHTTPRequestHeaders(ctx, h)
+}
+
+// Forwarded marks the calls that were passed on already.
+func Forwarded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(forwardedHeader) != "" {
+			r = r.WithContext(context.WithValue(r.Context(), forwardedKey{}, true))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Newest implements rpc.Fleet: it returns the configuration that a majority
+// holds, or an error if that can't be told.
+func (s *Server) Newest(ctx context.Context, _ *rpc.Empty) (*rpc.Document, error) {
+	machine, _, leader := s.replica.Leads(ctx)
+	if machine == nil {
+		fctx, err := s.forward(ctx, leader)
+		if err != nil {
+			return nil, err
+		}
+		return rpc.NewFleetProtobufClient("http://"+leader, s.cfg.Client).Newest(fctx, &rpc.Empty{})
+	}
+	doc := machine.Document()
+	if m, _, _ := s.replica.Leads(ctx); m != machine {
+		return nil, ErrNoLeader
+	}
+	if doc == nil {
+		return &rpc.Document{}, nil
+	}
+	return doc, nil
+}
--- /dev/null
+++ b/pkg/fleetentry/follower.go
@@ -0,0 +1,405 @@
+// Package fleetentry is an entry host's side of a deployment whose operator
+// sends whole configurations: what the host believes and since when, which
+// hosts callers are told of, and how it leaves.
+package fleetentry
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/gateway"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	// syncWait is how long a call without news is held; loads are told as often.
+	syncWait = 400 * time.Millisecond
+	// syncTimeout ends a call to a control host that went silent.
+	syncTimeout = 900 * time.Millisecond
+	// retryPause lies between two calls that failed.
+	retryPause = 50 * time.Millisecond
+	// freshFor is how old a confirmation may be for a final refusal by the
+	// configuration.
+	freshFor = 1500 * time.Millisecond
+	// revokeMargin is taken off the bound for keys that were taken away, for
+	// clocks that differ in speed and a request's way to this host.
+	revokeMargin = 400 * time.Millisecond
+	// goneKeep is how long an endpoint that ended is remembered.
+	goneKeep = time.Minute
+)
+
+// Decoder reads a configuration as the operator sends it.
+type Decoder interface {
+	Decode(content []byte) (*fleet.Configuration, error)
+}
+
+// Loads tells what this host has under way.
+type Loads interface {
+	Loads() map[string]gateway.Load
+}
+
+// FollowerConfig is what a Follower is made of. Every field must be set.
+type FollowerConfig struct {
+	Name          string
+	Domain        string
+	CallerAddress string
+	// Seeds returns the control hosts' addresses that the settings tell.
+	Seeds   func() []string
+	Revoke  time.Duration // how long a key that was taken away may serve
+	Decoder Decoder
+	Client  *http.Client
+	Timer   timer.Service
+	Log     *eventlog.Log
+}
+
+// Follower keeps what this host believes. It is safe for use by several
+// goroutines.
+//
+// Invariants: the configuration's version never falls; confirmedAt never
+// falls, and the configuration was the newest acknowledged one at that time or
+// later.
+type Follower struct {
+	cfg   FollowerConfig
+	loads Loads
+
+	mu          sync.Mutex
+	index       *fleet.Index
+	confirmedAt time.Time // zero: never
+	lost        bool
+	epoch       uint64
+	version     uint64 // of endpoints
+	endpoints   map[string]fleet.Endpoint
+	byService   map[string][]fleet.Endpoint
+	others      map[string]gateway.Load
+	hostVersion uint64
+	hosts       []*rpc.FleetHost
+	replicas    []string
+	leaving     bool
+	settled     bool
+	target      int // which control host is asked
+	hint        string
+	interrupt   context.CancelFunc // of the call under way
+	interrupted bool
+}
+
+// NewFollower returns a follower that believes nothing yet.
+func NewFollower(cfg FollowerConfig) *Follower {
+	return &Follower{
+		cfg:       cfg,
+		endpoints: map[string]fleet.Endpoint{},
+		byService: map[string][]fleet.Endpoint{},
+		others:    map[string]gateway.Load{},
+	}
+}
+
+// Tell sets where the follower learns of this host's load. It must be called
+// before Run.
+func (f *Follower) Tell(loads Loads) {
+	f.loads = loads
+}
+
+// Run follows the control hosts until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.sync(ctx) {
+			continue
+		}
+		if timer.Sleep(ctx, f.cfg.Timer, retryPause) != nil {
+			return
+		}
+	}
+}
+
+// sync asks one control host, and reports whether it confirmed.
+func (f *Follower) sync(ctx context.Context) bool {
+	address := f.choose()
+	if address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	f.setInterrupt(cancel)
+	sent := f.cfg.Timer.Now()
+	reply, err := rpc.NewFleetProtobufClient("http://"+address, f.cfg.Client).Sync(ctx, f.request())
+	if err != nil && f.wasInterrupted() {
+		return true
+	}
+	if err != nil || !reply.GetConfirmed() {
+		f.missed(address, reply.GetLeader(), err)
+		return false
+	}
+	return f.take(address, reply, sent)
+}
+
+// choose returns the control host to ask: the one that was named as leader, or
+// the next of all that are known.
+func (f *Follower) choose() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.hint != "" {
+		return f.hint
+	}
+	list := append(append([]string(nil), f.replicas...), f.cfg.Seeds()...)
+	if len(list) == 0 {
+		return ""
+	}
+	return list[f.target%len(list)]
+}
+
+func (f *Follower) missed(address, leader string, err error) {
+	f.mu.Lock()
+	f.target++
+	f.hint = ""
+	if leader != address {
+		f.hint = leader
+	}
+	first := !f.lost && !f.confirmedAt.IsZero()
+	f.lost = true
+	f.mu.Unlock()
+	if first {
+		f.cfg.Log.Event(eventlog.ControlLost, eventlog.Str("address", address), eventlog.Str("leader", leader), eventlog.Err(err))
+	}
+}
+
+func (f *Follower) request() *rpc.SyncRequest {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	q := &rpc.SyncRequest{
+		Host: &rpc.FleetHost{
+			Name:          f.cfg.Name,
+			Domain:        f.cfg.Domain,
+			CallerAddress: f.cfg.CallerAddress,
+			Ready:         f.ready(),
+		},
+		Epoch:            f.epoch,
+		EndpointsVersion: f.version,
+		HostsVersion:     f.hostVersion,
+		WaitMs:           uint32(syncWait.Milliseconds()),
+	}
+	if f.index != nil {
+		q.DocumentVersion = f.index.Version()
+	}
+	if !q.GetHost().GetReady() {
+		q.WaitMs /= 2
+	}
+	for id, l := range f.loads.Loads() {
+		q.Loads = append(q.Loads, &rpc.EndpointLoad{
+			Id:       id,
+			Requests: uint32(l.Requests),
+			Tokens:   uint64(l.Tokens),
+		})
+	}
+	return q
+}
+
+// take installs a confirmed reply. The reply was true after the call had
+// waited for as long as it says, so after sent plus that time.
+func (f *Follower) take(address string, reply *rpc.SyncReply, sent time.Time) bool {
+	index, err := f.decode(reply.GetDocument())
+	if err != nil {
+		f.cfg.Log.Event(eventlog.Unexpected, eventlog.Str("what", "the configuration can't be read"), eventlog.Err(err))
+		return false
+	}
+	now := f.cfg.Timer.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if index != nil && (f.index == nil || index.Version() > f.index.Version()) {
+		f.index = index
+		f.cfg.Log.Event(eventlog.ConfigInForce, eventlog.Int("version", int64(index.Version())), eventlog.Str("from", address))
+	}
+	if at := sent.Add(time.Duration(reply.GetHeldMs()) * time.Millisecond); at.After(f.confirmedAt) {
+		f.confirmedAt = at
+	}
+	if f.lost {
+		f.cfg.Log.Event(eventlog.ControlRegained, eventlog.Str("address", address))
+	}
+	f.lost = false
+	f.hint = address
+	f.settled = f.settled || reply.GetSettled()
+	f.takeEndpoints(reply, now)
+	f.takeHosts(reply)
+	if list := reply.GetReplicas(); len(list) > 0 {
+		f.replicas = list
+	}
+	return true
+}
+
+func (f *Follower) decode(d *rpc.Document) (*fleet.Index, error) {
+	if d == nil {
+		return nil, nil
+	}
+	cfg, err := f.cfg.Decoder.Decode(d.GetContent())
+	if err != nil {
+		return nil, err
+	}
+	return fleet.NewIndex(cfg), nil
+}
+
+// takeEndpoints merges a list; only one that is whole and settled takes rows
+// away that it doesn't hold.
+func (f *Follower) takeEndpoints(reply *rpc.SyncReply, now time.Time) {
+	list := fleet.EndpointsFromWire(reply.GetEndpoints(), now)
+	if reply.GetWhole() && reply.GetSettled() {
+		f.endpoints = map[string]fleet.Endpoint{}
+	}
+	f.others = map[string]gateway.Load{}
+	for _, l := range reply.GetLoads() {
+		f.others[l.GetId()] = gateway.Load{
+			Requests: int(l.GetRequests()),
+			Tokens:   int(l.GetTokens()),
+		}
+	}
+	f.epoch = reply.GetEpoch()
+	f.version = reply.GetEndpointsVersion()
+	if len(list) == 0 && !reply.GetWhole() {
+		return
+	}
+	for _, e := range list {
+		f.mergeEndpoint(e)
+	}
+	f.rebuild(now)
+}
+
+// mergeEndpoint keeps what never goes back, whichever control host tells it.
+func (f *Follower) mergeEndpoint(e fleet.Endpoint) {
+	old, known := f.endpoints[e.ID]
+	if known && e.Sequence < old.Sequence {
+		old.Leaving = old.Leaving || e.Leaving
+		old.Gone = old.Gone || e.Gone
+		f.endpoints[e.ID] = old
+		return
+	}
+	e.Leaving = e.Leaving || old.Leaving
+	e.Gone = e.Gone || old.Gone
+	f.endpoints[e.ID] = e
+}
+
+// rebuild sorts the usable endpoints by service.
+func (f *Follower) rebuild(now time.Time) {
+	f.byService = map[string][]fleet.Endpoint{}
+	for id, e := range f.endpoints {
+		if !e.Usable() {
+			if now.Sub(e.HeardAt) > goneKeep {
+				delete(f.endpoints, id)
+			}
+			continue
+		}
+		f.byService[e.Service] = append(f.byService[e.Service], e)
+	}
+	for _, list := range f.byService {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+}
+
+func (f *Follower) takeHosts(reply *rpc.SyncReply) {
+	if reply.GetHostsVersion() == f.hostVersion && !reply.GetWhole() {
+		return
+	}
+	f.hostVersion = reply.GetHostsVersion()
+	f.hosts = reply.GetHosts()
+}
+
+// View implements gateway.Source.
+func (f *Follower) View() gateway.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := f.cfg.Timer.Now().Sub(f.confirmedAt)
+	return gateway.View{
+		Index:   f.index,
+		Fresh:   age < freshFor,
+		Trusted: f.trusted(age),
+		Age:     age,
+	}
+}
+
+func (f *Follower) trusted(age time.Duration) bool {
+	return f.cfg.Revoke <= 0 || age < f.cfg.Revoke-revokeMargin
+}
+
+// Endpoints implements gateway.Source. The caller must not change the list.
+func (f *Follower) Endpoints(service string) []fleet.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byService[service]
+}
+
+// OthersLoad implements gateway.Source.
+func (f *Follower) OthersLoad(id string) gateway.Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.others[id]
+}
+
+// Hosts implements gateway.Source.
+func (f *Follower) Hosts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(1, len(f.hosts))
+}
+
+// Ready reports whether callers should be sent here.
+func (f *Follower) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ready()
+}
+
+func (f *Follower) ready() bool {
+	age := f.cfg.Timer.Now().Sub(f.confirmedAt)
+	return f.index != nil && !f.leaving && f.trusted(age) && len(f.byService) > 0
+}
+
+// Leave makes this host unready for good, and tells the control hosts at once.
+func (f *Follower) Leave() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = true
+	if f.interrupt != nil {
+		f.interrupted = true
+		f.interrupt()
+	}
+}
+
+func (f *Follower) setInterrupt(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interrupt = cancel
+	f.interrupted = false
+}
+
+func (f *Follower) wasInterrupted() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.interrupted
+}
+
+// Leaving reports whether Leave was called.
+func (f *Follower) Leaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving
+}
+
+// Addresses returns where callers may connect: the ready hosts, or this one if
+// no other is known.
+func (f *Follower) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, h := range f.hosts {
+		if h.GetName() == f.cfg.Name && !f.ready() {
+			continue
+		}
+		list = append(list, h.GetCallerAddress())
+	}
+	if len(list) == 0 && f.ready() {
+		list = append(list, f.cfg.CallerAddress)
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/fleetentry/host.go
@@ -0,0 +1,106 @@
+package fleetentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	// refuseAfter is how long after it was told to stop a host takes new
+	// requests: callers keep an address for seconds, and may be busy there.
+	refuseAfter = 2500 * time.Millisecond
+	// leastStay is how long it listens at least.
+	leastStay = 3 * time.Second
+	// stayMargin is taken off the time that a stop may take.
+	stayMargin = 500 * time.Millisecond
+	// elsewhere is when a caller that was sent away should come back, to
+	// another host.
+	elsewhere = 100 * time.Millisecond
+	idlePoll  = 50 * time.Millisecond
+)
+
+// Host is an entry host's own state: whether it is ready, and how it leaves.
+type Host struct {
+	*Follower
+	svc   timer.Service
+	log   *eventlog.Log
+	grace time.Duration
+
+	mu     sync.Mutex
+	active int
+	left   time.Time // when it was told to stop
+}
+
+// NewHost returns a host that may take grace to stop.
+func NewHost(f *Follower, grace time.Duration, svc timer.Service, log *eventlog.Log) *Host {
+	return &Host{
+		Follower: f,
+		svc:      svc,
+		log:      log,
+		grace:    grace,
+	}
+}
+
+// Begin counts a request; the function returned ends it.
+func (h *Host) Begin() func() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.active++
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.active--
+	}
+}
+
+// Active returns how many requests are under way.
+func (h *Host) Active() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.active
+}
+
+// Refusal returns why a new request isn't taken, or nil.
+func (h *Host) Refusal() *failure.Error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.left.IsZero() || h.svc.Now().Sub(h.left) < refuseAfter {
+		return nil
+	}
+	return failure.New(failure.Draining, "this host is stopping").WithRetryAfter(elsewhere)
+}
+
+// Limits returns what callers may send.
+func (h *Host) Limits() fleet.Limits {
+	v := h.View()
+	if v.Index == nil {
+		return fleet.Limits{}
+	}
+	return v.Index.Limits()
+}
+
+// Drain makes the host unready and waits until no request is under way, or
+// the time for a stop is nearly over.
+func (h *Host) Drain(ctx context.Context) {
+	h.Leave()
+	h.mu.Lock()
+	h.left = h.svc.Now()
+	h.mu.Unlock()
+	h.log.Event(eventlog.Stopping, eventlog.Int("active", int64(h.Active())))
+	end := h.left.Add(h.grace - stayMargin)
+	for ctx.Err() == nil {
+		now := h.svc.Now()
+		if now.After(end) || (h.Active() == 0 && now.Sub(h.left) >= leastStay) {
+			return
+		}
+		if timer.Sleep(ctx, h.svc, idlePoll) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/gateway/events.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/go-faster/errors"
+)
+
+// event is one event of a stream, with the blank line behind it.
+type event struct {
+	id   string
+	data []byte
+}
+
+// maxEventBytes bounds one event.
+const maxEventBytes = 1 << 20
+
+// eventReader parts a stream into events.
+type eventReader struct {
+	r *bufio.Reader
+}
+
+// eventBuffer holds several events of the usual size.
+const eventBuffer = 2 << 10
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{
+		r: bufio.NewReaderSize(r, eventBuffer),
+	}
+}
+
+// errTorn says that a stream ended within an event.
+var errTorn = errors.New("the stream ended within an event")
+
+// next returns the next event; io.EOF if the stream ended whole before it.
+func (e *eventReader) next() (event, error) {
+	ev := event{}
+	for {
+		line, err := e.r.ReadSlice('\n')
+		ev.data = append(ev.data, line...)
+		if errors.Is(err, bufio.ErrBufferFull) && len(ev.data) < maxEventBytes {
+			continue
+		}
+		if err != nil {
+			return ev, tornOr(err, ev.data)
+		}
+		text := bytes.TrimRight(line, "\r\n")
+		if len(text) == 0 {
+			return ev, nil
+		}
+		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
+			ev.id = string(bytes.TrimSpace(id))
+		}
+		if len(ev.data) > maxEventBytes {
+			return ev, errors.New("an event is too large")
+		}
+	}
+}
+
+func tornOr(err error, data []byte) error {
+	if errors.Is(err, io.EOF) && len(bytes.TrimSpace(data)) > 0 {
+		return errTorn
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,299 @@
+// Package gateway carries a caller's request: route, client account, limits,
+// endpoint or path, attempts, and the answer.
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// Request is a caller's request, read whole.
+type Request struct {
+	ID     string
+	Method string
+	// Target is path and query as the caller wrote them.
+	Target string
+	Path   string
+	Host   string
+	// Header is what is passed on unchanged.
+	Header http.Header
+	Body   []byte
+	// Key names the client account; empty if none was sent.
+	Key string
+	// Wait is how long the caller waits, counted from Received; 0 if unknown.
+	Wait     time.Duration
+	Received time.Time
+	// LastEvent is the event after which the caller resumes a stream.
+	LastEvent string
+	// Prompt and MaxAnswer are tokens; AnswerHint is the caller's estimate.
+	Prompt     int
+	MaxAnswer  int
+	AnswerHint int
+}
+
+// Call is one request as it is sent to an endpoint.
+type Call struct {
+	Request   *Request
+	ID        string // incarnation expected at Address
+	Address   string
+	Account   string
+	Wait      time.Duration
+	Path      []fleet.Part
+	LastEvent string
+	Priority  int
+}
+
+// Answer is an endpoint's.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// NotRun says that the endpoint did not and will not run the request.
+	NotRun bool
+	// Misdirected says that another endpoint, or other layers, are there.
+	Misdirected bool
+	// Fault is the address of the endpoint on the path that is at fault.
+	Fault string
+	// Sealed says that the answer is the endpoint's own and not damaged.
+	Sealed bool
+}
+
+// SendError says that no answer came.
+type SendError struct {
+	// Sent says that the request may have reached the endpoint.
+	Sent  bool
+	Cause error
+}
+
+// Error implements error.
+func (e *SendError) Error() string {
+	if e.Sent {
+		return "sent, no answer: " + e.Cause.Error()
+	}
+	return "not sent: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *SendError) Unwrap() error {
+	return e.Cause
+}
+
+// Backend reaches endpoints.
+type Backend interface {
+	// Send sends a call; its error is a *SendError.
+	Send(ctx context.Context, c *Call) (*Answer, error)
+	// Stalled asks the first endpoint of a path which requests stand still,
+	// and at which address.
+	Stalled(ctx context.Context, address string) (map[string]string, error)
+	// Repath gives a request that is under way another path with the same
+	// first part.
+	Repath(ctx context.Context, address, requestID string, path []fleet.Part) error
+}
+
+// Output takes the answer to a caller.
+type Output interface {
+	// Refuse writes a failure of our own.
+	Refuse(e *failure.Error)
+	// Whole writes an endpoint's whole answer.
+	Whole(status int, header http.Header, body []byte)
+	// Begin writes the head of a stream.
+	Begin(status int, header http.Header)
+	// Event passes bytes on at once.
+	Event(data []byte) error
+	// Abort breaks the answer off so that it doesn't look complete.
+	Abort()
+}
+
+// View is what an entry host believes at one moment.
+type View struct {
+	// Index is nil before the first configuration.
+	Index *fleet.Index
+	// Fresh says that the configuration was confirmed lately enough to refuse
+	// by it; Trusted that no key in it can have been taken away for longer
+	// than allowed.
+	Fresh   bool
+	Trusted bool
+	// Age is since when the configuration was last confirmed.
+	Age time.Duration
+}
+
+// Source is where an entry host's beliefs come from.
+type Source interface {
+	View() View
+	// Endpoints returns the usable endpoints of a service.
+	Endpoints(service string) []fleet.Endpoint
+	// OthersLoad returns what the other entry hosts have under way.
+	OthersLoad(id string) Load
+	// Hosts returns how many entry hosts share the work.
+	Hosts() int
+}
+
+// Load is work under way at an endpoint.
+type Load struct {
+	Requests int
+	Tokens   int
+}
+
+// Budget bounds repeats over all hosts.
+type Budget struct {
+	// Ratio is repeats for each request, Extra those beyond it in a Window.
+	Ratio  float64
+	Extra  int
+	Window time.Duration
+}
+
+// Gateway carries requests. It is safe for use by several goroutines.
+type Gateway struct {
+	backend Backend
+	source  Source
+	svc     timer.Service
+	log     *eventlog.Log
+	metrics *metrics.Set
+	tracker *Tracker
+	repeats *repeats
+}
+
+// New returns a gateway.
+func New(backend Backend, source Source, budget Budget, svc timer.Service, log *eventlog.Log, set *metrics.Set) *Gateway {
+	return &Gateway{
+		backend: backend,
+		source:  source,
+		svc:     svc,
+		log:     log,
+		metrics: set,
+		tracker: NewTracker(svc, log),
+		repeats: newRepeats(budget, svc),
+	}
+}
+
+// Tracker returns what this host has under way and avoids.
+func (g *Gateway) Tracker() *Tracker {
+	return g.tracker
+}
+
+// job is one request on its way, with what was decided of it.
+type job struct {
+	req      *Request
+	out      Output
+	route    *fleet.Route
+	service  *fleet.Service
+	account  string
+	priority int
+	end      time.Time // when it must be answered
+}
+
+// Serve answers one request.
+func (g *Gateway) Serve(ctx context.Context, req *Request, out Output) {
+	j, refusal := g.admit(req, out)
+	if refusal != nil {
+		g.refuse(req, nil, out, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.end)
+	defer cancel()
+	if j.route.Kind == fleet.Stream {
+		g.serveStream(ctx, j)
+		return
+	}
+	g.serveWhole(ctx, j)
+}
+
+// admit decides by route and client account.
+func (g *Gateway) admit(req *Request, out Output) (*job, *failure.Error) {
+	v := g.source.View()
+	if v.Index == nil {
+		return nil, failure.New(failure.NotReady, "no configuration is known here yet")
+	}
+	route := v.Index.Route(req.Host, req.Path)
+	if route == nil {
+		return nil, unsure(v, failure.New(failure.NotFound, "no route"))
+	}
+	j := &job{
+		req:      req,
+		out:      out,
+		route:    route,
+		priority: route.Priority,
+		end:      req.Received.Add(route.Timeout),
+	}
+	if req.Wait > 0 && req.Wait < route.Timeout {
+		j.end = req.Received.Add(req.Wait)
+	}
+	if e := g.identify(j, v); e != nil {
+		return nil, e
+	}
+	j.service = v.Index.Service(route.Pick(rand.Float64()))
+	return j, nil
+}
+
+// unsure turns a final refusal into one that passes, if this host can't be
+// sure that it holds the newest configuration.
+func unsure(v View, e *failure.Error) *failure.Error {
+	if v.Fresh {
+		return e
+	}
+	return failure.New(failure.NotReady, "the configuration was last confirmed %v ago; by it: %s", v.Age, e.Detail())
+}
+
+func (g *Gateway) identify(j *job, v View) *failure.Error {
+	if j.route.Anonymous || !v.Index.HasAccounts() {
+		return nil
+	}
+	account := v.Index.Account(j.req.Key)
+	if account == nil {
+		return unsure(v, failure.New(failure.Unauthenticated, "unknown key"))
+	}
+	if !v.Trusted {
+		return failure.New(failure.NotReady, "keys were last confirmed %v ago", v.Age)
+	}
+	j.account = account.Name
+	return nil
+}
+
+// refuse answers with a failure of our own and logs it.
+func (g *Gateway) refuse(req *Request, j *job, out Output, e *failure.Error) {
+	event := eventlog.RequestRefused
+	if e.Ran() != failure.RanNo {
+		event = eventlog.RequestFailed
+	}
+	fields := []eventlog.Field{
+		eventlog.Str("request", req.ID), eventlog.Str("kind", e.Kind().String()), eventlog.Str("why", e.Error()),
+		eventlog.Ms("after_ms", g.svc.Now().Sub(req.Received)), eventlog.Ms("retry_after_ms", e.RetryAfter()),
+	}
+	if j != nil {
+		fields = append(fields, eventlog.Str("route", j.route.Name), eventlog.Str("account", j.account))
+	}
+	g.log.Event(event, fields...)
+	g.metrics.Counter("requests_failed", metrics.Label{Name: "kind", Value: e.Kind().String()}).Inc(1)
+	out.Refuse(e)
+}
+
+// served counts and logs an answer.
+func (g *Gateway) served(j *job, status int, endpoint string, attempts int) {
+	took := g.svc.Now().Sub(j.req.Received)
+	metrics.Observe(g.metrics.Histogram("request_us", metrics.Label{Name: "class", Value: j.route.Kind.String()}), took)
+	g.metrics.Counter("requests_served", metrics.Label{Name: "class", Value: j.route.Kind.String()}).Inc(1)
+	g.log.Event(eventlog.RequestServed, eventlog.Str("request", j.req.ID), eventlog.Str("route", j.route.Name),
+		eventlog.Int("status", int64(status)), eventlog.Str("endpoint", endpoint),
+		eventlog.Int("attempts", int64(attempts)), eventlog.Ms("took_ms", took))
+}
+
+// attemptFailed logs one.
+func (g *Gateway) attemptFailed(j *job, endpoint, why string) {
+	g.metrics.Counter("attempts_failed").Inc(1)
+	g.log.Event(eventlog.AttemptFailed, eventlog.Str("request", j.req.ID), eventlog.Str("endpoint", endpoint),
+		eventlog.Str("why", why), eventlog.Ms("after_ms", g.svc.Now().Sub(j.req.Received)))
+}
+
+// Refuse answers a request that isn't even begun.
+func (g *Gateway) Refuse(req *Request, out Output, e *failure.Error) {
+	g.refuse(req, nil, out, e)
+}
--- /dev/null
+++ b/pkg/gateway/stream.go
@@ -0,0 +1,435 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/pathing"
+)
+
+const (
+	// maxStreamSends bounds the sends of one stream, with those that endpoints
+	// refused without running them.
+	maxStreamSends = 5
+	// firstStall and gapStall are how long nothing may come before the first
+	// endpoint of the path is asked what stands still: before the first event,
+	// and between events. The goals are 500 and 200 ms.
+	firstStall = 250 * time.Millisecond
+	gapStall   = 120 * time.Millisecond
+	// stallAskTimeout bounds that question.
+	stallAskTimeout = 200 * time.Millisecond
+	// maxAsks bounds the questions of one stream.
+	maxAsks = 8
+	// deadAfter is how many questions without an answer make the first
+	// endpoint of a path count as lost.
+	deadAfter = 2
+	// eventQueue lets the reader run ahead of a caller that reads slowly.
+	eventQueue = 4
+	// jitterWidth is how far hosts that know the same differ in their choice.
+	jitterWidth = 0.1
+)
+
+// streamRun is one stream on its way to a caller.
+type streamRun struct {
+	g        *Gateway
+	j        *job
+	sends    int
+	ran      int
+	begun    bool
+	started  time.Time // of the present send
+	last     string    // id of the last event passed on
+	lastFrom string    // where the caller wanted to resume
+	avoid    map[string]bool
+	path     []fleet.Part
+	ends     []func()
+}
+
+// outcome is how one send of a stream ended.
+type outcome int
+
+const (
+	finished outcome = iota // the caller has the whole stream
+	notRun                  // refused by endpoints, nothing ran
+	broken                  // it ran and broke
+	left                    // the caller left or its time is up
+)
+
+// serveStream answers a request by a stream of events.
+func (g *Gateway) serveStream(ctx context.Context, j *job) {
+	s := &streamRun{
+		g:        g,
+		j:        j,
+		lastFrom: j.req.LastEvent,
+		avoid:    map[string]bool{},
+	}
+	g.repeats.earn(g.source.Hosts())
+	defer s.release()
+	for {
+		if !s.choose() {
+			s.giveUp(failure.New(failure.NoChain, "no endpoints cover every layer").WithRetryAfter(comeBack))
+			return
+		}
+		switch end, cause := s.send(ctx); end {
+		case finished:
+			g.served(j, http.StatusOK, s.path[0].ID, s.sends)
+			return
+		case left:
+			s.expire(ctx)
+			return
+		case notRun:
+			if !s.mayRepeat() {
+				s.giveUp(failure.Wrap(cause, failure.Overloaded, "endpoints refused").WithRetryAfter(comeBack))
+				return
+			}
+		case broken:
+			if !s.mayResume() {
+				s.giveUp(failure.Wrap(cause, failure.EndpointFailed, "the stream broke"))
+				return
+			}
+			g.log.Event(eventlog.StreamResumed, eventlog.Str("request", j.req.ID), eventlog.Str("after", s.last), eventlog.Err(cause))
+		}
+	}
+}
+
+// release takes back what the present path was counted for.
+func (s *streamRun) release() {
+	for _, end := range s.ends {
+		end()
+	}
+	s.ends = nil
+}
+
+// demand is the request's need of memory and steps.
+func (s *streamRun) demand() pathing.Demand {
+	e := s.j.service.Engine
+	d := pathing.Demand{
+		Prompt: float64(s.j.req.Prompt),
+		Answer: float64(s.j.req.AnswerHint),
+	}
+	if d.Prompt <= 0 {
+		d.Prompt = float64(e.Prompt)
+	}
+	if d.Answer <= 0 {
+		d.Answer = float64(e.Answer)
+	}
+	if most := float64(s.j.req.MaxAnswer); most > 0 {
+		d.Answer = min(d.Answer, most)
+	}
+	return d
+}
+
+// stages returns the endpoints that hold layers, with their load.
+func (s *streamRun) stages(avoid func(e *fleet.Endpoint) bool) []pathing.Stage {
+	list := s.g.source.Endpoints(s.j.service.Name)
+	out := make([]pathing.Stage, 0, len(list))
+	for i := range list {
+		e := &list[i]
+		if e.Layers.Len() <= 0 || e.Silent || avoid(e) {
+			continue
+		}
+		own := s.g.tracker.Load(e.ID)
+		others := s.g.source.OthersLoad(e.ID)
+		out = append(out, pathing.Stage{
+			ID:       e.ID,
+			Address:  e.Address,
+			Domain:   e.Domain,
+			Kind:     e.Kind,
+			Layers:   e.Layers,
+			Requests: float64(own.Requests + others.Requests),
+			Tokens:   float64(own.Tokens + others.Tokens),
+		})
+	}
+	return out
+}
+
+func jitter() float64 {
+	return 1 - jitterWidth + 2*jitterWidth*rand.Float64()
+}
+
+// choose finds a path around what failed this request or this host lately;
+// without one, around what failed this request only.
+func (s *streamRun) choose() bool {
+	e := s.j.service.Engine
+	if e == nil {
+		return s.chooseSingle()
+	}
+	strict := s.stages(func(p *fleet.Endpoint) bool { return s.avoid[p.ID] || s.g.tracker.Avoided(p.ID) })
+	path := pathing.Choose(e, strict, s.demand(), jitter)
+	if path == nil {
+		loose := s.stages(func(p *fleet.Endpoint) bool { return s.avoid[p.ID] })
+		path = pathing.Choose(e, loose, s.demand(), jitter)
+	}
+	if path == nil || !pathing.Whole(e, path) {
+		return false
+	}
+	s.take(path)
+	return true
+}
+
+// chooseSingle picks an endpoint of a service whose endpoints hold everything.
+func (s *streamRun) chooseSingle() bool {
+	e, ok := s.g.pick(s.j.service.Name, s.avoid)
+	if !ok {
+		return false
+	}
+	s.take([]fleet.Part{{
+		ID:      e.ID,
+		Address: e.Address,
+		Domain:  e.Domain,
+	}})
+	return true
+}
+
+// take counts the request at every part of a path.
+func (s *streamRun) take(path []fleet.Part) {
+	s.release()
+	s.path = path
+	d := s.demandTokens()
+	for _, p := range path {
+		s.ends = append(s.ends, s.g.tracker.Begin(p.ID, d))
+	}
+}
+
+func (s *streamRun) demandTokens() int {
+	if s.j.service.Engine == nil {
+		return 0
+	}
+	d := s.demand()
+	return int(d.Prompt + d.Answer)
+}
+
+func (s *streamRun) mayRepeat() bool {
+	return s.sends < maxStreamSends && s.g.repeats.spend(s.g.source.Hosts())
+}
+
+func (s *streamRun) mayResume() bool {
+	return s.j.route.Resumable && s.ran < s.j.route.MaxAttempts && s.mayRepeat()
+}
+
+// resumeFrom is the id after which the next send continues.
+func (s *streamRun) resumeFrom() string {
+	if s.last != "" {
+		return s.last
+	}
+	return s.lastFrom
+}
+
+// send sends the request along the path and passes on what comes.
+func (s *streamRun) send(ctx context.Context) (outcome, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.sends++
+	s.started = s.g.svc.Now()
+	call := &Call{
+		Request:   s.j.req,
+		ID:        s.path[0].ID,
+		Address:   s.path[0].Address,
+		Account:   s.j.account,
+		Wait:      s.j.end.Sub(s.started),
+		LastEvent: s.resumeFrom(),
+		Priority:  s.j.priority,
+	}
+	if s.j.service.Engine != nil {
+		call.Path = s.path
+	}
+	grp := group.New(ctx)
+	defer grp.Stop()
+	f := newFeed()
+	grp.Go(func(ctx context.Context) {
+		f.read(ctx, s.g.backend, call)
+	})
+	return s.pass(ctx, f)
+}
+
+// pass moves events from a feed to the caller, and watches for stalls.
+func (s *streamRun) pass(ctx context.Context, f *feed) (outcome, error) {
+	w := newStallWatch(s)
+	for {
+		select {
+		case a := <-f.head:
+			if end, cause, over := s.takeHead(a); over {
+				return end, cause
+			}
+		case ev := <-f.events:
+			w.moved()
+			if err := s.passOn(ev); err != nil {
+				return left, err
+			}
+		case err := <-f.ended:
+			return s.ended(ctx, f, err)
+		case <-w.timer:
+			if err := w.ask(ctx); err != nil {
+				s.ran++
+				return broken, err
+			}
+		case <-ctx.Done():
+			return left, ctx.Err()
+		}
+	}
+}
+
+// takeHead deals with an answer's head; over says that the send has ended.
+func (s *streamRun) takeHead(a *Answer) (outcome, error, bool) {
+	if a.NotRun || a.Misdirected {
+		return notRun, s.blame(a), true
+	}
+	if a.Status != http.StatusOK || !a.Sealed {
+		s.ran++
+		s.g.tracker.Avoid(s.path[0].ID, "status "+strconv.Itoa(a.Status))
+		return broken, errors.Errorf("endpoint %s answered %d", s.path[0].ID, a.Status), true
+	}
+	if !s.begun {
+		s.begun = true
+		s.j.out.Begin(a.Status, a.Header)
+	}
+	return finished, nil, false
+}
+
+// blame notes which endpoint refused.
+func (s *streamRun) blame(a *Answer) error {
+	at := s.path[0]
+	for _, p := range s.path {
+		if p.Address == a.Fault {
+			at = p
+		}
+	}
+	why := "status " + strconv.Itoa(a.Status)
+	s.avoid[at.ID] = true
+	s.g.tracker.Avoid(at.ID, why)
+	s.g.attemptFailed(s.j, at.ID, why)
+	return errors.Errorf("endpoint %s: %s", at.ID, why)
+}
+
+func (s *streamRun) passOn(ev event) error {
+	if s.last == "" && s.lastFrom == "" || s.sends == 1 && s.last == "" {
+		metrics.Observe(s.g.metrics.Histogram("first_event_us"), s.g.svc.Now().Sub(s.j.req.Received))
+	}
+	if err := s.j.out.Event(ev.data); err != nil {
+		return err
+	}
+	if ev.id != "" {
+		s.last = ev.id
+	}
+	return nil
+}
+
+// ended deals with the end of a feed: what is queued goes first.
+func (s *streamRun) ended(ctx context.Context, f *feed, err error) (outcome, error) {
+	select {
+	case a := <-f.head:
+		if end, cause, over := s.takeHead(a); over {
+			return end, cause
+		}
+	default:
+	}
+	for {
+		select {
+		case ev := <-f.events:
+			if perr := s.passOn(ev); perr != nil {
+				return left, perr
+			}
+			continue
+		default:
+		}
+		break
+	}
+	if err == nil {
+		return finished, nil
+	}
+	if ctx.Err() != nil {
+		return left, ctx.Err()
+	}
+	s.g.tracker.Avoid(s.path[0].ID, err.Error())
+	s.avoid[s.path[0].ID] = true
+	s.g.attemptFailed(s.j, s.path[0].ID, err.Error())
+	if notSent(err) {
+		return notRun, err
+	}
+	s.ran++
+	return broken, err
+}
+
+// giveUp answers a request that goes no further.
+func (s *streamRun) giveUp(e *failure.Error) {
+	if s.ran > 0 && e.Kind() != failure.EndpointFailed {
+		e = failure.Wrap(e, failure.EndpointFailed, "the stream broke and couldn't be continued")
+	}
+	if !s.begun {
+		s.g.refuse(s.j.req, s.j, s.j.out, e)
+		return
+	}
+	s.g.log.Event(eventlog.RequestFailed, eventlog.Str("request", s.j.req.ID), eventlog.Str("kind", e.Kind().String()),
+		eventlog.Str("why", e.Error()), eventlog.Str("route", s.j.route.Name), eventlog.Str("after", s.last))
+	s.g.metrics.Counter("streams_broken").Inc(1)
+	s.j.out.Abort()
+}
+
+// expire ends a request whose time is up or whose caller left.
+func (s *streamRun) expire(ctx context.Context) {
+	if s.begun {
+		s.j.out.Abort()
+		return
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		s.g.refuse(s.j.req, s.j, s.j.out, failure.New(failure.DeadlineExceeded, "no event in time"))
+	}
+}
+
+// feed reads one answer. head gets its head, then events its events, and
+// ended how it ended: nil if it is whole.
+type feed struct {
+	head   chan *Answer
+	events chan event
+	ended  chan error
+}
+
+func newFeed() *feed {
+	return &feed{
+		head:   make(chan *Answer, 1),
+		events: make(chan event, eventQueue),
+		ended:  make(chan error, 1),
+	}
+}
+
+func (f *feed) read(ctx context.Context, b Backend, call *Call) {
+	a, err := b.Send(ctx, call)
+	if err != nil {
+		f.ended <- err
+		return
+	}
+	defer func() { _ = a.Body.Close() }() // it was read, or is given up
+	f.head <- a
+	if a.NotRun || a.Misdirected || a.Status != http.StatusOK {
+		return
+	}
+	r := newEventReader(a.Body)
+	for {
+		ev, err := r.next()
+		if errors.Is(err, io.EOF) {
+			f.ended <- nil
+			return
+		}
+		if err != nil {
+			f.ended <- &SendError{
+				Sent:  true,
+				Cause: err,
+			}
+			return
+		}
+		select {
+		case f.events <- ev:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/pkg/gateway/whole.go
@@ -0,0 +1,289 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
+)
+
+const (
+	// maxSends bounds the sends of one request, with those that endpoints
+	// refused without running them.
+	maxSends = 4
+	// hedgeShare is the part of the latency goal after which a request that
+	// may be repeated is sent to a second endpoint too. Half of the goal is
+	// over twice the mean work, so few calm requests are repeated.
+	hedgeShare = 0.5
+	// maxAnswerBytes bounds an answer that is held whole.
+	maxAnswerBytes = 8 << 20
+	// comeBack is when a refused caller should return: an endpoint that
+	// failed is avoided for as long.
+	comeBack = 300 * time.Millisecond
+)
+
+// verdict is how one attempt ended.
+type verdict struct {
+	endpoint fleet.Endpoint
+	status   int
+	header   http.Header
+	body     []byte
+	notRun   bool
+	err      error
+}
+
+// good reports whether a verdict is an answer that no other attempt betters.
+func (v *verdict) good() bool {
+	return v.err == nil && !v.notRun && v.status < http.StatusInternalServerError
+}
+
+// serveWhole answers a request of an ordinary service.
+func (g *Gateway) serveWhole(ctx context.Context, j *job) {
+	w := &wholeRun{
+		g:       g,
+		j:       j,
+		tried:   map[string]bool{},
+		results: make(chan *verdict, maxSends),
+	}
+	g.repeats.earn(g.source.Hosts())
+	grp := group.New(ctx)
+	defer grp.Stop()
+	w.group = grp
+	w.run(ctx)
+}
+
+// wholeRun is a request's attempts.
+type wholeRun struct {
+	g       *Gateway
+	j       *job
+	group   *group.Group
+	tried   map[string]bool
+	results chan *verdict
+	sends   int
+	running int
+	ran     int // attempts that may have run
+	last    *verdict
+}
+
+func (w *wholeRun) run(ctx context.Context) {
+	if !w.send(false) {
+		w.finish()
+		return
+	}
+	hedge := w.hedgeTimer()
+	for w.running > 0 {
+		select {
+		case v := <-w.results:
+			w.running--
+			if w.take(v) {
+				return
+			}
+		case <-hedge:
+			hedge = nil
+			w.repeat()
+		case <-ctx.Done():
+			w.expired(ctx)
+			return
+		}
+	}
+	w.finish()
+}
+
+// hedgeTimer fires when a repeatable request has waited long enough; a nil
+// channel never does.
+func (w *wholeRun) hedgeTimer() <-chan time.Time {
+	if w.j.route.Kind != fleet.Safe || w.j.route.Goal <= 0 {
+		return nil
+	}
+	return w.g.svc.After(time.Duration(hedgeShare * float64(w.j.route.Goal)))
+}
+
+// take deals with an attempt's end; it reports whether the request is answered.
+func (w *wholeRun) take(v *verdict) bool {
+	w.last = better(w.last, v)
+	if v.good() {
+		w.answer(v)
+		return true
+	}
+	if v.err != nil || v.notRun {
+		w.g.tracker.Avoid(v.endpoint.ID, w.why(v))
+		w.g.attemptFailed(w.j, v.endpoint.ID, w.why(v))
+	}
+	if v.notRun || notSent(v.err) {
+		w.ran--
+		w.repeat()
+		return false
+	}
+	if w.j.route.Kind == fleet.Safe && w.running == 0 {
+		w.repeat()
+	}
+	return false
+}
+
+func (w *wholeRun) why(v *verdict) string {
+	if v.err != nil {
+		return v.err.Error()
+	}
+	return http.StatusText(v.status)
+}
+
+// better prefers an endpoint's own answer to none.
+func better(a, b *verdict) *verdict {
+	if a == nil || a.err != nil || a.notRun {
+		return b
+	}
+	if b.err != nil || b.notRun {
+		return a
+	}
+	return b
+}
+
+func notSent(err error) bool {
+	var e *SendError
+	return errors.As(err, &e) && !e.Sent
+}
+
+// repeat sends once more if attempts and the budget allow it.
+func (w *wholeRun) repeat() {
+	if w.ran >= w.j.route.MaxAttempts || w.sends >= maxSends {
+		return
+	}
+	w.send(true)
+}
+
+// send starts an attempt, and reports whether an endpoint was there.
+func (w *wholeRun) send(again bool) bool {
+	e, ok := w.g.pick(w.j.service.Name, w.tried)
+	if !ok || (again && !w.g.repeats.spend(w.g.source.Hosts())) {
+		return false
+	}
+	w.tried[e.ID] = true
+	w.sends++
+	w.ran++
+	w.running++
+	w.group.Go(func(ctx context.Context) {
+		w.results <- w.g.attempt(ctx, w.j, e)
+	})
+	return true
+}
+
+func (w *wholeRun) answer(v *verdict) {
+	w.g.served(w.j, v.status, v.endpoint.ID, w.sends)
+	w.j.out.Whole(v.status, v.header, v.body)
+}
+
+// finish answers when no attempt is left.
+func (w *wholeRun) finish() {
+	v := w.last
+	switch {
+	case v != nil && v.err == nil && !v.notRun:
+		w.answer(v)
+	case v == nil:
+		w.refuse(failure.New(failure.NoEndpoint, "no endpoint of the service takes work").WithRetryAfter(comeBack))
+	case w.ran > 0:
+		w.refuse(failure.Wrap(v.err, failure.EndpointFailed, "endpoint %s", v.endpoint.ID))
+	default:
+		w.refuse(failure.New(failure.Overloaded, "every endpoint that was asked refused").WithRetryAfter(comeBack))
+	}
+}
+
+// expired answers when time ran out or the caller left.
+func (w *wholeRun) expired(ctx context.Context) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return // nobody is there to be answered
+	}
+	w.refuse(failure.New(failure.DeadlineExceeded, "no answer in time from %d endpoints", w.sends))
+}
+
+func (w *wholeRun) refuse(e *failure.Error) {
+	w.g.refuse(w.j.req, w.j, w.j.out, e)
+}
+
+// pick chooses the endpoint that should answer first.
+func (g *Gateway) pick(service string, tried map[string]bool) (fleet.Endpoint, bool) {
+	var best fleet.Endpoint
+	bestScore := -1.0
+	for _, e := range g.source.Endpoints(service) {
+		if tried[e.ID] {
+			continue
+		}
+		if s := g.score(&e); bestScore < 0 || s < bestScore {
+			best = e
+			bestScore = s
+		}
+	}
+	return best, bestScore >= 0
+}
+
+const (
+	// avoidedScore puts endpoints that failed or went silent behind all others.
+	avoidedScore = 1e6
+	silentScore  = 1e3
+	// unknownLatency, in ms, stands for an endpoint that never answered here.
+	unknownLatency = 50
+)
+
+func (g *Gateway) score(e *fleet.Endpoint) float64 {
+	load := float64(g.tracker.Load(e.ID).Requests+g.source.OthersLoad(e.ID).Requests) + 1
+	latency := g.tracker.Latency(e.ID)
+	if latency == 0 {
+		latency = unknownLatency
+	}
+	score := load / float64(max(1, e.Slots)) * latency * (0.9 + 0.2*rand.Float64())
+	if g.tracker.Avoided(e.ID) {
+		score += avoidedScore
+	}
+	if e.Silent {
+		score += silentScore
+	}
+	return score
+}
+
+// attempt sends a request to one endpoint and reads the whole answer.
+func (g *Gateway) attempt(ctx context.Context, j *job, e fleet.Endpoint) *verdict {
+	v := &verdict{
+		endpoint: e,
+	}
+	done := g.tracker.Begin(e.ID, 0)
+	defer done()
+	began := g.svc.Now()
+	a, err := g.backend.Send(ctx, &Call{
+		Request:  j.req,
+		ID:       e.ID,
+		Address:  e.Address,
+		Account:  j.account,
+		Wait:     j.end.Sub(began),
+		Priority: j.priority,
+	})
+	if err != nil {
+		v.err = err
+		return v
+	}
+	defer func() { _ = a.Body.Close() }() // it was read, or is given up
+	v.status = a.Status
+	v.notRun = a.NotRun || a.Misdirected
+	v.header = a.Header
+	v.body, err = io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	switch {
+	case v.notRun:
+	case err != nil:
+		v.err = &SendError{
+			Sent:  true,
+			Cause: err,
+		}
+	case !a.Sealed:
+		v.err = &SendError{
+			Sent:  true,
+			Cause: errors.New("the answer is damaged"),
+		}
+	default:
+		g.tracker.Good(e.ID, g.svc.Now().Sub(began))
+	}
+	return v
+}
--- /dev/null
+++ b/pkg/pathing/pathing.go
@@ -0,0 +1,299 @@
+// Package pathing chooses the endpoints through which a request passes every
+// layer once, in order: the path of least expected finish.
+package pathing
+
+import (
+	"math"
+	"sort"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+)
+
+const (
+	// crossingMs is added for each change of failure domain, beyond its delay:
+	// the pipe between two domains carries every token of prompt and answer
+	// and is shared (docs/PLATFORM.md).
+	crossingMs = 400
+	// loopMs is the time in which a token of a lightly loaded path comes round;
+	// a stage is busy for the part of it that its passes take.
+	loopMs = 10
+	// fullPenalty multiplies the cost of a stage whose KV memory would be full.
+	fullPenalty = 8
+	// maxParts is the most endpoints that a path may name.
+	maxParts = 32
+)
+
+// Stage is an endpoint that holds layers, with its load.
+type Stage struct {
+	ID       string
+	Address  string
+	Domain   string
+	Kind     string
+	Layers   fleet.Range
+	Requests float64 // under way
+	Tokens   float64 // in KV memory, of requests under way
+	// Slow multiplies its times; 1 is as expected.
+	Slow float64
+}
+
+// Demand is what a request needs.
+type Demand struct {
+	Prompt float64 // tokens to read
+	Answer float64 // tokens to write
+	// First, if set, fixes the first part: endpoint and layers.
+	First *fleet.Part
+}
+
+// Choose returns the cheapest path, or nil if the stages don't cover every
+// layer. jitter returns a factor near 1 for each stage, so that hosts which
+// know the same don't all choose the same.
+func Choose(e *fleet.Engine, stages []Stage, d Demand, jitter func() float64) []fleet.Part {
+	if len(stages) == 0 || e.Layers <= 0 {
+		return nil
+	}
+	s := newSearch(e, stages, d, jitter)
+	if d.First != nil {
+		s.startAfter(d.First)
+	} else {
+		s.start()
+	}
+	s.run()
+	return s.path()
+}
+
+// state is the cheapest way found to have run the layers below a boundary,
+// ending in a domain.
+type state struct {
+	cost   float64
+	prev   int // state before; -1 at the start
+	stage  int // last stage; -1 at the start
+	domain int // -1 at the start: any
+	bound  int // index of the boundary
+	parts  int
+}
+
+type search struct {
+	engine  *fleet.Engine
+	stages  []Stage
+	demand  Demand
+	unit    []float64 // expected ms for one layer, by stage
+	bounds  []int
+	domains map[string]int
+	names   []string
+	states  []state
+	at      [][]int // states by boundary
+	best    map[[2]int]int
+	first   *fleet.Part
+}
+
+func newSearch(e *fleet.Engine, stages []Stage, d Demand, jitter func() float64) *search {
+	s := &search{
+		engine:  e,
+		stages:  stages,
+		demand:  d,
+		unit:    make([]float64, len(stages)),
+		domains: map[string]int{},
+		best:    map[[2]int]int{},
+	}
+	seen := map[int]bool{}
+	for i := range stages {
+		st := &stages[i]
+		s.unit[i] = s.layerCost(st) * jitter()
+		if _, ok := s.domains[st.Domain]; !ok {
+			s.domains[st.Domain] = len(s.names)
+			s.names = append(s.names, st.Domain)
+		}
+		seen[st.Layers.From] = true
+		seen[min(st.Layers.To, e.Layers)] = true
+	}
+	for b := range seen {
+		s.bounds = append(s.bounds, b)
+	}
+	sort.Ints(s.bounds)
+	s.at = make([][]int, len(s.bounds))
+	return s
+}
+
+// layerCost is the expected time in ms that one layer of a stage adds to the
+// whole request.
+func (s *search) layerCost(st *Stage) float64 {
+	e := s.engine
+	k := e.Kinds[st.Kind]
+	held := float64(st.Layers.Len())
+	share := 1 / float64(e.Layers)
+	others := st.Requests
+	step := ms(e.StepTime) + others*ms(e.PerSequence) + st.Tokens/1000*ms(e.PerContext)
+	pass := k.Pace * share * held * step
+	busy := math.Min(1, others*pass/loopMs)
+	write := s.demand.Answer * k.Pace * share * (ms(e.StepTime)*(1+busy) + others*ms(e.PerSequence))
+	read := 0.0
+	if e.ReadPerSecond > 0 {
+		read = s.demand.Prompt / e.ReadPerSecond * 1000 * k.ReadFactor * share * (1 + busy)
+	}
+	cost := (write + read) * math.Max(1, st.Slow)
+	room := e.CacheTokens(st.Kind, st.Layers.Len()) / math.Max(1, held)
+	need := st.Tokens + s.demand.Prompt + s.demand.Answer
+	if room <= 0 || need > room {
+		return cost * fullPenalty
+	}
+	return cost * (1 + need/room)
+}
+
+func (s *search) start() {
+	if s.bounds[0] != 0 {
+		return
+	}
+	s.push(state{
+		prev:   -1,
+		stage:  -1,
+		domain: -1,
+	})
+}
+
+// startAfter begins behind a part that is fixed.
+func (s *search) startAfter(first *fleet.Part) {
+	i := sort.SearchInts(s.bounds, first.Layers.To)
+	if i == len(s.bounds) || s.bounds[i] != first.Layers.To {
+		s.bounds = append(s.bounds, 0)
+		copy(s.bounds[i+1:], s.bounds[i:])
+		s.bounds[i] = first.Layers.To
+		s.at = make([][]int, len(s.bounds))
+	}
+	s.first = first
+	d, ok := s.domains[first.Domain]
+	if !ok {
+		d = -1
+	}
+	s.push(state{
+		prev:   -1,
+		stage:  -1,
+		domain: d,
+		bound:  i,
+		parts:  1,
+	})
+}
+
+func (s *search) push(n state) {
+	key := [2]int{n.bound, n.domain}
+	if i, ok := s.best[key]; ok {
+		if s.states[i].cost <= n.cost {
+			return
+		}
+		s.states[i] = n
+		return
+	}
+	s.best[key] = len(s.states)
+	s.at[n.bound] = append(s.at[n.bound], len(s.states))
+	s.states = append(s.states, n)
+}
+
+// run extends states boundary by boundary; a state's cost is final once its
+// boundary is reached, since every step leads to a later one.
+func (s *search) run() {
+	for b := range s.bounds {
+		for _, i := range s.at[b] {
+			if s.bounds[b] < s.engine.Layers && s.states[i].parts < maxParts {
+				s.extend(i)
+			}
+		}
+	}
+}
+
+func (s *search) extend(i int) {
+	from := s.states[i]
+	layer := s.bounds[from.bound]
+	for k := range s.stages {
+		st := &s.stages[k]
+		if st.Layers.From > layer || st.Layers.To <= layer || s.uses(i, k) {
+			continue
+		}
+		hop := s.hopCost(from.domain, s.domains[st.Domain])
+		for b := from.bound + 1; b < len(s.bounds) && s.bounds[b] <= st.Layers.To; b++ {
+			s.push(state{
+				cost:   from.cost + hop + float64(s.bounds[b]-layer)*s.unit[k],
+				prev:   i,
+				stage:  k,
+				domain: s.domains[st.Domain],
+				bound:  b,
+				parts:  from.parts + 1,
+			})
+		}
+	}
+}
+
+// uses reports whether a stage is on the way to a state already.
+func (s *search) uses(i, stage int) bool {
+	for ; i >= 0; i = s.states[i].prev {
+		if s.states[i].stage == stage {
+			return true
+		}
+	}
+	return s.first != nil && s.first.ID == s.stages[stage].ID
+}
+
+// hopMs is what a hop inside a failure domain costs each token.
+const hopMs = 0.2
+
+func (s *search) hopCost(a, b int) float64 {
+	if a < 0 {
+		return 0
+	}
+	if a == b {
+		return hopMs * s.demand.Answer
+	}
+	delay := ms(s.engine.Delay(s.names[a], s.names[b]))
+	return crossingMs + (delay+hopMs)*s.demand.Answer
+}
+
+func (s *search) path() []fleet.Part {
+	end := -1
+	last := len(s.bounds) - 1
+	if s.bounds[last] != s.engine.Layers {
+		return nil
+	}
+	for _, i := range s.at[last] {
+		if end < 0 || s.states[i].cost < s.states[end].cost {
+			end = i
+		}
+	}
+	if end < 0 {
+		return nil
+	}
+	var parts []fleet.Part
+	for i := end; s.states[i].prev >= 0; i = s.states[i].prev {
+		parts = append(parts, s.part(i))
+	}
+	if s.first != nil {
+		parts = append(parts, *s.first)
+	}
+	for i, j := 0, len(parts)-1; i < j; i, j = i+1, j-1 {
+		parts[i], parts[j] = parts[j], parts[i]
+	}
+	return parts
+}
+
+func (s *search) part(i int) fleet.Part {
+	n := s.states[i]
+	st := &s.stages[n.stage]
+	return fleet.Part{
+		ID:      st.ID,
+		Address: st.Address,
+		Domain:  st.Domain,
+		Layers: fleet.Range{
+			From: s.bounds[s.states[n.prev].bound],
+			To:   s.bounds[n.bound],
+		},
+	}
+}
+
+// Whole reports whether parts run every layer once, in order.
+func Whole(e *fleet.Engine, parts []fleet.Part) bool {
+	at := 0
+	for _, p := range parts {
+		if p.Layers.From != at || p.Layers.To <= at {
+			return false
+		}
+		at = p.Layers.To
+	}
+	return at == e.Layers
+}
--- /dev/null
+++ b/pkg/placement/keeper.go
@@ -0,0 +1,240 @@
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/registry"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// Outcome is what is known of an order.
+type Outcome int
+
+// The outcomes.
+const (
+	// Unknown: no answer came; the order may be carried out, even later.
+	Unknown Outcome = iota
+	// Taken: it has begun or is done.
+	Taken
+	// Conflict: the endpoint has taken other orders than the caller believed.
+	Conflict
+	// Refused: the endpoint can't carry it out.
+	Refused
+)
+
+var outcomeNames = [...]string{"unknown", "taken", "conflict", "refused"}
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return outcomeNames[o]
+}
+
+// Report is what an endpoint tells of itself.
+type Report struct {
+	Layers fleet.Range
+	Orders uint64 // taken since its start
+	Busy   bool
+}
+
+// Orderer reaches endpoints.
+type Orderer interface {
+	// Place orders layers, if the endpoint has taken as many orders as given.
+	Place(ctx context.Context, address string, layers fleet.Range, orders uint64) (Outcome, error)
+	// Report asks what an endpoint holds.
+	Report(ctx context.Context, address string) (Report, error)
+}
+
+const (
+	orderTimeout = time.Second
+	// askAgain is how long an order without an answer, or one that was taken
+	// and shows no effect, is left alone before the endpoint is asked.
+	askAgain = 2 * time.Second
+)
+
+// Keeper carries out plans. Only the leader's works; the number of orders an
+// endpoint has taken keeps late ones of an earlier leader out.
+type Keeper struct {
+	orders Orderer
+	table  *registry.Table
+	svc    timer.Service
+	log    *eventlog.Log
+	group  *group.Group
+
+	mu    sync.Mutex
+	known map[string]*standing // by incarnation
+}
+
+// standing is what was ordered of an endpoint.
+type standing struct {
+	layers fleet.Range
+	taken  uint64 // orders it has taken, as far as known
+	until  time.Time
+	asking bool
+	doubt  bool // its fate must be asked for before the next order
+}
+
+// NewKeeper returns a keeper whose calls run in g.
+func NewKeeper(orders Orderer, table *registry.Table, svc timer.Service, log *eventlog.Log, g *group.Group) *Keeper {
+	return &Keeper{
+		orders: orders,
+		table:  table,
+		svc:    svc,
+		log:    log,
+		group:  g,
+		known:  map[string]*standing{},
+	}
+}
+
+// Forget drops what was ordered, when another replica leads.
+func (k *Keeper) Forget() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.known = map[string]*standing{}
+}
+
+// Tend gives the orders that are due. leads is asked right before each.
+func (k *Keeper) Tend(ctx context.Context, cfg *fleet.Configuration, leads func() bool) {
+	endpoints := k.table.All()
+	for i := range cfg.Services {
+		if e := cfg.Services[i].Engine; e != nil && e.Layers > 0 {
+			k.tendService(ctx, &cfg.Services[i], endpoints, leads)
+		}
+	}
+}
+
+func (k *Keeper) tendService(ctx context.Context, svc *fleet.Service, endpoints []fleet.Endpoint, leads func() bool) {
+	var servers []Server
+	byID := map[string]*fleet.Endpoint{}
+	k.mu.Lock()
+	now := k.svc.Now()
+	for i := range endpoints {
+		e := &endpoints[i]
+		if e.Service != svc.Name || !e.Usable() || e.Silent {
+			continue
+		}
+		byID[e.ID] = e
+		servers = append(servers, Server{
+			ID:     e.ID,
+			Domain: e.Domain,
+			Kind:   e.Kind,
+			Layers: k.holds(e, now),
+		})
+	}
+	k.mu.Unlock()
+	for _, o := range Plan(svc.Engine, servers) {
+		if !leads() {
+			return
+		}
+		k.order(o, byID[o.ID], loadTime(svc.Engine, o.Layers))
+	}
+}
+
+// holds returns what an endpoint holds or was ordered to hold lately.
+func (k *Keeper) holds(e *fleet.Endpoint, now time.Time) fleet.Range {
+	if e.Layers.Len() > 0 {
+		return e.Layers
+	}
+	if s := k.known[e.ID]; s != nil && (s.asking || now.Before(s.until)) {
+		return s.layers
+	}
+	return fleet.Range{}
+}
+
+// loadTime is how long a load may take before it is doubted: several may run
+// at once, and the heartbeat that tells of its end comes later.
+func loadTime(e *fleet.Engine, layers fleet.Range) time.Duration {
+	if e.Layers == 0 {
+		return 0
+	}
+	return 3 * e.LoadTime * time.Duration(layers.Len()) / time.Duration(e.Layers)
+}
+
+// order sends one order without waiting for its answer.
+func (k *Keeper) order(o Order, e *fleet.Endpoint, load time.Duration) {
+	k.mu.Lock()
+	s := k.known[o.ID]
+	if s == nil {
+		s = &standing{}
+		k.known[o.ID] = s
+	}
+	s.layers = o.Layers
+	s.asking = true
+	doubt := s.doubt
+	taken := s.taken
+	k.mu.Unlock()
+	k.group.Go(func(ctx context.Context) {
+		if doubt {
+			if k.resolve(ctx, s, e) {
+				return
+			}
+			k.mu.Lock()
+			taken = s.taken
+			k.mu.Unlock()
+		}
+		k.send(ctx, s, o, e, taken, load)
+	})
+}
+
+// resolve asks an endpoint what it holds. It reports whether nothing need be
+// ordered now.
+func (k *Keeper) resolve(ctx context.Context, s *standing, e *fleet.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	report, err := k.orders.Report(ctx, e.Address)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if err != nil {
+		s.asking = false
+		s.until = k.svc.Now().Add(askAgain)
+		k.log.Event(eventlog.OrderFailed, eventlog.Str("endpoint", e.ID), eventlog.Str("what", "report"), eventlog.Err(err))
+		return true
+	}
+	s.taken = report.Orders
+	if report.Layers.Len() > 0 || report.Busy {
+		s.asking = false
+		if report.Layers.Len() > 0 {
+			s.layers = report.Layers
+			k.table.SetLayers(e.ID, report.Layers, report.Busy)
+		}
+		s.until = k.svc.Now().Add(askAgain)
+		return true
+	}
+	s.doubt = false
+	return false
+}
+
+func (k *Keeper) send(ctx context.Context, s *standing, o Order, e *fleet.Endpoint, taken uint64, load time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	outcome, err := k.orders.Place(ctx, e.Address, o.Layers, taken)
+	fields := []eventlog.Field{
+		eventlog.Str("endpoint", o.ID), eventlog.Str("address", e.Address),
+		eventlog.Int("from", int64(o.Layers.From)), eventlog.Int("to", int64(o.Layers.To)),
+		eventlog.Int("expected_orders", int64(taken)), eventlog.Str("outcome", outcome.String()),
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s.asking = false
+	switch outcome {
+	case Taken:
+		s.taken = taken + 1
+		s.doubt = true // asked for if no heartbeat has told of it by then
+		s.until = k.svc.Now().Add(load + askAgain)
+	case Conflict:
+		s.doubt = true
+		s.until = k.svc.Now()
+	default:
+		s.doubt = true
+		s.until = k.svc.Now().Add(askAgain)
+	}
+	if err != nil {
+		k.log.Event(eventlog.OrderFailed, append(fields, eventlog.Err(err))...)
+		return
+	}
+	k.log.Event(eventlog.OrderSent, fields...)
+}
--- /dev/null
+++ b/pkg/placement/plan.go
@@ -0,0 +1,184 @@
+// Package placement decides which endpoint holds which layers of a model.
+package placement
+
+import (
+	"sort"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+)
+
+const (
+	// weightShare is the part of an accelerator's memory that weights may
+	// take; the rest is KV memory. At 0.66 every kind keeps room for 125,000
+	// tokens or more of the layers it holds, three times the users' load in
+	// a failure domain (docs/PLATFORM.md).
+	weightShare = 0.66
+	// ownWeight is how much more a layer that the own group of domains covers
+	// counts than one that another covers.
+	ownWeight = 4
+)
+
+// Order tells an endpoint to hold a range of layers.
+type Order struct {
+	ID     string
+	Layers fleet.Range
+}
+
+// Server is an endpoint as the plan sees it.
+type Server struct {
+	ID     string
+	Domain string
+	Kind   string
+	// Layers is what it holds or was ordered to hold; empty if nothing.
+	Layers fleet.Range
+}
+
+// Plan returns the orders for servers that hold nothing. It moves no layers:
+// each empty server takes those that are covered least, counted first among
+// the domains that hold a copy together.
+func Plan(e *fleet.Engine, servers []Server) []Order {
+	if e.Layers <= 0 || e.LayerMB <= 0 {
+		return nil
+	}
+	p := newPlanner(e, servers)
+	var orders []Order
+	for _, s := range p.empty() {
+		if o, ok := p.place(s); ok {
+			orders = append(orders, o)
+		}
+	}
+	return orders
+}
+
+type planner struct {
+	engine  *fleet.Engine
+	servers []Server
+	group   map[string]int // by domain
+	cover   [][]int        // by group, then layer
+	total   []int          // by layer
+}
+
+func newPlanner(e *fleet.Engine, servers []Server) *planner {
+	p := &planner{
+		engine:  e,
+		servers: append([]Server(nil), servers...),
+		total:   make([]int, e.Layers),
+	}
+	p.findGroups()
+	for _, s := range p.servers {
+		p.count(s)
+	}
+	return p
+}
+
+// count adds what a server holds to the covers.
+func (p *planner) count(s Server) {
+	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
+		p.cover[p.group[s.Domain]][l]++
+		p.total[l]++
+	}
+}
+
+// room is how many layers a server should hold.
+func (p *planner) room(s Server) int {
+	n := int(p.engine.Kinds[s.Kind].MB * weightShare / p.engine.LayerMB)
+	if n == 0 && p.engine.MaxLayers(s.Kind) > 1 {
+		n = 1
+	}
+	return min(n, p.engine.Layers)
+}
+
+// findGroups gives each domain that can hold every layer a group of its own,
+// and puts the others together.
+func (p *planner) findGroups() {
+	rooms := map[string]int{}
+	for _, s := range p.servers {
+		rooms[s.Domain] += max(p.room(s), s.Layers.Len())
+	}
+	domains := make([]string, 0, len(rooms))
+	for d := range rooms {
+		domains = append(domains, d)
+	}
+	sort.Slice(domains, func(i, j int) bool {
+		if rooms[domains[i]] != rooms[domains[j]] {
+			return rooms[domains[i]] > rooms[domains[j]]
+		}
+		return domains[i] < domains[j]
+	})
+	p.group = map[string]int{}
+	shared := -1
+	sharedRoom := 0
+	for _, d := range domains {
+		if rooms[d] >= p.engine.Layers {
+			p.group[d] = p.addGroup()
+			continue
+		}
+		if shared < 0 || sharedRoom >= p.engine.Layers {
+			shared = p.addGroup()
+			sharedRoom = 0
+		}
+		p.group[d] = shared
+		sharedRoom += rooms[d]
+	}
+}
+
+func (p *planner) addGroup() int {
+	p.cover = append(p.cover, make([]int, p.engine.Layers))
+	return len(p.cover) - 1
+}
+
+// empty returns the servers that hold nothing, fastest first.
+func (p *planner) empty() []Server {
+	var list []Server
+	for _, s := range p.servers {
+		if s.Layers.Len() == 0 && p.room(s) > 0 {
+			list = append(list, s)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		a, b := p.engine.Kinds[list[i].Kind], p.engine.Kinds[list[j].Kind]
+		if a.Pace != b.Pace {
+			return a.Pace < b.Pace
+		}
+		return list[i].ID < list[j].ID
+	})
+	return list
+}
+
+// place chooses the window of layers that is covered least; of equals the
+// first, so that a fresh domain is filled from the front without gaps.
+func (p *planner) place(s Server) (Order, bool) {
+	n := p.room(s)
+	best := -1
+	bestCost := 0
+	for from := 0; from+n <= p.engine.Layers; from++ {
+		cost := p.windowCost(s, from, n)
+		if best < 0 || cost < bestCost {
+			best = from
+			bestCost = cost
+		}
+	}
+	if best < 0 {
+		return Order{}, false
+	}
+	s.Layers = fleet.Range{
+		From: best,
+		To:   best + n,
+	}
+	p.count(s)
+	return Order{
+		ID:     s.ID,
+		Layers: s.Layers,
+	}, true
+}
+
+// windowCost grows faster than the cover, so that a hole counts more than an
+// even cover.
+func (p *planner) windowCost(s Server, from, n int) int {
+	own := p.cover[p.group[s.Domain]]
+	sum := 0
+	for l := from; l < from+n; l++ {
+		sum += ownWeight*own[l]*own[l] + p.total[l]
+	}
+	return sum
+}
--- /dev/null
+++ b/pkg/registry/registry.go
@@ -0,0 +1,234 @@
+// Package registry keeps what endpoints announce of themselves. Each control
+// replica has one table; they hand announcements to each other.
+package registry
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	// silentBeats is after how many missed heartbeats an endpoint counts as
+	// silent: two may be lost with a daemon that is killed between them.
+	silentBeats = 3
+	// forgetAfter is how long a gone or silent incarnation is remembered, so
+	// that a late heartbeat can't bring it back. Heartbeats are seconds late.
+	forgetAfter = 60 * time.Second
+)
+
+// Table is the announcements by incarnation. It is safe for use by several
+// goroutines.
+//
+// Invariants: of one incarnation the highest sequence stands; leaving and gone
+// never go back; version rises with each change that entry hosts must learn.
+type Table struct {
+	svc      timer.Service
+	log      *eventlog.Log
+	interval time.Duration // between heartbeats
+
+	mu      sync.Mutex
+	rows    map[string]*row
+	version uint64
+	changed chan struct{}
+}
+
+type row struct {
+	fleet.Endpoint
+	version uint64
+}
+
+// New returns an empty table of endpoints that announce themselves at interval.
+func New(svc timer.Service, log *eventlog.Log, interval time.Duration) *Table {
+	return &Table{
+		svc:      svc,
+		log:      log,
+		interval: interval,
+		rows:     map[string]*row{},
+		changed:  make(chan struct{}),
+	}
+}
+
+// Announce takes a heartbeat that was just received, and reports whether it
+// told something that others must learn.
+func (t *Table) Announce(e fleet.Endpoint) bool {
+	e.HeardAt = t.svc.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.merge(e)
+}
+
+// Merge takes announcements from another replica, and returns those whose
+// news are new here.
+func (t *Table) Merge(list []fleet.Endpoint) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, e := range list {
+		if t.merge(e) {
+			n++
+		}
+	}
+	return n
+}
+
+// Gone notes that an incarnation has ended, and returns its row.
+func (t *Table) Gone(id string) fleet.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.rows[id]
+	e := fleet.Endpoint{
+		ID: id,
+	}
+	if old != nil {
+		e = old.Endpoint
+	}
+	e.Gone = true
+	e.Leaving = true
+	e.HeardAt = t.svc.Now()
+	t.merge(e)
+	return t.rows[id].Endpoint
+}
+
+func (t *Table) merge(e fleet.Endpoint) bool {
+	old := t.rows[e.ID]
+	if old == nil {
+		e.Silent = false
+		t.rows[e.ID] = &row{
+			Endpoint: e,
+		}
+		t.note(t.rows[e.ID])
+		t.logChange(&e)
+		return true
+	}
+	next := old.Endpoint
+	if e.Sequence > old.Sequence {
+		next = e
+	}
+	next.Leaving = e.Leaving || old.Leaving
+	next.Gone = e.Gone || old.Gone
+	next.HeardAt = old.HeardAt
+	if e.HeardAt.After(old.HeardAt) {
+		next.HeardAt = e.HeardAt
+	}
+	next.Silent = old.Silent && !next.HeardAt.After(old.HeardAt)
+	same := sameNews(&old.Endpoint, &next)
+	if next.Leaving != old.Leaving || next.Gone != old.Gone {
+		t.logChange(&next)
+	}
+	old.Endpoint = next
+	if !same {
+		t.note(old)
+	}
+	return !same
+}
+
+// sameNews reports whether entry hosts need not learn of a change.
+func sameNews(a, b *fleet.Endpoint) bool {
+	return a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain && a.Slots == b.Slots &&
+		a.Leaving == b.Leaving && a.Gone == b.Gone && a.Kind == b.Kind && a.Model == b.Model &&
+		a.Layers == b.Layers && a.Loading == b.Loading && a.Silent == b.Silent
+}
+
+func (t *Table) logChange(e *fleet.Endpoint) {
+	event := eventlog.EndpointJoined
+	switch {
+	case e.Gone:
+		event = eventlog.EndpointGone
+	case e.Leaving:
+		event = eventlog.EndpointLeaving
+	}
+	t.log.Event(event, eventlog.Str("endpoint", e.ID), eventlog.Str("address", e.Address),
+		eventlog.Str("service", e.Service), eventlog.Int("sequence", int64(e.Sequence)))
+}
+
+func (t *Table) note(r *row) {
+	t.version++
+	r.version = t.version
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Judge marks the endpoints that went silent and forgets the old ones.
+func (t *Table) Judge() {
+	now := t.svc.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, r := range t.rows {
+		age := now.Sub(r.HeardAt)
+		if age > forgetAfter {
+			delete(t.rows, id)
+			continue
+		}
+		if age > silentBeats*t.interval && !r.Silent && !r.Gone {
+			r.Silent = true
+			t.note(r)
+			t.log.Event(eventlog.EndpointSilent, eventlog.Str("endpoint", id),
+				eventlog.Str("address", r.Address), eventlog.Ms("age_ms", age))
+		}
+	}
+}
+
+// Changed returns a channel that is closed with the next change.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Version returns the newest version.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// Since returns the rows that changed after version known, and the newest
+// version.
+func (t *Table) Since(known uint64) ([]fleet.Endpoint, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []fleet.Endpoint
+	for _, r := range t.rows {
+		if r.version > known {
+			list = append(list, r.Endpoint)
+		}
+	}
+	return list, t.version
+}
+
+// All returns every row, sorted by incarnation.
+func (t *Table) All() []fleet.Endpoint {
+	list, _ := t.Since(0)
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list
+}
+
+// HeardSince returns the rows whose last heartbeat is younger than age.
+func (t *Table) HeardSince(age time.Duration) []fleet.Endpoint {
+	from := t.svc.Now().Add(-age)
+	var list []fleet.Endpoint
+	for _, e := range t.All() {
+		if e.HeardAt.After(from) {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// SetLayers notes what an endpoint answered of its layers.
+func (t *Table) SetLayers(id string, layers fleet.Range, loading bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[id]
+	if r == nil || (r.Layers == layers && r.Loading == loading) {
+		return
+	}
+	r.Layers = layers
+	r.Loading = loading
+	t.note(r)
+}
--- a/pkg/state/bundles.go
+++ b/pkg/state/bundles.go
@@ -129,8 +129,7 @@
 		wire.Bundles = append(wire.Bundles, chain[len(chain)-1])
 	}
 	m.wire = wire
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.notify()
 }
 
 // versionAt returns the version of that number, if the chain still holds it.
@@ -168,3 +167,9 @@
 		AcceptedUnixMs: v.GetAcceptedUnixMs(),
 	}
 }
+
+// notify wakes whoever waits for a change.
+func (m *Machine) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -27,6 +27,7 @@
 	set      *bundle.Set
 	wire     *rpc.BundleSet
 	claims   *claims
+	document *rpc.Document
 	clock    int64
 	changed  chan struct{} // closed when revision changes
 }
@@ -47,6 +48,7 @@
 	m.set, _ = bundle.NewSet(0, nil)
 	m.wire = &rpc.BundleSet{}
 	m.clock = 0
+	m.document = nil
 	m.claims.reset()
 }
 
@@ -77,6 +79,10 @@
 		reply.Kind = &rpc.CommandReply_Settle{
 			Settle: m.claims.settle(k.Settle, m.clock),
 		}
+	case *rpc.Command_Document:
+		reply.Kind = &rpc.CommandReply_Document{
+			Document: m.replaceDocument(k.Document),
+		}
 	}
 	return proto.Marshal(reply)
 }
@@ -138,6 +144,7 @@
 		Revision:    m.revision,
 		Claims:      m.claims.records(),
 		ClockUnixMs: m.clock,
+		Document:    m.document,
 	}
 	for _, name := range m.chainNames() {
 		s.Chains = append(s.Chains, &rpc.BundleChain{
@@ -166,6 +173,7 @@
 	}
 	m.install(s.GetRevision(), set)
 	m.clock = s.GetClockUnixMs()
+	m.document = s.GetDocument()
 	m.claims.restore(s.GetClaims())
 	return nil
 }
