--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -251,22 +251,15 @@
 	return s.pass(ctx, f)
 }
 
-// pass moves events from a feed to the caller, and watches for stalls.
+// pass moves what a feed brings to the caller, and watches for stalls.
 func (s *streamRun) pass(ctx context.Context, f *feed) (outcome, error) {
 	w := newStallWatch(s)
 	for {
 		select {
-		case a := <-f.head:
-			if end, cause, over := s.takeHead(a); over {
+		case it := <-f.items:
+			if end, cause, over := s.takeItem(ctx, it, w); over {
 				return end, cause
 			}
-		case ev := <-f.events:
-			w.moved()
-			if err := s.passOn(ev); err != nil {
-				return left, err
-			}
-		case err := <-f.ended:
-			return s.ended(ctx, f, err)
 		case <-w.timer:
 			if err := w.ask(ctx); err != nil {
 				s.ran++
@@ -278,6 +271,22 @@
 	}
 }
 
+// takeItem deals with one item; over says that the send has ended.
+func (s *streamRun) takeItem(ctx context.Context, it item, w *stallWatch) (outcome, error, bool) {
+	switch {
+	case it.head != nil:
+		return s.takeHead(it.head)
+	case it.over:
+		end, cause := s.ended(ctx, it.err)
+		return end, cause, true
+	}
+	w.moved()
+	if err := s.passOn(it.event); err != nil {
+		return left, err, true
+	}
+	return finished, nil, false
+}
+
 // takeHead deals with an answer's head; over says that the send has ended.
 func (s *streamRun) takeHead(a *Answer) (outcome, error, bool) {
 	if a.NotRun || a.Misdirected {
@@ -323,26 +332,8 @@
 	return nil
 }
 
-// ended deals with the end of a feed: what is queued goes first.
-func (s *streamRun) ended(ctx context.Context, f *feed, err error) (outcome, error) {
-	select {
-	case a := <-f.head:
-		if end, cause, over := s.takeHead(a); over {
-			return end, cause
-		}
-	default:
-	}
-	for {
-		select {
-		case ev := <-f.events:
-			if perr := s.passOn(ev); perr != nil {
-				return left, perr
-			}
-			continue
-		default:
-		}
-		break
-	}
+// ended deals with the end of a feed; err is nil if the stream is whole.
+func (s *streamRun) ended(ctx context.Context, err error) (outcome, error) {
 	if err == nil {
 		return finished, nil
 	}
@@ -385,50 +376,74 @@
 	}
 }
 
-// feed reads one answer. head gets its head, then events its events, and
-// ended how it ended: nil if it is whole.
+// item is one step of an answer: its head first, then events, then its end.
+type item struct {
+	head  *Answer
+	event event
+	over  bool
+	err   error // of the end; nil if the answer is whole
+}
+
+// feed reads one answer.
 type feed struct {
-	head   chan *Answer
-	events chan event
-	ended  chan error
+	items chan item
 }
 
 func newFeed() *feed {
 	return &feed{
-		head:   make(chan *Answer, 1),
-		events: make(chan event, eventQueue),
-		ended:  make(chan error, 1),
+		items: make(chan item, eventQueue),
 	}
 }
 
+// put hands an item on, and reports whether anybody waits for more.
+func (f *feed) put(ctx context.Context, it item) bool {
+	select {
+	case f.items <- it:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (f *feed) end(ctx context.Context, err error) {
+	f.put(ctx, item{
+		over: true,
+		err:  err,
+	})
+}
+
 func (f *feed) read(ctx context.Context, b Backend, call *Call) {
 	a, err := b.Send(ctx, call)
 	if err != nil {
-		f.ended <- err
+		f.end(ctx, err)
 		return
 	}
 	defer func() { _ = a.Body.Close() }() // it was read, or is given up
-	f.head <- a
+	if !f.put(ctx, item{head: a}) {
+		return
+	}
 	if a.NotRun || a.Misdirected || a.Status != http.StatusOK {
 		return
 	}
-	r := newEventReader(a.Body)
+	f.readEvents(ctx, a.Body)
+}
+
+func (f *feed) readEvents(ctx context.Context, body io.Reader) {
+	r := newEventReader(body)
 	for {
 		ev, err := r.next()
 		if errors.Is(err, io.EOF) {
-			f.ended <- nil
+			f.end(ctx, nil)
 			return
 		}
 		if err != nil {
-			f.ended <- &SendError{
+			f.end(ctx, &SendError{
 				Sent:  true,
 				Cause: err,
-			}
+			})
 			return
 		}
-		select {
-		case f.events <- ev:
-		case <-ctx.Done():
+		if !f.put(ctx, item{event: ev}) {
 			return
 		}
 	}
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -127,7 +127,7 @@
 	return len(p.cover) - 1
 }
 
-// empty returns the servers that hold nothing, fastest first.
+// empty returns the servers that hold nothing: group by group, fastest first.
 func (p *planner) empty() []Server {
 	var list []Server
 	for _, s := range p.servers {
@@ -136,34 +136,35 @@
 		}
 	}
 	sort.Slice(list, func(i, j int) bool {
-		a, b := p.engine.Kinds[list[i].Kind], p.engine.Kinds[list[j].Kind]
-		if a.Pace != b.Pace {
-			return a.Pace < b.Pace
+		a, b := p.group[list[i].Domain], p.group[list[j].Domain]
+		if a != b {
+			return a < b
+		}
+		ka, kb := p.engine.Kinds[list[i].Kind], p.engine.Kinds[list[j].Kind]
+		if ka.Pace != kb.Pace {
+			return ka.Pace < kb.Pace
 		}
 		return list[i].ID < list[j].ID
 	})
 	return list
 }
 
-// place chooses the window of layers that is covered least; of equals the
-// first, so that a fresh domain is filled from the front without gaps.
+// place gives a server the group's first hole, and where there is none the
+// window of layers that is covered least.
 func (p *planner) place(s Server) (Order, bool) {
 	n := p.room(s)
-	best := -1
-	bestCost := 0
-	for from := 0; from+n <= p.engine.Layers; from++ {
-		cost := p.windowCost(s, from, n)
-		if best < 0 || cost < bestCost {
-			best = from
-			bestCost = cost
-		}
+	from, ok := p.hole(s)
+	if ok {
+		from = min(from, p.engine.Layers-n)
+	} else {
+		from = p.leastCovered(s, n)
 	}
-	if best < 0 {
+	if n <= 0 || from < 0 {
 		return Order{}, false
 	}
 	s.Layers = fleet.Range{
-		From: best,
-		To:   best + n,
+		From: from,
+		To:   from + n,
 	}
 	p.count(s)
 	return Order{
@@ -172,6 +173,29 @@
 	}, true
 }
 
+// hole returns the first layer that nothing in the group holds.
+func (p *planner) hole(s Server) (int, bool) {
+	for l, n := range p.cover[p.group[s.Domain]] {
+		if n == 0 {
+			return l, true
+		}
+	}
+	return 0, false
+}
+
+func (p *planner) leastCovered(s Server, n int) int {
+	best := -1
+	bestCost := 0
+	for from := 0; from+n <= p.engine.Layers; from++ {
+		cost := p.windowCost(s, from, n)
+		if best < 0 || cost < bestCost {
+			best = from
+			bestCost = cost
+		}
+	}
+	return best
+}
+
 // windowCost grows faster than the cover, so that a hole counts more than an
 // even cover.
 func (p *planner) windowCost(s Server, from, n int) int {
