Let a replica whose disk is empty answer the leader

Cause: a replica that joins under a new id has no members in its log, and its transport only knew addresses from there, so every answer to the leader was dropped. Ruled out: election, the filter by id, endpoints that stop their heartbeats. Change: the answer to a join tells the members. Test: rejoin_test, failed before.

--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -28,6 +28,7 @@
 	RequestRefused   Event = "request_refused"
 	RequestFailed    Event = "request_failed"
 	RequestServed    Event = "request_served"
+	RequestLeft      Event = "request_left"
 	AttemptFailed    Event = "attempt_failed"
 	StreamRepathed   Event = "stream_repathed"
 	StreamResumed    Event = "stream_resumed"
@@ -57,7 +58,7 @@
 // Events is the closed list, in the order of the documentation.
 var Events = []Event{
 	Started, Stopping, Stopped, Reloaded,
-	RequestRefused, RequestFailed, RequestServed, AttemptFailed, StreamRepathed, StreamResumed, StreamStalled,
+	RequestRefused, RequestFailed, RequestServed, RequestLeft, AttemptFailed, StreamRepathed, StreamResumed, StreamStalled,
 	EndpointAvoided, EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent,
 	ConfigInForce, ConfigAccepted, ConfigRefused, ConfigFailed,
 	ControlLost, ControlRegained, ReadyChanged, RoleChanged, ReplicasChanged, ReplicaJoining,
@@ -68,7 +69,7 @@
 	// queueLines is how many lines may wait for a reader that is slow.
 	queueLines = 512
 	// maxValue bounds the bytes of one value.
-	maxValue = 300
+	maxValue = 400
 	// routineShare is the part of the budget that lines about success may use,
 	// so that those about failures are the last to go.
 	routineShare = 2 // one half
--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -52,10 +52,15 @@
 	return ErrAlone
 }
 
-// others returns the addresses of the other replicas.
+// others returns the addresses of the other replicas; those of the settings
+// while the log doesn't tell.
 func (s *Server) others() []string {
 	var list []string
-	for _, a := range s.replica.Members() {
+	known := s.replica.Members()
+	if len(known) == 0 {
+		known = s.seedAddresses()
+	}
+	for _, a := range known {
 		if a != s.replica.address() {
 			list = append(list, a)
 		}
--- /dev/null
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -0,0 +1,194 @@
+package fleetcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/placement"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFleetControl(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleetcontrol")
+}
+
+// plainDecoder reads a configuration from its Go form in JSON.
+type plainDecoder struct{}
+
+func (plainDecoder) Decode(content []byte) (*fleet.Configuration, error) {
+	c := &fleet.Configuration{}
+	return c, json.Unmarshal(content, c)
+}
+
+func document(version uint64, route string) []byte {
+	text, err := json.Marshal(&fleet.Configuration{
+		Version: version,
+		Routes: []fleet.Route{{
+			Name:    route,
+			Host:    "h",
+			Prefix:  "/",
+			Timeout: time.Second,
+			Split: []fleet.Share{{
+				Service: "s",
+				Weight:  1,
+			}},
+		}},
+		Services: []fleet.Service{{
+			Name: "s",
+		}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return text
+}
+
+// noOrders stands in for endpoints that answer nothing.
+type noOrders struct{}
+
+func (noOrders) Place(context.Context, string, fleet.Range, uint64) (placement.Outcome, error) {
+	return placement.Unknown, errors.New("no endpoint")
+}
+
+func (noOrders) Report(context.Context, string) (placement.Report, error) {
+	return placement.Report{}, errors.New("no endpoint")
+}
+
+// cluster is control hosts on loopback numbers of their own.
+type cluster struct {
+	folder string
+	port   string
+	ips    []string
+	hosts  map[string]*host
+}
+
+type host struct {
+	server *Server
+	http   *http.Server
+	group  *group.Group
+}
+
+// withCluster runs f on three control hosts that found a system.
+func withCluster(f func(c *cluster)) {
+	folder, err := os.MkdirTemp("", "fleetcontrol")
+	Expect(err).NotTo(HaveOccurred())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	Expect(l.Close()).To(Succeed())
+	c := &cluster{
+		folder: folder,
+		port:   port,
+		ips:    []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"},
+		hosts:  map[string]*host{},
+	}
+	defer func() {
+		for ip := range c.hosts {
+			c.stop(ip)
+		}
+		Expect(os.RemoveAll(folder)).To(Succeed())
+	}()
+	for _, ip := range c.ips {
+		c.start(ip, true)
+	}
+	c.leader()
+	f(c)
+}
+
+func (c *cluster) data(ip string) string {
+	return filepath.Join(c.folder, ip)
+}
+
+func (c *cluster) start(ip string, founding bool) {
+	g := group.New(context.Background())
+	client := &http.Client{
+		Transport: &http.Transport{},
+	}
+	s := New(Config{
+		Folder: c.data(ip),
+		IP:     ip,
+		Port:   c.port,
+		Founding: Founding{
+			New: founding,
+			IPs: c.ips,
+		},
+		SeedIPs:   func() []string { return c.ips },
+		Losses:    1,
+		Heartbeat: 200 * time.Millisecond,
+		Decoder:   plainDecoder{},
+		Orders:    noOrders{},
+		Client:    client,
+		Timer:     timer.NewSystem(),
+		Metrics:   metrics.New(),
+	}, g)
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, c.port))
+	Expect(err).NotTo(HaveOccurred())
+	h := &host{
+		server: s,
+		http: &http.Server{
+			Handler: Forwarded(s.RPC()),
+		},
+		group: g,
+	}
+	g.Go(func(context.Context) {
+		_ = h.http.Serve(l) // ends with Close
+	})
+	g.Go(func(ctx context.Context) {
+		_ = s.Run(ctx) // ends with the group
+	})
+	c.hosts[ip] = h
+}
+
+func (c *cluster) stop(ip string) {
+	h := c.hosts[ip]
+	delete(c.hosts, ip)
+	_ = h.http.Close() // only the listener's
+	h.group.Stop()
+}
+
+func (c *cluster) wipe(ip string) {
+	Expect(os.RemoveAll(c.data(ip))).To(Succeed())
+}
+
+// leader waits until a host leads and returns its number.
+func (c *cluster) leader() string {
+	found := ""
+	Eventually(func() bool {
+		for ip, h := range c.hosts {
+			if machine, _, _ := h.server.replica.Leads(context.Background()); machine != nil {
+				found = ip
+				return true
+			}
+		}
+		return false
+	}, "10s", "20ms").Should(BeTrue())
+	return found
+}
+
+func (c *cluster) other(ip string) string {
+	for _, one := range c.ips {
+		if one != ip && c.hosts[one] != nil {
+			return one
+		}
+	}
+	return ""
+}
+
+// put sends a configuration until it is taken, as operators do.
+func (c *cluster) put(ip string, content []byte) {
+	Eventually(func() error {
+		return c.hosts[ip].server.Replace(context.Background(), content)
+	}, "10s", "50ms").Should(Succeed())
+}
--- a/pkg/fleetcontrol/members.go
+++ b/pkg/fleetcontrol/members.go
@@ -96,6 +96,7 @@
 			continue // asked again with the next round
 		}
 		if reply.GetMember() {
+			r.meet(reply.GetMembers())
 			return
 		}
 		list = append([]string{reply.GetLeader()}, list...)
@@ -117,7 +118,8 @@
 	}
 	if holds(st.Members, q.GetId()) {
 		return &rpc.JoinReply{
-			Member: true,
+			Member:  true,
+			Members: st.Members,
 		}, nil
 	}
 	r.log.Event(eventlog.ReplicaJoining, eventlog.Str("address", q.GetAddress()))
@@ -135,10 +137,24 @@
 		return nil, err
 	}
 	return &rpc.JoinReply{
-		Member: true,
+		Member:  true,
+		Members: members,
 	}, nil
 }
 
+// meet lets a replica whose log is empty answer the others.
+func (r *Replica) meet(members *rpc.Members) {
+	node, _ := r.current()
+	if node == nil || holds(node.Status().Members, node.Status().ID) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.transport != nil {
+		r.transport.SetMembers(members)
+	}
+}
+
 // replaceable returns the member whose place a replica at address takes: the
 // one at the same address, or one that is silent, if two others are left.
 func (r *Replica) replaceable(st replica.Status, address string) uint64 {
--- /dev/null
+++ b/pkg/fleetcontrol/rejoin_test.go
@@ -0,0 +1,52 @@
+package fleetcontrol
+
+import (
+	"context"
+
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a replica that lost its disk", func() {
+	It("joins under a new id, learns everything, and knows who leads", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			c.put(lead, document(3, "a"))
+			wiped := c.other(lead)
+			c.stop(wiped)
+			c.wipe(wiped)
+			c.start(wiped, false)
+			Eventually(func() string {
+				_, _, leader := c.hosts[wiped].server.replica.Leads(context.Background())
+				return leader
+			}, "10s", "20ms").ShouldNot(BeEmpty())
+			Eventually(func() uint64 {
+				_, machine := c.hosts[wiped].server.replica.current()
+				return machine.Document().GetVersion()
+			}, "10s", "20ms").Should(Equal(uint64(3)))
+		})
+	})
+
+	It("doesn't make a majority that forgets, when all others were stopped too", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			c.put(lead, document(3, "a"))
+			for _, ip := range c.ips {
+				c.stop(ip)
+			}
+			c.wipe(lead)
+			for _, ip := range c.ips {
+				c.start(ip, false)
+			}
+			next := c.leader()
+			Eventually(func() uint64 {
+				doc, err := c.hosts[next].server.Newest(context.Background(), &rpc.Empty{})
+				if err != nil {
+					return 0
+				}
+				return doc.GetVersion()
+			}, "10s", "50ms").Should(Equal(uint64(3)))
+		})
+	})
+})
--- a/pkg/fleetcontrol/replica.go
+++ b/pkg/fleetcontrol/replica.go
@@ -61,10 +61,11 @@
 	mu      sync.Mutex
 	node    *replica.Node
 	machine *state.Machine
-	id      uint64
-	heard   map[uint64]time.Time
-	member  bool
-	sure    uint64 // term in which a read barrier has passed
+	// transport is the node's.
+	transport replica.Transport
+	id        uint64
+	heard     map[uint64]time.Time
+	sure      uint64 // term in which a read barrier has passed
 }
 
 // Run keeps a node running until ctx ends.
@@ -141,12 +142,13 @@
 	g := group.New(ctx)
 	defer g.Stop()
 	machine := state.New(claimWindow.Milliseconds())
+	transport := replica.NewTwirpTransport(id, r.client, g)
 	node, err := replica.New(replica.Config{
 		ID:        id,
 		Tick:      raftTick,
 		Store:     st,
 		Machine:   machine,
-		Transport: replica.NewTwirpTransport(id, r.client, g),
+		Transport: transport,
 		Timer:     r.svc,
 		Seed:      id ^ uint64(r.svc.Now().UnixNano()),
 		Bootstrap: members,
@@ -155,17 +157,18 @@
 		return err
 	}
 	opened()
-	r.install(node, machine, id)
-	defer r.install(nil, nil, 0)
+	r.install(node, machine, transport, id)
+	defer r.install(nil, nil, nil, 0)
 	g.Go(r.keepMembership)
 	return node.Run(ctx)
 }
 
-func (r *Replica) install(node *replica.Node, machine *state.Machine, id uint64) {
+func (r *Replica) install(node *replica.Node, machine *state.Machine, transport replica.Transport, id uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.node = node
 	r.machine = machine
+	r.transport = transport
 	r.id = id
 	r.heard = map[uint64]time.Time{}
 	r.sure = 0
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -281,7 +281,7 @@
 	took := g.svc.Now().Sub(j.req.Received)
 	metrics.Observe(g.metrics.Histogram("request_us", metrics.Label{Name: "class", Value: j.route.Kind.String()}), took)
 	g.metrics.Counter("requests_served", metrics.Label{Name: "class", Value: j.route.Kind.String()}).Inc(1)
-	g.log.Event(eventlog.RequestServed, eventlog.Str("request", j.req.ID), eventlog.Str("route", j.route.Name),
+	g.log.Event(eventlog.RequestServed, eventlog.Str("request", j.req.ID), eventlog.Str("account", j.account), eventlog.Str("route", j.route.Name),
 		eventlog.Int("status", int64(status)), eventlog.Str("endpoint", endpoint),
 		eventlog.Int("attempts", int64(attempts)), eventlog.Ms("took_ms", took))
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -76,12 +77,12 @@
 	defer s.release()
 	for {
 		if !s.choose() {
-			s.giveUp(failure.New(failure.NoChain, "no endpoints cover every layer").WithRetryAfter(comeBack))
+			s.giveUp(s.noPath())
 			return
 		}
 		switch end, cause := s.send(ctx); end {
 		case finished:
-			g.served(j, http.StatusOK, s.path[0].ID, s.sends)
+			g.served(j, http.StatusOK, formatPath(s.path), s.sends)
 			return
 		case left:
 			s.expire(ctx)
@@ -176,6 +177,23 @@
 	return true
 }
 
+// noPath says why no path was found.
+func (s *streamRun) noPath() *failure.Error {
+	held := 0
+	silent := 0
+	list := s.g.source.Endpoints(s.j.service.Name)
+	for i := range list {
+		if list[i].Layers.Len() > 0 {
+			held++
+		}
+		if list[i].Silent {
+			silent++
+		}
+	}
+	return failure.New(failure.NoChain, "no path over every layer: %d endpoints, %d with layers, %d silent, %d failed this request",
+		len(list), held, silent, len(s.avoid)).WithRetryAfter(comeBack)
+}
+
 // chooseSingle picks an endpoint of a service whose endpoints hold everything.
 func (s *streamRun) chooseSingle() bool {
 	e, ok := s.g.pick(s.j.service.Name, s.avoid)
@@ -360,6 +378,7 @@
 		return
 	}
 	s.g.log.Event(eventlog.RequestFailed, eventlog.Str("request", s.j.req.ID), eventlog.Str("kind", e.Kind().String()),
+		eventlog.Str("path", formatPath(s.path)),
 		eventlog.Str("why", e.Error()), eventlog.Str("route", s.j.route.Name), eventlog.Str("after", s.last))
 	s.g.metrics.Counter("streams_broken").Inc(1)
 	s.j.out.Abort()
@@ -367,6 +386,8 @@
 
 // expire ends a request whose time is up or whose caller left.
 func (s *streamRun) expire(ctx context.Context) {
+	s.g.log.Event(eventlog.RequestLeft, eventlog.Str("request", s.j.req.ID), eventlog.Str("path", formatPath(s.path)),
+		eventlog.Str("after", s.last), eventlog.Ms("after_ms", s.g.svc.Now().Sub(s.j.req.Received)), eventlog.Err(ctx.Err()))
 	if s.begun {
 		s.j.out.Abort()
 		return
@@ -448,3 +469,12 @@
 		}
 	}
 }
+
+// formatPath writes a path for the log: endpoint and layers of each part.
+func formatPath(path []fleet.Part) string {
+	parts := make([]string, 0, len(path))
+	for _, p := range path {
+		parts = append(parts, p.ID+"="+strconv.Itoa(p.Layers.From)+"-"+strconv.Itoa(p.Layers.To))
+	}
+	return strings.Join(parts, " ")
+}
