Weigh a crossing of failure domains by what the shared pipe costs others

Cause: once a domain lost a part, its requests borrowed it from another domain, and one crossing fills half of the pipe, so that every event was late.

--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -13,7 +13,7 @@
 	// crossingMs is added for each change of failure domain, beyond its delay:
 	// the pipe between two domains carries every token of prompt and answer
 	// and is shared (docs/PLATFORM.md).
-	crossingMs = 400
+	crossingMs = 3000
 	// loopMs is the time in which a token of a lightly loaded path comes round;
 	// a stage is busy for the part of it that its passes take.
 	loopMs = 10
