Keep new endpoints for holes, and take streams off parts that leave

Cause: where endpoints are replaced one by one, the new one came empty and was given the layers that were covered least, not those that the old one took with it; and streams stayed on parts that left until they were cut.

--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -86,6 +86,7 @@
 	hint        string
 	interrupt   context.CancelFunc // of the call under way
 	interrupted bool
+	changed     chan struct{} // closed when endpoints change
 }
 
 // NewFollower returns a follower that believes nothing yet.
@@ -95,6 +96,7 @@
 		endpoints: map[string]fleet.Endpoint{},
 		byService: map[string][]fleet.Endpoint{},
 		others:    map[string]gateway.Load{},
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -292,6 +294,8 @@
 		}
 		f.byService[e.Service] = append(f.byService[e.Service], e)
 	}
+	close(f.changed)
+	f.changed = make(chan struct{})
 	for _, list := range f.byService {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
@@ -329,6 +333,21 @@
 	return f.byService[service]
 }
 
+// EndpointLeaving implements gateway.Source.
+func (f *Follower) EndpointLeaving(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, known := f.endpoints[id]
+	return known && !e.Usable()
+}
+
+// Changed implements gateway.Source.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
 // OthersLoad implements gateway.Source.
 func (f *Follower) OthersLoad(id string) gateway.Load {
 	f.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -131,6 +131,10 @@
 	View() View
 	// Endpoints returns the usable endpoints of a service.
 	Endpoints(service string) []fleet.Endpoint
+	// EndpointLeaving reports whether an endpoint is known to leave or gone.
+	EndpointLeaving(id string) bool
+	// Changed returns a channel that is closed when endpoints change.
+	Changed() <-chan struct{}
 	// OthersLoad returns what the other entry hosts have under way.
 	OthersLoad(id string) Load
 	// Hosts returns how many entry hosts share the work.
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -70,6 +70,7 @@
 	}
 	w.silent = 0
 	if at, ok := stalled[s.j.req.ID]; ok {
+		s.avoidAt(at, "stalled")
 		s.g.log.Event(eventlog.StreamStalled, eventlog.Str("request", s.j.req.ID), eventlog.Str("at", at), eventlog.Str("after", s.last))
 		s.repath(ctx, at)
 	}
@@ -77,6 +78,15 @@
 	return nil
 }
 
+// avoidAt keeps new requests of this host off the part at address.
+func (s *streamRun) avoidAt(address, why string) {
+	for _, p := range s.path {
+		if p.Address == address {
+			s.g.tracker.Avoid(p.ID, why)
+		}
+	}
+}
+
 // repath puts other endpoints in the place of the one at address.
 func (s *streamRun) repath(ctx context.Context, address string) {
 	if address == s.path[0].Address {
@@ -85,7 +95,6 @@
 	for _, p := range s.path {
 		if p.Address == address {
 			s.avoid[p.ID] = true
-			s.g.tracker.Avoid(p.ID, "stalled")
 		}
 	}
 	demand := s.demand()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -272,8 +272,14 @@
 // pass moves what a feed brings to the caller, and watches for stalls.
 func (s *streamRun) pass(ctx context.Context, f *feed) (outcome, error) {
 	w := newStallWatch(s)
+	l := newLeaveWatch(s)
 	for {
 		select {
+		case <-l.changed:
+			l.look(ctx)
+		case <-l.overdue:
+			s.ran++
+			return broken, errors.New("the first endpoint leaves")
 		case it := <-f.items:
 			if end, cause, over := s.takeItem(ctx, it, w); over {
 				return end, cause
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -54,6 +54,10 @@
 	// askAgain is how long an order without an answer, or one that was taken
 	// and shows no effect, is left alone before the endpoint is asked.
 	askAgain = 2 * time.Second
+	// spareFor is how long an empty endpoint is kept for a hole: where
+	// endpoints are replaced one by one, the old one leaves about 2 s after
+	// the new one came.
+	spareFor = 5 * time.Second
 )
 
 // Keeper carries out plans. Only the leader's works; the number of orders an
@@ -67,6 +71,8 @@
 
 	mu    sync.Mutex
 	known map[string]*standing // by incarnation
+	seen  map[string]time.Time // when an incarnation was first seen
+	began time.Time            // when this keeper first tended; zero: not yet
 }
 
 // standing is what was ordered of an endpoint.
@@ -87,6 +93,7 @@
 		log:    log,
 		group:  g,
 		known:  map[string]*standing{},
+		seen:   map[string]time.Time{},
 	}
 }
 
@@ -95,6 +102,19 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.known = map[string]*standing{}
+	k.seen = map[string]time.Time{}
+	k.began = time.Time{}
+}
+
+// fresh reports whether an endpoint has only just come. Those that were there
+// when this keeper began are not.
+func (k *Keeper) fresh(id string, now time.Time) bool {
+	at, known := k.seen[id]
+	if !known {
+		at = now
+		k.seen[id] = now
+	}
+	return at.After(k.began) && now.Sub(at) < spareFor
 }
 
 // Tend gives the orders that are due. leads is asked right before each.
@@ -112,6 +132,9 @@
 	byID := map[string]*fleet.Endpoint{}
 	k.mu.Lock()
 	now := k.svc.Now()
+	if k.began.IsZero() {
+		k.began = now
+	}
 	for i := range endpoints {
 		e := &endpoints[i]
 		if e.Service != svc.Name || !e.Usable() || e.Silent {
@@ -123,6 +146,7 @@
 			Domain: e.Domain,
 			Kind:   e.Kind,
 			Layers: k.holds(e, now),
+			Fresh:  k.fresh(e.ID, now),
 		})
 	}
 	k.mu.Unlock()
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -31,6 +31,9 @@
 	Kind   string
 	// Layers is what it holds or was ordered to hold; empty if nothing.
 	Layers fleet.Range
+	// Fresh servers have only just come: they are kept for a hole, since the
+	// one that they replace may be about to leave.
+	Fresh bool
 }
 
 // Plan returns the orders for servers that hold nothing. It moves no layers:
@@ -154,9 +157,12 @@
 func (p *planner) place(s Server) (Order, bool) {
 	n := p.room(s)
 	from, ok := p.hole(s)
-	if ok {
+	switch {
+	case ok:
 		from = min(from, p.engine.Layers-n)
-	} else {
+	case s.Fresh:
+		return Order{}, false
+	default:
 		from = p.leastCovered(s, n)
 	}
 	if n <= 0 || from < 0 {
