Probe suspects, mend holes by moving spare layers, wait before leaving parts are left

Cause: a loss was known after 3 missed heartbeats (3.6 s), a hole stayed until an empty endpoint came, and one leave moved all streams at once, which read every prompt again over the shared pipe.

--- a/pkg/fleetcontrol/replica.go
+++ b/pkg/fleetcontrol/replica.go
@@ -20,10 +20,10 @@
 )
 
 const (
-	// raftTick makes an election time-out of 0.5 to 1 s: well over a disk's
-	// sync of 5 ms and the hosts' pauses, well under the 4 s that operators
-	// wait for an acknowledgement.
-	raftTick = 50 * time.Millisecond
+	// raftTick makes an election time-out of 0.3 to 0.6 s: well over a disk's
+	// sync of 5 ms and the hosts' pauses, and short since no entry host takes
+	// requests with keys before a leader has confirmed them.
+	raftTick = 30 * time.Millisecond
 	// reopenPause is how long a replica whose storage failed waits before it
 	// opens the folder again.
 	reopenPause = 500 * time.Millisecond
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -68,6 +68,8 @@
 	keeper  *placement.Keeper
 	group   *group.Group
 
+	suspects *suspects
+
 	mu      sync.Mutex
 	leading leading
 }
@@ -104,6 +106,9 @@
 		table: registry.New(cfg.Timer, cfg.Log, cfg.Heartbeat),
 		hosts: newHosts(),
 		group: g,
+		suspects: &suspects{
+			asked: map[string]time.Time{},
+		},
 	}
 	s.replica = &Replica{
 		folder:   cfg.Folder,
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -27,6 +27,7 @@
 		}, nil
 	}
 	s.hosts.hear(began, q)
+	s.doubt(q.GetSuspects())
 	end := s.cfg.Timer.After(min(maxHold, time.Duration(q.GetWaitMs())*time.Millisecond))
 	for {
 		endpoints := s.table.Changed()
--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -42,6 +42,8 @@
 // Loads tells what this host has under way.
 type Loads interface {
 	Loads() map[string]gateway.Load
+	// Suspects returns the endpoints that failed this host just now.
+	Suspects() []string
 }
 
 // FollowerConfig is what a Follower is made of. Every field must be set.
@@ -190,6 +192,7 @@
 	if !q.GetHost().GetReady() {
 		q.WaitMs /= 2
 	}
+	q.Suspects = f.loads.Suspects()
 	for id, l := range f.loads.Loads() {
 		q.Loads = append(q.Loads, &rpc.EndpointLoad{
 			Id:       id,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -215,7 +215,7 @@
 func (g *Gateway) admit(req *Request, out Output) (*job, *failure.Error) {
 	v := g.source.View()
 	if v.Index == nil {
-		return nil, failure.New(failure.NotReady, "no configuration is known here yet")
+		return nil, notReady("no configuration is known here yet")
 	}
 	route := v.Index.Route(req.Host, req.Path)
 	if route == nil {
@@ -244,7 +244,15 @@
 	if v.Fresh {
 		return e
 	}
-	return failure.New(failure.NotReady, "the configuration was last confirmed %v ago; by it: %s", v.Age, e.Detail())
+	return notReady("the configuration was last confirmed %v ago; by it: %s", v.Age, e.Detail())
+}
+
+// readyAgain is when a caller should come back to a host that waits for the
+// control hosts: after an election and a second for what follows it.
+const readyAgain = 1600 * time.Millisecond
+
+func notReady(format string, args ...any) *failure.Error {
+	return failure.New(failure.NotReady, format, args...).WithRetryAfter(readyAgain)
 }
 
 func (g *Gateway) identify(j *job, v View) *failure.Error {
@@ -256,7 +264,7 @@
 		return unsure(v, failure.New(failure.Unauthenticated, "unknown key"))
 	}
 	if !v.Trusted {
-		return failure.New(failure.NotReady, "keys were last confirmed %v ago", v.Age)
+		return notReady("keys were last confirmed %v ago", v.Age)
 	}
 	j.account = account.Name
 	return nil
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -5,42 +5,58 @@
 	"time"
 )
 
-// leaveGrace is how long a stream stays at a first endpoint that leaves: it
-// serves on for 2 s after its leave was acknowledged, and most streams end
-// before. Nothing but a new send can take a stream away from it.
-const leaveGrace = 1400 * time.Millisecond
+const (
+	// partGrace is how long a stream stays on a part that leaves: it serves on
+	// for 2 s after its leave was acknowledged, and most streams end before.
+	// Moving all at once would have every prompt read again at the same time.
+	partGrace = 1200 * time.Millisecond
+	// firstGrace is the same for the first part: nothing but a new send can
+	// take a stream away from it.
+	firstGrace = 1500 * time.Millisecond
+)
 
 // leaveWatch takes a stream off the endpoints of its path that leave.
 type leaveWatch struct {
 	s       *streamRun
 	changed <-chan struct{}
-	overdue <-chan time.Time
+	part    <-chan time.Time // when to move off other parts
+	first   <-chan time.Time // when to leave the first
 }
 
 func newLeaveWatch(s *streamRun) *leaveWatch {
-	return &leaveWatch{
-		s:       s,
-		changed: s.g.source.Changed(),
+	l := &leaveWatch{
+		s: s,
+	}
+	if s.j.service.Engine != nil {
+		l.changed = s.g.source.Changed()
 	}
+	return l
 }
 
-// look puts others in the place of what leaves.
-func (l *leaveWatch) look(ctx context.Context) {
+// look starts the clocks for what leaves.
+func (l *leaveWatch) look() {
 	s := l.s
 	l.changed = s.g.source.Changed()
-	if s.j.service.Engine == nil {
-		return
-	}
 	for i, p := range s.path {
 		if !s.g.source.EndpointLeaving(p.ID) {
 			continue
 		}
-		if i > 0 {
-			s.repath(ctx, p.Address)
-			return // one path around all that leave
+		if i > 0 && l.part == nil {
+			l.part = s.g.svc.After(partGrace)
+		}
+		if i == 0 && l.first == nil && s.j.route.Resumable {
+			l.first = s.g.svc.After(firstGrace)
 		}
-		if l.overdue == nil && s.j.route.Resumable {
-			l.overdue = s.g.svc.After(leaveGrace)
+	}
+}
+
+// move puts one path around all parts that leave.
+func (l *leaveWatch) move(ctx context.Context) {
+	l.part = nil
+	for _, p := range l.s.path[1:] {
+		if l.s.g.source.EndpointLeaving(p.ID) {
+			l.s.repath(ctx, p.Address)
+			return
 		}
 	}
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -276,8 +276,10 @@
 	for {
 		select {
 		case <-l.changed:
-			l.look(ctx)
-		case <-l.overdue:
+			l.look()
+		case <-l.part:
+			l.move(ctx)
+		case <-l.first:
 			s.ran++
 			return broken, errors.New("the first endpoint leaves")
 		case it := <-f.items:
--- a/pkg/gateway/tracker.go
+++ b/pkg/gateway/tracker.go
@@ -124,6 +124,20 @@
 	}
 }
 
+// Suspects returns the endpoints that are avoided now.
+func (t *Tracker) Suspects() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.svc.Now()
+	var list []string
+	for id, r := range t.rows {
+		if now.Before(r.until) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // Good notes an answer of an endpoint that took d.
 func (t *Tracker) Good(id string, d time.Duration) {
 	t.mu.Lock()
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -147,6 +147,7 @@
 			Kind:   e.Kind,
 			Layers: k.holds(e, now),
 			Fresh:  k.fresh(e.ID, now),
+			Moving: k.moving(e, now),
 		})
 	}
 	k.mu.Unlock()
@@ -158,15 +159,18 @@
 	}
 }
 
-// holds returns what an endpoint holds or was ordered to hold lately.
+// holds returns what an endpoint was ordered to hold lately, or else holds.
 func (k *Keeper) holds(e *fleet.Endpoint, now time.Time) fleet.Range {
-	if e.Layers.Len() > 0 {
-		return e.Layers
+	if k.moving(e, now) {
+		return k.known[e.ID].layers
 	}
-	if s := k.known[e.ID]; s != nil && (s.asking || now.Before(s.until)) {
-		return s.layers
-	}
-	return fleet.Range{}
+	return e.Layers
+}
+
+// moving reports whether an order to an endpoint may still be under way.
+func (k *Keeper) moving(e *fleet.Endpoint, now time.Time) bool {
+	s := k.known[e.ID]
+	return s != nil && s.layers != e.Layers && (s.asking || now.Before(s.until))
 }
 
 // loadTime is how long a load may take before it is doubted: several may run
@@ -193,7 +197,7 @@
 	k.mu.Unlock()
 	k.group.Go(func(ctx context.Context) {
 		if doubt {
-			if k.resolve(ctx, s, e) {
+			if k.resolve(ctx, s, o.Layers, e) {
 				return
 			}
 			k.mu.Lock()
@@ -206,7 +210,7 @@
 
 // resolve asks an endpoint what it holds. It reports whether nothing need be
 // ordered now.
-func (k *Keeper) resolve(ctx context.Context, s *standing, e *fleet.Endpoint) bool {
+func (k *Keeper) resolve(ctx context.Context, s *standing, wanted fleet.Range, e *fleet.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := k.orders.Report(ctx, e.Address)
@@ -219,12 +223,9 @@
 		return true
 	}
 	s.taken = report.Orders
-	if report.Layers.Len() > 0 || report.Busy {
+	k.table.SetLayers(e.ID, report.Layers, report.Busy)
+	if report.Busy || report.Layers == wanted {
 		s.asking = false
-		if report.Layers.Len() > 0 {
-			s.layers = report.Layers
-			k.table.SetLayers(e.ID, report.Layers, report.Busy)
-		}
 		s.until = k.svc.Now().Add(askAgain)
 		return true
 	}
--- /dev/null
+++ b/pkg/placement/mend.go
@@ -0,0 +1,94 @@
+package placement
+
+import "github.com/larchwinch/larchwinch/pkg/fleet"
+
+// mend moves servers that aren't needed where they are into holes.
+func (p *planner) mend() []Order {
+	var orders []Order
+	for g := range p.cover {
+		for {
+			hole, ok := p.holeOf(g)
+			if !ok {
+				break
+			}
+			i := p.donor(g, hole)
+			if i < 0 {
+				break
+			}
+			orders = append(orders, p.move(i, hole))
+		}
+	}
+	return orders
+}
+
+// holeOf returns a group's first hole, if the group holds anything.
+func (p *planner) holeOf(g int) (fleet.Range, bool) {
+	held := false
+	hole := fleet.Range{
+		From: -1,
+	}
+	for l, n := range p.cover[g] {
+		held = held || n > 0
+		if n == 0 && hole.From < 0 {
+			hole.From = l
+		}
+		if n == 0 && (hole.To == l || hole.To == 0) {
+			hole.To = l + 1
+		}
+	}
+	return hole, held && hole.From >= 0
+}
+
+// donor returns the server of a group that is best moved: all of its layers
+// are held by others too; of those the one that fills most of the hole with
+// least room to spare. It returns -1 if there is none.
+func (p *planner) donor(g int, hole fleet.Range) int {
+	best := -1
+	bestFill := 0
+	for i, s := range p.servers {
+		if p.group[s.Domain] != g || s.Moving || s.Layers.Len() == 0 || !p.spare(g, s) {
+			continue
+		}
+		fill := min(hole.Len(), p.room(s))
+		if fill == 0 || s.Layers.From <= hole.From && s.Layers.To > hole.From {
+			continue
+		}
+		if best < 0 || fill > bestFill || fill == bestFill && p.room(s) < p.room(p.servers[best]) {
+			best = i
+			bestFill = fill
+		}
+	}
+	return best
+}
+
+// spare reports whether every layer of a server is held by another in its group.
+func (p *planner) spare(g int, s Server) bool {
+	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
+		if p.cover[g][l] < 2 {
+			return false
+		}
+	}
+	return true
+}
+
+// move orders a server into a hole.
+func (p *planner) move(i int, hole fleet.Range) Order {
+	s := &p.servers[i]
+	g := p.group[s.Domain]
+	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
+		p.cover[g][l]--
+		p.total[l]--
+	}
+	n := p.room(*s)
+	from := min(hole.From, p.engine.Layers-n)
+	s.Layers = fleet.Range{
+		From: from,
+		To:   from + n,
+	}
+	s.Moving = true
+	p.count(*s)
+	return Order{
+		ID:     s.ID,
+		Layers: s.Layers,
+	}
+}
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -31,14 +31,17 @@
 	Kind   string
 	// Layers is what it holds or was ordered to hold; empty if nothing.
 	Layers fleet.Range
+	// Moving servers carry out an order, and are left alone.
+	Moving bool
 	// Fresh servers have only just come: they are kept for a hole, since the
 	// one that they replace may be about to leave.
 	Fresh bool
 }
 
-// Plan returns the orders for servers that hold nothing. It moves no layers:
-// each empty server takes those that are covered least, counted first among
-// the domains that hold a copy together.
+// Plan returns the orders that are due. Each empty server takes the layers that
+// are covered least, counted first among the domains that hold a copy together.
+// A hole that no empty server fills takes a server all of whose layers others
+// hold too; nothing else is moved.
 func Plan(e *fleet.Engine, servers []Server) []Order {
 	if e.Layers <= 0 || e.LayerMB <= 0 {
 		return nil
@@ -50,7 +53,7 @@
 			orders = append(orders, o)
 		}
 	}
-	return orders
+	return append(orders, p.mend()...)
 }
 
 type planner struct {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -173,6 +173,31 @@
 	}
 }
 
+// Lost marks an endpoint silent before its heartbeats show it; its next
+// heartbeat takes that back.
+func (t *Table) Lost(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[id]
+	if r == nil || r.Silent || r.Gone {
+		return
+	}
+	r.Silent = true
+	t.note(r)
+	t.log.Event(eventlog.EndpointSilent, eventlog.Str("endpoint", id), eventlog.Str("address", r.Address),
+		eventlog.Str("why", "doesn't answer"), eventlog.Ms("age_ms", t.svc.Now().Sub(r.HeardAt)))
+}
+
+// Get returns the row of an incarnation.
+func (t *Table) Get(id string) (fleet.Endpoint, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.rows[id]; r != nil {
+		return r.Endpoint, true
+	}
+	return fleet.Endpoint{}, false
+}
+
 // Changed returns a channel that is closed with the next change.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
