Continue a stream elsewhere rather than cross domains; cover again what is likely lost

Cause: after a dark endpoint's loss 84 streams were re-pathed across domains at once; their tokens filled the pipe for 2 s and callers gave up. Spare endpoints doubled the layers of the fastest endpoint, whose loss is the least likely. Ruled out: the platform's answer to re-paths (all 200), budget of repeats.

--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -50,13 +50,14 @@
 	}
 }
 
-// move puts one path around all parts that leave.
-func (l *leaveWatch) move(ctx context.Context) {
+// move puts one path around all parts that leave. Its error says that the
+// stream must be sent anew.
+func (l *leaveWatch) move(ctx context.Context) error {
 	l.part = nil
 	for _, p := range l.s.path[1:] {
 		if l.s.g.source.EndpointLeaving(p.ID) {
-			l.s.repath(ctx, p.Address)
-			return
+			return l.s.repath(ctx, p.Address)
 		}
 	}
+	return nil
 }
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -45,7 +45,8 @@
 	w.wait(gapStall)
 }
 
-// ask finds what stands still. Its error says that the first endpoint is lost.
+// ask finds what stands still. Its error says that the stream must be sent
+// anew.
 func (w *stallWatch) ask(ctx context.Context) error {
 	if w.asks >= maxAsks {
 		w.timer = nil
@@ -72,7 +73,9 @@
 	if at, ok := stalled[s.j.req.ID]; ok {
 		s.avoidAt(at, "stalled")
 		s.g.log.Event(eventlog.StreamStalled, eventlog.Str("request", s.j.req.ID), eventlog.Str("at", at), eventlog.Str("after", s.last))
-		s.repath(ctx, at)
+		if err := s.repath(ctx, at); err != nil {
+			return err
+		}
 	}
 	w.wait(2 * w.pause)
 	return nil
@@ -87,30 +90,62 @@
 	}
 }
 
-// repath puts other endpoints in the place of the one at address.
-func (s *streamRun) repath(ctx context.Context, address string) {
+// errElsewhere says that a stream is better continued by other endpoints, all
+// in one failure domain, than by a path that crosses domains: each token so far
+// would have to cross too, and the pipe between domains is shared.
+var errElsewhere = errors.New("no other endpoint in the failure domain; continued elsewhere")
+
+// repath puts other endpoints in the place of the one at address. Its error
+// says that the stream must be sent anew.
+func (s *streamRun) repath(ctx context.Context, address string) error {
 	if address == s.path[0].Address {
-		return
+		return nil
 	}
 	for _, p := range s.path {
 		if p.Address == address {
 			s.avoid[p.ID] = true
 		}
 	}
-	demand := s.demand()
-	first := s.path[0]
-	demand.First = &first
-	path := pathing.Choose(s.j.service.Engine, s.stages(func(e *fleet.Endpoint) bool {
-		return s.avoid[e.ID] || s.g.tracker.Avoided(e.ID)
-	}), demand, jitter)
-	if path == nil || !pathing.Whole(s.j.service.Engine, path) {
-		return
+	path := s.pathFrom(&s.path[0])
+	if s.betterElsewhere(path) {
+		return errElsewhere
 	}
+	if path == nil {
+		return nil
+	}
+	first := s.path[0].Address
 	ctx, cancel := context.WithTimeout(ctx, stallAskTimeout)
 	defer cancel()
-	err := s.g.backend.Repath(ctx, first.Address, s.j.req.ID, path)
+	err := s.g.backend.Repath(ctx, first, s.j.req.ID, path)
 	s.g.log.Event(eventlog.StreamRepathed, eventlog.Str("request", s.j.req.ID), eventlog.Str("around", address), eventlog.Err(err))
 	if err == nil {
 		s.take(path)
 	}
+	return nil
+}
+
+// pathFrom returns a path that begins with a part that stands, or any if nil.
+func (s *streamRun) pathFrom(first *fleet.Part) []fleet.Part {
+	demand := s.demand()
+	if first != nil {
+		part := *first
+		demand.First = &part
+	}
+	path := pathing.Choose(s.j.service.Engine, s.stages(func(e *fleet.Endpoint) bool {
+		return s.avoid[e.ID] || s.g.tracker.Avoided(e.ID)
+	}), demand, jitter)
+	if path == nil || !pathing.Whole(s.j.service.Engine, path) {
+		return nil
+	}
+	return path
+}
+
+// betterElsewhere reports whether a stream should be sent anew rather than
+// follow path.
+func (s *streamRun) betterElsewhere(path []fleet.Part) bool {
+	if !s.j.route.Resumable || s.ran+1 >= s.j.route.MaxAttempts {
+		return false
+	}
+	other := s.pathFrom(nil)
+	return other != nil && (path == nil || pathing.Crossings(other) < pathing.Crossings(path))
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -88,12 +88,12 @@
 			s.expire(ctx)
 			return
 		case notRun:
-			if !s.mayRepeat() {
+			if !s.mayRepeat(cause) {
 				s.giveUp(failure.Wrap(cause, failure.Overloaded, "endpoints refused").WithRetryAfter(comeBack))
 				return
 			}
 		case broken:
-			if !s.mayResume() {
+			if !s.mayResume(cause) {
 				s.giveUp(failure.Wrap(cause, failure.EndpointFailed, "the stream broke"))
 				return
 			}
@@ -226,12 +226,14 @@
 	return int(d.Prompt + d.Answer)
 }
 
-func (s *streamRun) mayRepeat() bool {
-	return s.sends < maxStreamSends && s.g.repeats.spend(s.g.source.Hosts())
+// mayRepeat reports whether a send may follow one that ended by cause. Those
+// that never reached an endpoint aren't paid for.
+func (s *streamRun) mayRepeat(cause error) bool {
+	return s.sends < maxStreamSends && (notSent(cause) || s.g.repeats.spend(s.g.source.Hosts()))
 }
 
-func (s *streamRun) mayResume() bool {
-	return s.j.route.Resumable && s.ran < s.j.route.MaxAttempts && s.mayRepeat()
+func (s *streamRun) mayResume(cause error) bool {
+	return s.j.route.Resumable && s.ran < s.j.route.MaxAttempts && s.mayRepeat(cause)
 }
 
 // resumeFrom is the id after which the next send continues.
@@ -278,7 +280,10 @@
 		case <-l.changed:
 			l.look()
 		case <-l.part:
-			l.move(ctx)
+			if err := l.move(ctx); err != nil {
+				s.ran++
+				return broken, err
+			}
 		case <-l.first:
 			s.ran++
 			return broken, errors.New("the first endpoint leaves")
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -86,7 +86,7 @@
 			}
 		case <-hedge:
 			hedge = nil
-			w.repeat()
+			w.repeat(nil)
 		case <-ctx.Done():
 			w.expired(ctx)
 			return
@@ -117,11 +117,11 @@
 	}
 	if v.notRun || notSent(v.err) {
 		w.ran--
-		w.repeat()
+		w.repeat(v.err)
 		return false
 	}
 	if w.j.route.Kind == fleet.Safe && w.running == 0 {
-		w.repeat()
+		w.repeat(v.err)
 	}
 	return false
 }
@@ -150,14 +150,15 @@
 }
 
 // repeat sends once more if attempts and the budget allow it.
-func (w *wholeRun) repeat() {
+func (w *wholeRun) repeat(cause error) {
 	if w.ran >= w.j.route.MaxAttempts || w.sends >= maxSends {
 		return
 	}
-	w.send(true)
+	w.send(!notSent(cause))
 }
 
-// send starts an attempt, and reports whether an endpoint was there.
+// send starts an attempt, paid for by the budget if it is a repeat, and reports
+// whether an endpoint was there.
 func (w *wholeRun) send(again bool) bool {
 	e, ok := w.g.pick(w.j.service.Name, w.tried)
 	if !ok || (again && !w.g.repeats.spend(w.g.source.Hosts())) {
--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -297,3 +297,14 @@
 	}
 	return at == e.Layers
 }
+
+// Crossings returns how often a path changes the failure domain.
+func Crossings(parts []fleet.Part) int {
+	n := 0
+	for i := 1; i < len(parts); i++ {
+		if parts[i].Domain != parts[i-1].Domain {
+			n++
+		}
+	}
+	return n
+}
--- a/pkg/placement/mend.go
+++ b/pkg/placement/mend.go
@@ -77,6 +77,7 @@
 	g := p.group[s.Domain]
 	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
 		p.cover[g][l]--
+		p.chance[g][l] -= 1 / float64(s.Layers.Len())
 		p.total[l]--
 	}
 	n := p.room(*s)
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -15,7 +15,11 @@
 	weightShare = 0.66
 	// ownWeight is how much more a layer that the own group of domains covers
 	// counts than one that another covers.
-	ownWeight = 4
+	ownWeight = 16
+	// lossWeight is how much a layer's chance to be lost counts, against one
+	// holder in another group. Each server is as likely to be lost, so a layer
+	// whose holder has few layers is worth more to cover again.
+	lossWeight = 32
 )
 
 // Order tells an endpoint to hold a range of layers.
@@ -62,6 +66,7 @@
 	group   map[string]int // by domain
 	cover   [][]int        // by group, then layer
 	total   []int          // by layer
+	chance  [][]float64    // by group, then layer: sum of 1/layers of its holders
 }
 
 func newPlanner(e *fleet.Engine, servers []Server) *planner {
@@ -81,6 +86,7 @@
 func (p *planner) count(s Server) {
 	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
 		p.cover[p.group[s.Domain]][l]++
+		p.chance[p.group[s.Domain]][l] += 1 / float64(s.Layers.Len())
 		p.total[l]++
 	}
 }
@@ -130,6 +136,7 @@
 
 func (p *planner) addGroup() int {
 	p.cover = append(p.cover, make([]int, p.engine.Layers))
+	p.chance = append(p.chance, make([]float64, p.engine.Layers))
 	return len(p.cover) - 1
 }
 
@@ -194,7 +201,7 @@
 
 func (p *planner) leastCovered(s Server, n int) int {
 	best := -1
-	bestCost := 0
+	bestCost := 0.0
 	for from := 0; from+n <= p.engine.Layers; from++ {
 		cost := p.windowCost(s, from, n)
 		if best < 0 || cost < bestCost {
@@ -205,13 +212,18 @@
 	return best
 }
 
-// windowCost grows faster than the cover, so that a hole counts more than an
-// even cover.
-func (p *planner) windowCost(s Server, from, n int) int {
-	own := p.cover[p.group[s.Domain]]
-	sum := 0
+// windowCost grows faster than the cover, so that an uneven cover costs more.
+// The chance of a loss counts only where one holder stands between it and a
+// hole.
+func (p *planner) windowCost(s Server, from, n int) float64 {
+	g := p.group[s.Domain]
+	sum := 0.0
 	for l := from; l < from+n; l++ {
-		sum += ownWeight*own[l]*own[l] + p.total[l]
+		own := p.cover[g][l]
+		sum += float64(ownWeight*own*own + p.total[l])
+		if own == 1 {
+			sum -= lossWeight * p.chance[g][l]
+		}
 	}
 	return sum
 }
