Let a request wait up to 0.8 s for a host that is becoming ready

Cause: after all hosts had restarted, callers whose stream was cut used their last try within the half second before a leader had confirmed keys.

--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -89,6 +89,7 @@
 	interrupt   context.CancelFunc // of the call under way
 	interrupted bool
 	changed     chan struct{} // closed when endpoints change
+	confirmed   chan struct{} // closed with each confirmation
 }
 
 // NewFollower returns a follower that believes nothing yet.
@@ -99,6 +100,7 @@
 		byService: map[string][]fleet.Endpoint{},
 		others:    map[string]gateway.Load{},
 		changed:   make(chan struct{}),
+		confirmed: make(chan struct{}),
 	}
 }
 
@@ -225,6 +227,8 @@
 		f.cfg.Log.Event(eventlog.ControlRegained, eventlog.Str("address", address))
 	}
 	f.lost = false
+	close(f.confirmed)
+	f.confirmed = make(chan struct{})
 	f.hint = address
 	f.settled = f.settled || reply.GetSettled()
 	f.takeEndpoints(reply, now)
@@ -344,6 +348,13 @@
 	return known && !e.Usable()
 }
 
+// Confirmed implements gateway.Source.
+func (f *Follower) Confirmed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
 // Changed implements gateway.Source.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -135,6 +135,8 @@
 	EndpointLeaving(id string) bool
 	// Changed returns a channel that is closed when endpoints change.
 	Changed() <-chan struct{}
+	// Confirmed returns a channel that is closed with the next confirmation.
+	Confirmed() <-chan struct{}
 	// OthersLoad returns what the other entry hosts have under way.
 	OthersLoad(id string) Load
 	// Hosts returns how many entry hosts share the work.
@@ -197,7 +199,7 @@
 
 // Serve answers one request.
 func (g *Gateway) Serve(ctx context.Context, req *Request, out Output) {
-	j, refusal := g.admit(req, out)
+	j, refusal := g.admitSoon(ctx, req, out)
 	if refusal != nil {
 		g.refuse(req, nil, out, refusal)
 		return
@@ -211,6 +213,30 @@
 	g.serveWhole(ctx, j)
 }
 
+// readyWait is how long a request waits on a host that was just started, or
+// just lost the control hosts: an election takes 0.3 to 0.7 s, and a caller that
+// is refused has one more try, if any.
+const readyWait = 800 * time.Millisecond
+
+// admitSoon admits a request, once this host knows what it needs for that.
+func (g *Gateway) admitSoon(ctx context.Context, req *Request, out Output) (*job, *failure.Error) {
+	end := g.svc.After(readyWait)
+	for {
+		confirmed := g.source.Confirmed()
+		j, refusal := g.admit(req, out)
+		if refusal == nil || refusal.Kind() != failure.NotReady {
+			return j, refusal
+		}
+		select {
+		case <-confirmed:
+		case <-end:
+			return nil, refusal
+		case <-ctx.Done():
+			return nil, refusal
+		}
+	}
+}
+
 // admit decides by route and client account.
 func (g *Gateway) admit(req *Request, out Output) (*job, *failure.Error) {
 	v := g.source.View()
