--- /dev/null
+++ b/pkg/pathing/pathing_test.go
@@ -0,0 +1,157 @@
+package pathing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestPathing(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pathing")
+}
+
+func engine() *fleet.Engine {
+	return &fleet.Engine{
+		Layers:        10,
+		LayerMB:       100,
+		CacheBytes:    1000,
+		StepTime:      time.Millisecond,
+		PerSequence:   4 * time.Microsecond,
+		PerContext:    5 * time.Microsecond,
+		ReadPerSecond: 100000,
+		Delays: map[fleet.DomainPair]time.Duration{
+			{A: "a", B: "b"}: time.Millisecond,
+		},
+		Kinds: map[string]fleet.Kind{
+			"fast": {MB: 2000, Pace: 1, ReadFactor: 1},
+			"slow": {MB: 2000, Pace: 10, ReadFactor: 8},
+		},
+	}
+}
+
+func even() float64 {
+	return 1
+}
+
+func stage(id, domain, kind string, from, to int) Stage {
+	return Stage{
+		ID:      id,
+		Address: id,
+		Domain:  domain,
+		Kind:    kind,
+		Layers:  fleet.Range{From: from, To: to},
+	}
+}
+
+var demand = Demand{Prompt: 100, Answer: 50}
+
+func ids(path []fleet.Part) []string {
+	var list []string
+	for _, p := range path {
+		list = append(list, fmt.Sprintf("%s=%d-%d", p.ID, p.Layers.From, p.Layers.To))
+	}
+	return list
+}
+
+var _ = Describe("a path", func() {
+	It("takes the faster of two that hold the same layers", func() {
+		path := Choose(engine(), []Stage{stage("s", "a", "slow", 0, 10), stage("f", "a", "fast", 0, 10)}, demand, even)
+		Expect(ids(path)).To(Equal([]string{"f=0-10"}))
+	})
+
+	It("cuts where ranges overlap so that the faster does more", func() {
+		path := Choose(engine(), []Stage{stage("s", "a", "slow", 0, 10), stage("f", "a", "fast", 4, 10)}, demand, even)
+		Expect(ids(path)).To(Equal([]string{"s=0-4", "f=4-10"}))
+	})
+
+	It("stays in a domain though a faster endpoint is in another", func() {
+		path := Choose(engine(), []Stage{
+			stage("x", "a", "slow", 0, 5), stage("y", "a", "slow", 5, 10), stage("z", "b", "fast", 5, 10),
+		}, demand, even)
+		Expect(ids(path)).To(Equal([]string{"x=0-5", "y=5-10"}))
+		Expect(Crossings(path)).To(Equal(0))
+	})
+
+	It("crosses rather than fail", func() {
+		path := Choose(engine(), []Stage{stage("x", "a", "slow", 0, 5), stage("z", "b", "fast", 5, 10)}, demand, even)
+		Expect(Crossings(path)).To(Equal(1))
+	})
+
+	It("is none if a layer isn't held", func() {
+		Expect(Choose(engine(), []Stage{stage("x", "a", "fast", 0, 5), stage("y", "a", "fast", 6, 10)}, demand, even)).To(BeNil())
+	})
+
+	It("keeps a first part that stands", func() {
+		first := fleet.Part{ID: "x", Address: "x", Domain: "a", Layers: fleet.Range{From: 0, To: 3}}
+		d := demand
+		d.First = &first
+		path := Choose(engine(), []Stage{stage("x", "a", "fast", 0, 10), stage("y", "a", "slow", 2, 10)}, d, even)
+		Expect(ids(path)).To(Equal([]string{"x=0-3", "y=3-10"}))
+	})
+
+	It("goes around a slow endpoint and one whose memory is full", func() {
+		slow := stage("s", "a", "fast", 0, 10)
+		slow.Slow = 5
+		path := Choose(engine(), []Stage{slow, stage("f", "a", "fast", 0, 10)}, demand, even)
+		Expect(ids(path)).To(Equal([]string{"f=0-10"}))
+		full := stage("f", "a", "fast", 0, 10)
+		full.Tokens = 1e9
+		path = Choose(engine(), []Stage{stage("s", "a", "fast", 0, 10), full}, demand, even)
+		Expect(ids(path)).To(Equal([]string{"s=0-10"}))
+	})
+})
+
+// TestEveryLayerOnce checks for any stages that a path runs every layer once
+// and in order, names nobody twice, keeps to what each holds, and that one is
+// found wherever the layers are covered without going back to an endpoint.
+func TestEveryLayerOnce(t *testing.T) {
+	e := engine()
+	rapid.Check(t, func(rt *rapid.T) {
+		var stages []Stage
+		held := make([]bool, e.Layers)
+		for i := range rapid.IntRange(1, 12).Draw(rt, "stages") {
+			from := rapid.IntRange(0, 9).Draw(rt, "from")
+			to := rapid.IntRange(from+1, 10).Draw(rt, "to")
+			kind := rapid.SampledFrom([]string{"fast", "slow"}).Draw(rt, "kind")
+			s := stage(fmt.Sprint(i), rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "domain"), kind, from, to)
+			s.Requests = float64(rapid.IntRange(0, 200).Draw(rt, "requests"))
+			s.Tokens = s.Requests * 100
+			stages = append(stages, s)
+			for l := from; l < to; l++ {
+				held[l] = true
+			}
+		}
+		path := Choose(e, stages, demand, even)
+		all := true
+		for _, h := range held {
+			all = all && h
+		}
+		if path == nil {
+			if all {
+				rt.Fatalf("no path though all layers are held: %v", stages)
+			}
+			return
+		}
+		if !Whole(e, path) {
+			rt.Fatalf("not every layer once: %v", ids(path))
+		}
+		seen := map[string]bool{}
+		for _, p := range path {
+			if seen[p.ID] {
+				rt.Fatalf("%s stands twice: %v", p.ID, ids(path))
+			}
+			seen[p.ID] = true
+			for _, s := range stages {
+				if s.ID == p.ID && (p.Layers.From < s.Layers.From || p.Layers.To > s.Layers.To) {
+					rt.Fatalf("%s doesn't hold %v", p.ID, p.Layers)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/placement/plan_test.go
@@ -0,0 +1,218 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/placement"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestPlacement(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
+
+func engine() *fleet.Engine {
+	return &fleet.Engine{
+		Layers:     80,
+		LayerMB:    1750,
+		CacheBytes: 7375,
+		Kinds: map[string]fleet.Kind{
+			"big":   {MB: 72000, Pace: 1.4, ReadFactor: 1},
+			"mid":   {MB: 36000, Pace: 3.1, ReadFactor: 3.2},
+			"small": {MB: 21600, Pace: 16, ReadFactor: 8.2},
+			"tiny":  {MB: 14400, Pace: 15, ReadFactor: 15},
+		},
+	}
+}
+
+// servers returns n empty servers of a kind in a domain.
+func servers(domain, kind string, n int) []placement.Server {
+	var list []placement.Server
+	for i := range n {
+		list = append(list, placement.Server{
+			ID:     fmt.Sprintf("%s-%s-%d", domain, kind, i),
+			Domain: domain,
+			Kind:   kind,
+		})
+	}
+	return list
+}
+
+// apply returns the servers after orders.
+func apply(list []placement.Server, orders []placement.Order) []placement.Server {
+	out := append([]placement.Server(nil), list...)
+	for _, o := range orders {
+		for i := range out {
+			if out[i].ID == o.ID {
+				out[i].Layers = o.Layers
+			}
+		}
+	}
+	return out
+}
+
+// covered reports whether the servers of a domain hold every layer.
+func covered(list []placement.Server, domain string, layers int) bool {
+	held := make([]bool, layers)
+	for _, s := range list {
+		for l := s.Layers.From; s.Domain == domain && l < s.Layers.To; l++ {
+			held[l] = true
+		}
+	}
+	for _, h := range held {
+		if !h {
+			return false
+		}
+	}
+	return true
+}
+
+func users() []placement.Server {
+	list := servers("a", "mid", 2)
+	list = append(list, servers("a", "small", 4)...)
+	list = append(list, servers("a", "tiny", 7)...)
+	list = append(list, servers("b", "big", 1)...)
+	list = append(list, servers("b", "mid", 1)...)
+	list = append(list, servers("b", "small", 5)...)
+	list = append(list, servers("b", "tiny", 7)...)
+	list = append(list, servers("c", "mid", 1)...)
+	list = append(list, servers("c", "small", 8)...)
+	return append(list, servers("c", "tiny", 3)...)
+}
+
+var _ = Describe("a plan", func() {
+	It("gives each domain that can hold the model a whole copy", func() {
+		list := apply(users(), placement.Plan(engine(), users()))
+		for _, d := range []string{"a", "b", "c"} {
+			Expect(covered(list, d, 80)).To(BeTrue(), d)
+		}
+	})
+
+	It("orders nothing more once all is placed", func() {
+		list := apply(users(), placement.Plan(engine(), users()))
+		Expect(placement.Plan(engine(), list)).To(BeEmpty())
+	})
+
+	It("lets domains share a copy that can't hold one each", func() {
+		list := append(servers("a", "small", 6), servers("b", "small", 6)...)
+		list = apply(list, placement.Plan(engine(), list))
+		for i := range list {
+			list[i].Domain = "both"
+		}
+		Expect(covered(list, "both", 80)).To(BeTrue())
+	})
+
+	It("keeps a server that has just come for the hole that the old one leaves", func() {
+		e := engine()
+		list := apply(users(), placement.Plan(e, users()))
+		fresh := placement.Server{ID: "new", Domain: "c", Kind: "small", Fresh: true}
+		Expect(placement.Plan(e, append(list, fresh))).To(BeEmpty())
+		var old placement.Server
+		var rest []placement.Server
+		for _, s := range list {
+			if s.ID == "c-small-3" {
+				old = s
+				continue
+			}
+			rest = append(rest, s)
+		}
+		orders := placement.Plan(e, append(rest, fresh))
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0].ID).To(Equal("new"))
+		Expect(orders[0].Layers).To(Equal(old.Layers))
+	})
+
+	It("moves a server that isn't needed into a hole that no empty one fills", func() {
+		e := engine()
+		list := apply(users(), placement.Plan(e, users()))
+		var rest []placement.Server
+		for _, s := range list {
+			if s.ID != "b-small-2" {
+				rest = append(rest, s)
+			}
+		}
+		Expect(covered(rest, "b", 80)).To(BeTrue(), "small ones are covered twice first")
+		for i := 0; i < len(rest); i++ {
+			if rest[i].ID == "b-mid-0" {
+				rest = append(rest[:i], rest[i+1:]...)
+			}
+		}
+		Expect(covered(rest, "b", 80)).To(BeFalse())
+		orders := placement.Plan(e, rest)
+		Expect(orders).NotTo(BeEmpty())
+		Expect(covered(apply(rest, orders), "b", 80)).To(BeTrue())
+	})
+
+	It("leaves alone what an order is under way for", func() {
+		e := engine()
+		list := apply(users(), placement.Plan(e, users()))
+		var rest []placement.Server
+		for _, s := range list {
+			s.Moving = true
+			if s.ID != "b-mid-0" {
+				rest = append(rest, s)
+			}
+		}
+		Expect(placement.Plan(e, rest)).To(BeEmpty())
+	})
+})
+
+// TestNeverTooMuch checks for any servers that no order exceeds a memory, goes
+// beyond the model, or takes a layer's last holder away.
+func TestNeverTooMuch(t *testing.T) {
+	e := engine()
+	kinds := []string{"big", "mid", "small", "tiny"}
+	rapid.Check(t, func(rt *rapid.T) {
+		var list []placement.Server
+		for i := range rapid.IntRange(1, 30).Draw(rt, "servers") {
+			s := placement.Server{
+				ID:     fmt.Sprint(i),
+				Domain: fmt.Sprint(rapid.IntRange(0, 2).Draw(rt, "domain")),
+				Kind:   rapid.SampledFrom(kinds).Draw(rt, "kind"),
+				Fresh:  rapid.Bool().Draw(rt, "fresh"),
+			}
+			if rapid.Bool().Draw(rt, "holds") {
+				from := rapid.IntRange(0, 79).Draw(rt, "from")
+				s.Layers = fleet.Range{From: from, To: min(80, from+rapid.IntRange(1, 8).Draw(rt, "n"))}
+			}
+			list = append(list, s)
+		}
+		before := total(list)
+		orders := placement.Plan(e, list)
+		for _, o := range orders {
+			kind := ""
+			for _, s := range list {
+				if s.ID == o.ID {
+					kind = s.Kind
+				}
+			}
+			if float64(o.Layers.Len())*e.LayerMB > e.Kinds[kind].MB {
+				rt.Fatalf("%v is too much for %s", o, kind)
+			}
+			if o.Layers.From < 0 || o.Layers.To > e.Layers || o.Layers.Len() <= 0 {
+				rt.Fatalf("%v is no range of layers", o)
+			}
+		}
+		after := total(apply(list, orders))
+		for l := range before {
+			if before[l] > 0 && after[l] == 0 {
+				rt.Fatalf("layer %d has no holder any more", l)
+			}
+		}
+	})
+}
+
+func total(list []placement.Server) []int {
+	n := make([]int, 80)
+	for _, s := range list {
+		for l := s.Layers.From; l < s.Layers.To; l++ {
+			n[l]++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/pkg/registry/registry_test.go
@@ -0,0 +1,169 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestRegistry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "registry")
+}
+
+const interval = time.Second
+
+func withTable(f func(t *Table, clock *timer.Manual)) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	f(New(clock, nil, interval), clock)
+}
+
+func endpoint(id string, sequence uint64) fleet.Endpoint {
+	return fleet.Endpoint{
+		ID:       id,
+		Service:  "s",
+		Address:  "10.0.0.1:80",
+		Sequence: sequence,
+	}
+}
+
+var _ = Describe("the table of endpoints", func() {
+	It("keeps the highest sequence, whatever comes late", func() {
+		withTable(func(t *Table, _ *timer.Manual) {
+			e := endpoint("a", 5)
+			e.Layers = fleet.Range{From: 0, To: 8}
+			Expect(t.Announce(e)).To(BeTrue())
+			Expect(t.Announce(endpoint("a", 4))).To(BeFalse())
+			Expect(t.All()[0].Layers.To).To(Equal(8))
+		})
+	})
+
+	It("never takes back that an endpoint leaves or has ended", func() {
+		withTable(func(t *Table, _ *timer.Manual) {
+			e := endpoint("a", 1)
+			e.Leaving = true
+			t.Announce(e)
+			t.Announce(endpoint("a", 2))
+			Expect(t.All()[0].Leaving).To(BeTrue())
+			t.Gone("a")
+			t.Announce(endpoint("a", 9))
+			Expect(t.All()[0].Usable()).To(BeFalse())
+		})
+	})
+
+	It("keeps an incarnation that ended before it was ever announced", func() {
+		withTable(func(t *Table, _ *timer.Manual) {
+			t.Gone("late")
+			t.Announce(endpoint("late", 1))
+			Expect(t.All()[0].Usable()).To(BeFalse())
+		})
+	})
+
+	It("names the endpoints whose heartbeats are late, without judging them", func() {
+		withTable(func(t *Table, clock *timer.Manual) {
+			t.Announce(endpoint("a", 1))
+			clock.Advance(4 * interval)
+			Expect(t.Judge()).To(HaveLen(1))
+			Expect(t.All()[0].Silent).To(BeFalse())
+		})
+	})
+
+	It("takes a loss back with the next heartbeat or answer", func() {
+		withTable(func(t *Table, clock *timer.Manual) {
+			t.Announce(endpoint("a", 1))
+			t.Lost("a")
+			Expect(t.All()[0].Silent).To(BeTrue())
+			clock.Advance(time.Millisecond)
+			t.Announce(endpoint("a", 2))
+			Expect(t.All()[0].Silent).To(BeFalse())
+			t.Lost("a")
+			t.Reported("a", fleet.Range{}, false, 1)
+			Expect(t.All()[0].Silent).To(BeFalse())
+		})
+	})
+
+	It("keeps that an endpoint loads over heartbeats that can't tell it", func() {
+		withTable(func(t *Table, _ *timer.Manual) {
+			e := endpoint("a", 1)
+			t.Announce(e)
+			t.Reported("a", fleet.Range{}, true, 1)
+			t.Announce(endpoint("a", 2))
+			Expect(t.All()[0].Loading).To(BeTrue())
+			done := endpoint("a", 3)
+			done.Layers = fleet.Range{From: 0, To: 4}
+			t.Announce(done)
+			Expect(t.All()[0].Loading).To(BeFalse())
+		})
+	})
+
+	It("tells what changed since a version, and wakes who waits", func() {
+		withTable(func(t *Table, _ *timer.Manual) {
+			t.Announce(endpoint("a", 1))
+			_, known := t.Since(0)
+			changed := t.Changed()
+			t.Announce(endpoint("b", 1))
+			Expect(changed).To(BeClosed())
+			list, _ := t.Since(known)
+			Expect(list).To(HaveLen(1))
+			Expect(list[0].ID).To(Equal("b"))
+		})
+	})
+
+	It("forgets what was not heard of for long", func() {
+		withTable(func(t *Table, clock *timer.Manual) {
+			t.Announce(endpoint("a", 1))
+			clock.Advance(forgetAfter + time.Second)
+			t.Judge()
+			Expect(t.All()).To(BeEmpty())
+		})
+	})
+})
+
+// model is the plain truth that tables converge to: the highest sequence, and
+// whether any announcement said that the endpoint leaves.
+type model struct {
+	sequence uint64
+	leaving  bool
+}
+
+// TestMergeAgrees checks that two tables which hear heartbeats in any order, late,
+// twice or only from each other, come to agree with a plain model.
+func TestMergeAgrees(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		tables := []*Table{New(clock, nil, interval), New(clock, nil, interval)}
+		truth := map[string]*model{}
+		n := rapid.IntRange(1, 40).Draw(rt, "steps")
+		for range n {
+			id := fmt.Sprintf("e%d", rapid.IntRange(0, 3).Draw(rt, "endpoint"))
+			e := endpoint(id, uint64(rapid.IntRange(1, 9).Draw(rt, "sequence")))
+			e.Leaving = rapid.IntRange(0, 5).Draw(rt, "leaves") == 0
+			tables[rapid.IntRange(0, 1).Draw(rt, "table")].Announce(e)
+			m := truth[id]
+			if m == nil {
+				m = &model{}
+				truth[id] = m
+			}
+			m.sequence = max(m.sequence, e.Sequence)
+			m.leaving = m.leaving || e.Leaving
+			if rapid.Bool().Draw(rt, "spread") {
+				tables[1].Merge(tables[0].All())
+			}
+		}
+		tables[0].Merge(tables[1].All())
+		tables[1].Merge(tables[0].All())
+		for _, table := range tables {
+			for _, e := range table.All() {
+				if e.Sequence != truth[e.ID].sequence || e.Leaving != truth[e.ID].leaving {
+					rt.Fatalf("%s: sequence %d leaving %t, want %+v", e.ID, e.Sequence, e.Leaving, *truth[e.ID])
+				}
+			}
+		}
+	})
+}
