--- /dev/null
+++ b/pkg/gateway/fixture_test.go
@@ -0,0 +1,329 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "gateway")
+}
+
+// fakeBackend answers calls by a script and remembers them.
+type fakeBackend struct {
+	mu       sync.Mutex
+	calls    []*Call
+	repaths  [][]fleet.Part
+	answer   func(n int, c *Call) (*Answer, error)
+	stalled  map[string]string
+	stallErr error
+}
+
+func (b *fakeBackend) Send(ctx context.Context, c *Call) (*Answer, error) {
+	b.mu.Lock()
+	b.calls = append(b.calls, c)
+	n := len(b.calls)
+	b.mu.Unlock()
+	a, err := b.answer(n, c)
+	if a != nil && a.Header == nil {
+		a.Header = http.Header{}
+	}
+	if a != nil {
+		body := a.Body
+		context.AfterFunc(ctx, func() {
+			_ = body.Close() // a connection ends with its request
+		})
+	}
+	return a, err
+}
+
+func (b *fakeBackend) Stalled(context.Context, string) (map[string]string, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stalled, b.stallErr
+}
+
+func (b *fakeBackend) Repath(_ context.Context, _, _ string, path []fleet.Part) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.repaths = append(b.repaths, path)
+	return nil
+}
+
+func (b *fakeBackend) sent() []*Call {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]*Call(nil), b.calls...)
+}
+
+func (b *fakeBackend) repathed() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.repaths)
+}
+
+// fakeSource believes what a test says.
+type fakeSource struct {
+	mu        sync.Mutex
+	view      View
+	endpoints map[string][]fleet.Endpoint
+	leaving   map[string]bool
+	changed   chan struct{}
+	confirmed chan struct{}
+}
+
+func (s *fakeSource) View() View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+func (s *fakeSource) Endpoints(service string) []fleet.Endpoint { return s.endpoints[service] }
+func (s *fakeSource) OthersLoad(string) Load                    { return Load{} }
+func (s *fakeSource) Hosts() int                                { return 1 }
+
+func (s *fakeSource) EndpointLeaving(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving[id]
+}
+
+func (s *fakeSource) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+func (s *fakeSource) Confirmed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmed
+}
+
+// leave says that an endpoint leaves.
+func (s *fakeSource) leave(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving[id] = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// confirm brings a view.
+func (s *fakeSource) confirm(v View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+	close(s.confirmed)
+	s.confirmed = make(chan struct{})
+}
+
+// fakeOutput remembers an answer.
+type fakeOutput struct {
+	mu      sync.Mutex
+	refusal *failure.Error
+	status  int
+	body    strings.Builder
+	aborted bool
+	answers int
+}
+
+func (o *fakeOutput) Refuse(e *failure.Error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refusal = e
+	o.answers++
+}
+
+func (o *fakeOutput) Whole(status int, _ http.Header, body []byte) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.status = status
+	o.body.Write(body)
+	o.answers++
+}
+
+func (o *fakeOutput) Begin(status int, _ http.Header) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.status = status
+	o.answers++
+}
+
+func (o *fakeOutput) Event(data []byte) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.status == 0 {
+		return errors.New("an event before the head")
+	}
+	o.body.Write(data)
+	return nil
+}
+
+func (o *fakeOutput) Abort() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.aborted = true
+}
+
+func (o *fakeOutput) text() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.body.String()
+}
+
+const (
+	key   = "k1"
+	extra = 100 // repeats that the budget allows in a window
+)
+
+func configuration() *fleet.Configuration {
+	route := func(name string, kind fleet.RouteKind, service string) fleet.Route {
+		return fleet.Route{
+			Name:        name,
+			Host:        "h",
+			Prefix:      "/" + name + "/",
+			Kind:        kind,
+			Timeout:     10 * time.Second,
+			Goal:        500 * time.Millisecond,
+			MaxAttempts: 2,
+			Resumable:   kind == fleet.Stream,
+			Split:       []fleet.Share{{Service: service, Weight: 1}},
+		}
+	}
+	once := route("unsafe", fleet.Unsafe, "app")
+	once.MaxAttempts = 1
+	return &fleet.Configuration{
+		Version:  1,
+		Routes:   []fleet.Route{once, route("safe", fleet.Safe, "app"), route("stream", fleet.Stream, "llm")},
+		Accounts: []fleet.Account{{Name: "acc", Keys: []string{key}}},
+		Services: []fleet.Service{
+			{Name: "app"},
+			{Name: "llm", Engine: &fleet.Engine{
+				Layers:        4,
+				LayerMB:       1,
+				CacheBytes:    1,
+				StepTime:      time.Millisecond,
+				ReadPerSecond: 1e6,
+				Kinds:         map[string]fleet.Kind{"k": {MB: 100, Pace: 1, ReadFactor: 1}},
+			}},
+		},
+	}
+}
+
+func engineEndpoint(id string, from, to int) fleet.Endpoint {
+	return fleet.Endpoint{
+		ID:      id,
+		Service: "llm",
+		Address: id + ":1",
+		Domain:  "a",
+		Kind:    "k",
+		Slots:   10,
+		Layers:  fleet.Range{From: from, To: to},
+	}
+}
+
+func appEndpoint(id string) fleet.Endpoint {
+	return fleet.Endpoint{ID: id, Service: "app", Address: id + ":1", Domain: "a", Slots: 4}
+}
+
+type bench struct {
+	backend *fakeBackend
+	source  *fakeSource
+	clock   *timer.Manual
+	gateway *Gateway
+}
+
+// withGateway runs f on a gateway over a scripted backend and a manual clock.
+func withGateway(f func(b *bench)) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	source := &fakeSource{
+		view: View{Index: fleet.NewIndex(configuration()), Fresh: true, Trusted: true},
+		endpoints: map[string][]fleet.Endpoint{
+			"app": {appEndpoint("p"), appEndpoint("q")},
+			"llm": {engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4), engineEndpoint("z", 2, 4), engineEndpoint("w", 0, 2)},
+		},
+		leaving:   map[string]bool{},
+		changed:   make(chan struct{}),
+		confirmed: make(chan struct{}),
+	}
+	backend := &fakeBackend{}
+	budget := Budget{Ratio: 0.2, Extra: extra, Window: 10 * time.Second}
+	b := &bench{
+		backend: backend,
+		source:  source,
+		clock:   clock,
+		gateway: New(backend, source, budget, clock, nil, metrics.New()),
+	}
+	clock.Advance(10 * time.Second) // the budget fills
+	f(b)
+}
+
+func (b *bench) request(route string) *Request {
+	return &Request{
+		ID:       "r1",
+		Method:   http.MethodPost,
+		Target:   "/" + route + "/1",
+		Path:     "/" + route + "/1",
+		Host:     "h",
+		Key:      key,
+		Header:   http.Header{},
+		Received: b.clock.Now(),
+	}
+}
+
+// serve answers one request; the clock's deadline isn't the context's, since
+// contexts follow the machine's clock.
+func (b *bench) serve(route string) *fakeOutput {
+	out := &fakeOutput{}
+	req := b.request(route)
+	req.Received = time.Now()
+	b.gateway.Serve(context.Background(), req, out)
+	return out
+}
+
+func whole(status int, body string) *Answer {
+	return &Answer{Status: status, Sealed: true, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func refusedBy(fault string) *Answer {
+	return &Answer{Status: 503, NotRun: true, Fault: fault, Sealed: true, Body: io.NopCloser(strings.NewReader(""))}
+}
+
+func events(from, to int) string {
+	var s strings.Builder
+	for i := from; i <= to; i++ {
+		s.WriteString("id: " + strconv.Itoa(i) + "\ndata: t\n\n")
+	}
+	return s.String()
+}
+
+// brokenBody gives text and then an error, as a reset connection does.
+type brokenBody struct {
+	io.Reader
+}
+
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = errors.New("connection reset")
+	}
+	return n, err
+}
+
+func (brokenBody) Close() error { return nil }
--- /dev/null
+++ b/pkg/gateway/stream_test.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// hang is a body from which nothing comes until it is closed.
+func hang(text string) io.ReadCloser {
+	r, w := io.Pipe()
+	go func() {
+		_, _ = w.Write([]byte(text)) // ends when the reader does
+	}()
+	return r
+}
+
+var _ = Describe("a stream", func() {
+	It("passes every event on, with a path that runs every layer once", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(200, events(1, 5)), nil }
+			out := b.serve("stream")
+			Expect(out.text()).To(Equal(events(1, 5)))
+			Expect(out.aborted).To(BeFalse())
+			path := b.backend.sent()[0].Path
+			Expect(path).To(HaveLen(2))
+			Expect(path[0].Layers).To(Equal(fleet.Range{From: 0, To: 2}))
+			Expect(path[1].Layers).To(Equal(fleet.Range{From: 2, To: 4}))
+		})
+	})
+
+	It("continues after the last whole event when it breaks within the next", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				if n == 1 {
+					return &Answer{Status: 200, Sealed: true, Body: brokenBody{Reader: strings.NewReader(events(1, 3) + "id: 4\nda")}}, nil
+				}
+				Expect(c.LastEvent).To(Equal("3"))
+				return whole(200, events(4, 6)), nil
+			}
+			out := b.serve("stream")
+			Expect(out.text()).To(Equal(events(1, 6)))
+			Expect(out.answers).To(Equal(1))
+		})
+	})
+
+	It("is broken off, not ended, if it can't be continued", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) {
+				return &Answer{Status: 200, Sealed: true, Body: brokenBody{Reader: strings.NewReader(events(1, 1))}}, nil
+			}
+			out := b.serve("stream")
+			Expect(out.aborted).To(BeTrue())
+			Expect(b.backend.sent()).To(HaveLen(2))
+		})
+	})
+
+	It("takes a body that ends within an event for broken", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(n int, _ *Call) (*Answer, error) {
+				if n == 1 {
+					return whole(200, events(1, 2)+"id: 3\ndata: t\n"), nil
+				}
+				return whole(200, events(3, 4)), nil
+			}
+			Expect(b.serve("stream").text()).To(Equal(events(1, 4)))
+		})
+	})
+
+	It("goes around the part that refused", func() {
+		withGateway(func(b *bench) {
+			refused := ""
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				if n == 1 {
+					refused = c.Path[1].ID
+					return refusedBy(c.Path[1].Address), nil
+				}
+				return whole(200, events(1, 2)), nil
+			}
+			Expect(b.serve("stream").text()).To(Equal(events(1, 2)))
+			Expect(b.backend.sent()[1].Path[1].ID).NotTo(Equal(refused))
+		})
+	})
+
+	It("is refused at once, with a time to come back, where no path is", func() {
+		withGateway(func(b *bench) {
+			b.source.endpoints["llm"] = []fleet.Endpoint{engineEndpoint("x", 0, 2)}
+			out := b.serve("stream")
+			Expect(out.refusal.Kind()).To(Equal(failure.NoChain))
+			Expect(out.refusal.RetryAfter()).To(BeNumerically(">", 0))
+			Expect(b.backend.sent()).To(BeEmpty())
+		})
+	})
+
+	It("sends nothing to endpoints that load", func() {
+		withGateway(func(b *bench) {
+			for i := range b.source.endpoints["llm"] {
+				b.source.endpoints["llm"][i].Loading = true
+			}
+			Expect(b.serve("stream").refusal.Kind()).To(Equal(failure.NoChain))
+		})
+	})
+
+	It("puts another part in the place of one that stands still", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(_ int, c *Call) (*Answer, error) {
+				b.backend.mu.Lock()
+				b.backend.stalled = map[string]string{"r1": c.Path[1].Address}
+				b.backend.mu.Unlock()
+				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan bool)
+			go func() {
+				req := b.request("stream")
+				req.Received = time.Now()
+				b.gateway.Serve(ctx, req, &fakeOutput{})
+				done <- true
+			}()
+			Eventually(func() int {
+				b.clock.Advance(gapStall)
+				return b.backend.repathed()
+			}, "5s", "5ms").Should(BeNumerically(">", 0))
+			first := b.backend.sent()[0].Path
+			next := b.backend.repaths[0]
+			Expect(next[0]).To(Equal(first[0]))
+			Expect(next[1].ID).NotTo(Equal(first[1].ID))
+			cancel()
+			Eventually(done, "5s").Should(Receive())
+		})
+	})
+
+	It("continues elsewhere if the first endpoint doesn't answer at all", func() {
+		withGateway(func(b *bench) {
+			b.backend.stallErr = errReset
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				if n == 1 {
+					return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
+				}
+				Expect(c.LastEvent).To(Equal("1"))
+				return whole(200, events(2, 3)), nil
+			}
+			out := &fakeOutput{}
+			done := make(chan bool)
+			go func() {
+				req := b.request("stream")
+				req.Received = time.Now()
+				b.gateway.Serve(context.Background(), req, out)
+				done <- true
+			}()
+			Eventually(func() bool {
+				b.clock.Advance(gapStall)
+				select {
+				case <-done:
+					return true
+				default:
+					return false
+				}
+			}, "5s", "5ms").Should(BeTrue())
+			Expect(out.text()).To(Equal(events(1, 3)))
+			calls := b.backend.sent()
+			Expect(calls[0].ID).NotTo(Equal(calls[1].ID))
+		})
+	})
+
+	It("leaves a part that leaves", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) {
+				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan bool)
+			go func() {
+				req := b.request("stream")
+				req.Received = time.Now()
+				b.gateway.Serve(ctx, req, &fakeOutput{})
+				done <- true
+			}()
+			Eventually(func() int { return len(b.backend.sent()) }, "5s").Should(Equal(1))
+			b.source.leave(b.backend.sent()[0].Path[1].ID)
+			Eventually(func() int {
+				b.clock.Advance(partAgain)
+				return b.backend.repathed()
+			}, "5s", "5ms").Should(BeNumerically(">", 0))
+			cancel()
+			Eventually(done, "5s").Should(Receive())
+		})
+	})
+})
--- /dev/null
+++ b/pkg/gateway/whole_test.go
@@ -0,0 +1,154 @@
+package gateway
+
+import (
+	"io"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var errReset = errors.New("reset")
+
+var _ = Describe("a request of an ordinary service", func() {
+	It("is sent once and answered unchanged", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(200, "body"), nil }
+			out := b.serve("unsafe")
+			Expect(out.status).To(Equal(200))
+			Expect(out.text()).To(Equal("body"))
+			Expect(b.backend.sent()).To(HaveLen(1))
+			Expect(b.backend.sent()[0].Account).To(Equal("acc"))
+		})
+	})
+
+	It("is never repeated once it may have run, if it must not be, and isn't called refused", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) { return nil, &SendError{Sent: true, Cause: errReset} }
+			out := b.serve("unsafe")
+			Expect(b.backend.sent()).To(HaveLen(1))
+			Expect(out.refusal.Kind()).To(Equal(failure.EndpointFailed))
+			Expect(out.refusal.Ran()).NotTo(Equal(failure.RanNo))
+		})
+	})
+
+	It("isn't repeated after a damaged or torn answer either", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) {
+				return &Answer{Status: 200, Sealed: true, Body: brokenBody{Reader: strings.NewReader("half")}}, nil
+			}
+			out := b.serve("unsafe")
+			Expect(b.backend.sent()).To(HaveLen(1))
+			Expect(out.text()).To(BeEmpty())
+			Expect(out.refusal.Kind()).To(Equal(failure.EndpointFailed))
+		})
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) {
+				return &Answer{Status: 200, Body: io.NopCloser(strings.NewReader("other"))}, nil
+			}
+			Expect(b.serve("unsafe").text()).To(BeEmpty())
+		})
+	})
+
+	It("goes to another endpoint if the first says that it didn't run it", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(n int, _ *Call) (*Answer, error) {
+				if n == 1 {
+					return refusedBy(""), nil
+				}
+				return whole(200, "ok"), nil
+			}
+			Expect(b.serve("unsafe").text()).To(Equal("ok"))
+			calls := b.backend.sent()
+			Expect(calls).To(HaveLen(2))
+			Expect(calls[0].ID).NotTo(Equal(calls[1].ID))
+		})
+	})
+
+	It("is refused with a time to come back, and truly not run, if all endpoints refuse", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) { return refusedBy(""), nil }
+			out := b.serve("unsafe")
+			Expect(out.refusal.Kind()).To(Equal(failure.Overloaded))
+			Expect(out.refusal.Ran()).To(Equal(failure.RanNo))
+			Expect(out.refusal.RetryAfter()).To(BeNumerically(">", 0))
+		})
+	})
+
+	It("is repeated after a failure if it may be, but at most as often as its route allows", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(500, "no"), nil }
+			out := b.serve("safe")
+			Expect(out.status).To(Equal(500))
+			Expect(b.backend.sent()).To(HaveLen(2))
+		})
+	})
+
+	It("is not repeated when the budget is spent", func() {
+		withGateway(func(b *bench) {
+			for b.gateway.repeats.spend(1) {
+				continue
+			}
+			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(500, "no"), nil }
+			b.serve("safe")
+			Expect(b.backend.sent()).To(HaveLen(1))
+		})
+	})
+
+	It("is refused by an unknown key only where the configuration is fresh", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(200, ""), nil }
+			req := b.request("safe")
+			req.Key = "other"
+			_, e := b.gateway.admit(req, nil)
+			Expect(e.Kind()).To(Equal(failure.Unauthenticated))
+			b.source.view.Fresh = false
+			_, e = b.gateway.admit(req, nil)
+			Expect(e.Kind()).To(Equal(failure.NotReady))
+		})
+	})
+
+	It("is not run by a key that may have been taken away", func() {
+		withGateway(func(b *bench) {
+			b.source.view.Trusted = false
+			_, e := b.gateway.admit(b.request("safe"), nil)
+			Expect(e.Kind()).To(Equal(failure.NotReady))
+			Expect(e.RetryAfter()).To(BeNumerically(">", 0))
+		})
+	})
+
+	It("waits a little for a host that becomes ready", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(200, "ok"), nil }
+			good := b.source.view
+			b.source.view = View{}
+			done := make(chan *fakeOutput)
+			go func() { done <- b.serve("safe") }()
+			Consistently(done, "50ms").ShouldNot(Receive())
+			b.source.confirm(good)
+			var out *fakeOutput
+			Eventually(done, "5s").Should(Receive(&out))
+			Expect(out.text()).To(Equal("ok"))
+		})
+	})
+})
+
+var _ = Describe("the budget of repeats", func() {
+	It("stays under the deployment's in every window, however many hosts share it", func() {
+		for _, hosts := range []int{1, 3, 11} {
+			withGateway(func(b *bench) {
+				spent := 0
+				const requests = 1000
+				for range requests {
+					b.gateway.repeats.earn(hosts)
+					for b.gateway.repeats.spend(hosts) {
+						spent++
+					}
+				}
+				Expect(float64(spent * hosts)).To(BeNumerically("<=", extra+0.2*requests*float64(hosts)))
+			})
+		}
+	})
+})
