--- a/pkg/config/fleet.go
+++ b/pkg/config/fleet.go
@@ -17,8 +17,10 @@
 	Domain string `toml:"domain"`
 	IP     string `toml:"ip"`
 	// Founding is set at the first start of the whole system, on empty disks.
-	Founding bool   `toml:"founding"`
-	Data     string `toml:"data"`
+	Founding bool `toml:"founding"`
+	// Data is the folder of a control host's replica; without one it holds
+	// none and passes on what it is sent.
+	Data string `toml:"data"`
 	// Seeds are control hosts to begin with; only their IP numbers are used.
 	Seeds []string `toml:"seeds"`
 	// InternalPort is the first of the ports for the system's own calls.
@@ -94,9 +96,6 @@
 func (c *Fleet) CheckControl() error {
 	p := check.New("settings for the control role")
 	p.Address("listen.control", c.Listen.Control)
-	if c.Data == "" {
-		p.Add("data", "a folder", "missing")
-	}
 	return p.Err()
 }
 
--- /dev/null
+++ b/pkg/fleet/pack.go
@@ -0,0 +1,42 @@
+package fleet
+
+import (
+	"bytes"
+	"compress/gzip"
+	"io"
+
+	"github.com/go-faster/errors"
+)
+
+// maxUnpacked bounds a configuration as the operator sent it.
+const maxUnpacked = 64 << 20
+
+// Pack makes a configuration as the operator sent it smaller, for the log and
+// for every entry host: a text of many routes shrinks more than tenfold.
+func Pack(content []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := gzip.NewWriterLevel(&b, gzip.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "pack")
+	}
+	if _, err := w.Write(content); err != nil {
+		return nil, errors.Wrap(err, "pack")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "pack")
+	}
+	return b.Bytes(), nil
+}
+
+// Unpack returns what Pack was given.
+func Unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack")
+	}
+	content, err := io.ReadAll(io.LimitReader(r, maxUnpacked))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack")
+	}
+	return content, nil
+}
--- a/pkg/fleetcontrol/members.go
+++ b/pkg/fleetcontrol/members.go
@@ -111,6 +111,12 @@
 		return nil, errNoNode
 	}
 	st := node.Status()
+	if q.GetId() == 0 {
+		return &rpc.JoinReply{
+			Leader:  st.Leader.GetAddress(),
+			Members: st.Members,
+		}, nil
+	}
 	if st.Role != raft.Leader {
 		return &rpc.JoinReply{
 			Leader: st.Leader.GetAddress(),
--- a/pkg/fleetcontrol/replica.go
+++ b/pkg/fleetcontrol/replica.go
@@ -66,10 +66,17 @@
 	id        uint64
 	heard     map[uint64]time.Time
 	sure      uint64 // term in which a read barrier has passed
+	born      time.Time
+	// seen is what a host without a disk was told of the replicas.
+	seen *rpc.JoinReply
 }
 
 // Run keeps a node running until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
+	if r.folder == "" {
+		r.observe(ctx)
+		return
+	}
 	failing := false
 	for ctx.Err() == nil {
 		err := r.runOnce(ctx, func() {
@@ -172,6 +179,7 @@
 	r.id = id
 	r.heard = map[uint64]time.Time{}
 	r.sure = 0
+	r.born = r.svc.Now()
 }
 
 // current returns the running node and its state; nil while storage fails.
@@ -206,7 +214,7 @@
 func (r *Replica) Leads(ctx context.Context) (*state.Machine, uint64, string) {
 	node, machine := r.current()
 	if node == nil {
-		return nil, 0, ""
+		return nil, 0, r.observed().GetLeader()
 	}
 	st := node.Status()
 	if st.Role != raft.Leader {
@@ -238,12 +246,12 @@
 
 // Members returns the addresses of the replicas.
 func (r *Replica) Members() []string {
-	node, _ := r.current()
-	if node == nil {
-		return nil
+	members := r.observed().GetMembers()
+	if node, _ := r.current(); node != nil {
+		members = node.Status().Members
 	}
 	var list []string
-	for _, m := range node.Status().Members.GetList() {
+	for _, m := range members.GetList() {
 		list = append(list, m.GetAddress())
 	}
 	return list
@@ -259,8 +267,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := r.heard[id]
-	if at.Before(since) {
-		at = since
+	for _, floor := range []time.Time{since, r.born} {
+		if at.Before(floor) {
+			at = floor
+		}
 	}
 	return r.svc.Now().Sub(at)
 }
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -69,6 +69,8 @@
 	group   *group.Group
 
 	survey *survey
+	// standing is the configuration that lead read last.
+	standing *fleet.Configuration
 
 	mu      sync.Mutex
 	leading leading
@@ -183,7 +185,7 @@
 		if doc == nil {
 			return
 		}
-		cfg, err := s.cfg.Decoder.Decode(doc.GetContent())
+		cfg, err := s.decode(doc)
 		if err != nil {
 			s.cfg.Log.Event(eventlog.Unexpected, eventlog.Str("what", "the configuration that stands can't be read"), eventlog.Err(err))
 			return
@@ -195,6 +197,40 @@
 	})
 }
 
+// decode returns the configuration that stands; it is read once a version.
+// Only lead calls it.
+func (s *Server) decode(doc *rpc.Document) (*fleet.Configuration, error) {
+	if s.standing != nil && s.standing.Version == doc.GetVersion() {
+		return s.standing, nil
+	}
+	content, err := fleet.Unpack(doc.GetContent())
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := s.cfg.Decoder.Decode(content)
+	if err != nil {
+		return nil, err
+	}
+	s.standing = cfg
+	return cfg, nil
+}
+
+// Read returns the newest configuration as the operator sent it; an error if
+// that can't be told.
+func (s *Server) Read(ctx context.Context) ([]byte, error) {
+	doc, err := s.Newest(ctx, &rpc.Empty{})
+	if err != nil {
+		return nil, err
+	}
+	if doc.GetVersion() == 0 {
+		return nil, ErrNoneYet
+	}
+	return fleet.Unpack(doc.GetContent())
+}
+
+// ErrNoneYet says that no configuration was ever accepted.
+var ErrNoneYet = errors.New("no configuration was accepted yet")
+
 // Replace puts a whole configuration in force, and returns once a majority
 // holds it, or a newer one. Its error is an *InvalidError if it was refused.
 func (s *Server) Replace(ctx context.Context, content []byte) error {
@@ -208,11 +244,15 @@
 			cause: err,
 		}
 	}
+	packed, err := fleet.Pack(content)
+	if err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	reply, err := s.Submit(ctx, &rpc.Document{
 		Version: cfg.Version,
-		Content: content,
+		Content: packed,
 	})
 	if err != nil {
 		s.cfg.Log.Event(eventlog.ConfigFailed, eventlog.Int("version", int64(cfg.Version)), eventlog.Err(err))
--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -243,7 +243,11 @@
 	if d == nil {
 		return nil, nil
 	}
-	cfg, err := f.cfg.Decoder.Decode(d.GetContent())
+	content, err := fleet.Unpack(d.GetContent())
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := f.cfg.Decoder.Decode(content)
 	if err != nil {
 		return nil, err
 	}
