Hold hosts to their share of the pipes between domains; wait for endpoints to announce themselves

Cause: after a stop of all hosts the first complete path was one across domains, and 200 waiting requests took it at once; the pipe stood still for 2 s.

--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -230,7 +230,7 @@
 	close(f.confirmed)
 	f.confirmed = make(chan struct{})
 	f.hint = address
-	f.settled = f.settled || reply.GetSettled()
+	f.settled = reply.GetSettled() || f.settled && !reply.GetWhole()
 	f.takeEndpoints(reply, now)
 	f.takeHosts(reply)
 	if list := reply.GetReplicas(); len(list) > 0 {
@@ -359,6 +359,13 @@
 	return f.confirmed
 }
 
+// Settled implements gateway.Source.
+func (f *Follower) Settled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.settled
+}
+
 // Changed implements gateway.Source.
 func (f *Follower) Changed() <-chan struct{} {
 	f.mu.Lock()
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -85,6 +85,7 @@
 	leaving   map[string]bool
 	changed   chan struct{}
 	confirmed chan struct{}
+	unsettled bool
 }
 
 func (s *fakeSource) View() View {
@@ -96,6 +97,7 @@
 func (s *fakeSource) Endpoints(service string) []fleet.Endpoint { return s.endpoints[service] }
 func (s *fakeSource) OthersLoad(string) Load                    { return Load{} }
 func (s *fakeSource) Hosts() int                                { return 1 }
+func (s *fakeSource) Settled() bool                             { return !s.unsettled }
 
 func (s *fakeSource) EndpointLeaving(id string) bool {
 	s.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -135,6 +135,9 @@
 	EndpointLeaving(id string) bool
 	// Changed returns a channel that is closed when endpoints change.
 	Changed() <-chan struct{}
+	// Settled reports whether every endpoint had time to announce itself
+	// since the control hosts began.
+	Settled() bool
 	// Confirmed returns a channel that is closed with the next confirmation.
 	Confirmed() <-chan struct{}
 	// OthersLoad returns what the other entry hosts have under way.
@@ -166,6 +169,7 @@
 	metrics *metrics.Set
 	tracker *Tracker
 	repeats *repeats
+	pipes   *pipes
 }
 
 // New returns a gateway.
@@ -178,6 +182,7 @@
 		metrics: set,
 		tracker: NewTracker(svc, log),
 		repeats: newRepeats(budget, svc),
+		pipes:   newPipes(svc),
 	}
 }
 
@@ -237,6 +242,27 @@
 	}
 }
 
+// settleWait is how long after its arrival a request waits for endpoints that
+// may not have announced themselves yet: a heartbeat's interval.
+const settleWait = 1300 * time.Millisecond
+
+// awaitEndpoints waits for news of endpoints, where not all may be known yet.
+// It reports whether it makes sense to look again.
+func (g *Gateway) awaitEndpoints(ctx context.Context, req *Request, changed <-chan struct{}) bool {
+	left := settleWait - g.svc.Now().Sub(req.Received)
+	if g.source.Settled() || left <= 0 {
+		return false
+	}
+	select {
+	case <-changed:
+		return true
+	case <-g.svc.After(left):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // admit decides by route and client account.
 func (g *Gateway) admit(req *Request, out Output) (*job, *failure.Error) {
 	v := g.source.View()
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -76,8 +76,8 @@
 	g.repeats.earn(g.source.Hosts())
 	defer s.release()
 	for {
-		if !s.choose() {
-			s.giveUp(s.noPath())
+		if e := s.chooseSoon(ctx); e != nil {
+			s.giveUp(e)
 			return
 		}
 		switch end, cause := s.send(ctx); end {
@@ -158,9 +158,28 @@
 	return 1 - jitterWidth + 2*jitterWidth*rand.Float64()
 }
 
+// chooseSoon finds a path, once there is one. While endpoints may still
+// announce themselves, one that crosses failure domains isn't taken.
+func (s *streamRun) chooseSoon(ctx context.Context) *failure.Error {
+	for {
+		changed := s.g.source.Changed()
+		path, e := s.choose()
+		if e == nil && (pathing.Crossings(path) == 0 || s.g.source.Settled()) {
+			s.take(path)
+			return nil
+		}
+		if !s.g.awaitEndpoints(ctx, s.j.req, changed) {
+			if e == nil {
+				s.take(path)
+			}
+			return e
+		}
+	}
+}
+
 // choose finds a path around what failed this request or this host lately;
 // without one, around what failed this request only.
-func (s *streamRun) choose() bool {
+func (s *streamRun) choose() ([]fleet.Part, *failure.Error) {
 	e := s.j.service.Engine
 	if e == nil {
 		return s.chooseSingle()
@@ -172,12 +191,23 @@
 		path = pathing.Choose(e, loose, s.demand(), jitter)
 	}
 	if path == nil || !pathing.Whole(e, path) {
-		return false
+		return nil, s.noPath()
+	}
+	d := s.demand()
+	if s.g.pipes.take(e, path, d.Prompt+d.Answer, s.g.source.Hosts()) {
+		return path, nil
 	}
-	s.take(path)
-	return true
+	d.Stay = true
+	if path = pathing.Choose(e, strict, d, jitter); path == nil {
+		return nil, failure.New(failure.Overloaded, "the pipes between failure domains are full").WithRetryAfter(pipesAgain)
+	}
+	return path, nil
 }
 
+// pipesAgain is when a caller should come back after a refusal for full pipes:
+// the endpoint that left a hole is replaced in one to five seconds.
+const pipesAgain = time.Second
+
 // noPath says why no path was found.
 func (s *streamRun) noPath() *failure.Error {
 	held := 0
@@ -196,17 +226,16 @@
 }
 
 // chooseSingle picks an endpoint of a service whose endpoints hold everything.
-func (s *streamRun) chooseSingle() bool {
+func (s *streamRun) chooseSingle() ([]fleet.Part, *failure.Error) {
 	e, ok := s.g.pick(s.j.service.Name, s.avoid)
 	if !ok {
-		return false
+		return nil, s.noPath()
 	}
-	s.take([]fleet.Part{{
+	return []fleet.Part{{
 		ID:      e.ID,
 		Address: e.Address,
 		Domain:  e.Domain,
-	}})
-	return true
+	}}, nil
 }
 
 // take counts the request at every part of a path.
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -98,6 +98,31 @@
 		})
 	})
 
+	It("waits for endpoints that may not have announced themselves yet, and no longer", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(200, events(1, 2)), nil }
+			b.source.unsettled = true
+			b.source.endpoints["llm"] = nil
+			done := make(chan bool)
+			out := &fakeOutput{}
+			go func() {
+				req := b.request("stream")
+				b.gateway.serveStream(context.Background(), &job{
+					req:     req,
+					out:     out,
+					route:   b.source.view.Index.Route("h", "/stream/1"),
+					service: b.source.view.Index.Service("llm"),
+					end:     req.Received.Add(time.Minute),
+				})
+				done <- true
+			}()
+			Consistently(done, "50ms").ShouldNot(Receive())
+			b.clock.Advance(settleWait)
+			Eventually(done, "5s").Should(Receive())
+			Expect(out.refusal.Kind()).To(Equal(failure.NoChain))
+		})
+	})
+
 	It("sends nothing to endpoints that load", func() {
 		withGateway(func(b *bench) {
 			for i := range b.source.endpoints["llm"] {
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -72,9 +72,15 @@
 }
 
 func (w *wholeRun) run(ctx context.Context) {
-	if !w.send(false) {
-		w.finish()
-		return
+	for {
+		changed := w.g.source.Changed()
+		if w.send(false) {
+			break
+		}
+		if !w.g.awaitEndpoints(ctx, w.j.req, changed) {
+			w.finish()
+			return
+		}
 	}
 	hedge := w.hedgeTimer()
 	for w.running > 0 {
--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -42,6 +42,8 @@
 	Answer float64 // tokens to write
 	// First, if set, fixes the first part: endpoint and layers.
 	First *fleet.Part
+	// Stay keeps the path in one failure domain.
+	Stay bool
 }
 
 // Choose returns the cheapest path, or nil if the stages don't cover every
@@ -207,6 +209,9 @@
 		if st.Layers.From > layer || st.Layers.To <= layer || s.uses(i, k) {
 			continue
 		}
+		if s.demand.Stay && from.domain >= 0 && from.domain != s.domains[st.Domain] {
+			continue
+		}
 		hop := s.hopCost(from.domain, s.domains[st.Domain])
 		for b := from.bound + 1; b < len(s.bounds) && s.bounds[b] <= st.Layers.To; b++ {
 			s.push(state{
