Replicas tell the seeds who they are

Ruled out: election (a leader stood 0.5 s after the start), storage. Test: grow_test, fails without the call.

--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -73,7 +73,9 @@
 	losses int
 	// diskless is a host that has no data folder.
 	diskless string
-	hosts    map[string]*host
+	// seeds, if set, stand in the settings in place of the founders.
+	seeds []string
+	hosts map[string]*host
 }
 
 type host struct {
@@ -132,7 +134,7 @@
 			New: founding,
 			IPs: c.ips,
 		},
-		SeedIPs:   func() []string { return c.ips },
+		SeedIPs:   c.seedIPs,
 		Losses:    c.losses,
 		Heartbeat: 200 * time.Millisecond,
 		Decoder:   plainDecoder{},
@@ -159,6 +161,13 @@
 	c.hosts[ip] = h
 }
 
+func (c *cluster) seedIPs() []string {
+	if c.seeds != nil {
+		return c.seeds
+	}
+	return c.ips
+}
+
 func (c *cluster) stop(ip string) {
 	h := c.hosts[ip]
 	delete(c.hosts, ip)
--- a/pkg/fleetcontrol/grow_test.go
+++ b/pkg/fleetcontrol/grow_test.go
@@ -42,6 +42,25 @@
 })
 
 var _ = Describe("a control host without a disk", func() {
+	It("learns of the replicas where it is itself the only seed, after a stop of all", func() {
+		withCluster(func(c *cluster) {
+			const ip = "127.0.1.9"
+			c.diskless = ip
+			for _, one := range c.ips {
+				c.stop(one)
+			}
+			c.seeds = []string{ip}
+			c.start(ip, false)
+			for _, one := range c.ips {
+				c.start(one, false)
+			}
+			Eventually(func() string {
+				_, _, leader := c.hosts[ip].server.replica.Leads(context.Background())
+				return leader
+			}, "10s", "20ms").ShouldNot(BeEmpty())
+		})
+	})
+
 	It("is no replica, knows who leads, and passes on what it is sent", func() {
 		withCluster(func(c *cluster) {
 			const ip = "127.0.1.9"
--- a/pkg/fleetcontrol/members.go
+++ b/pkg/fleetcontrol/members.go
@@ -35,6 +35,7 @@
 			last = st.Role
 			began = now
 		}
+		r.tellSeeds(ctx, st)
 		if st.Role == raft.Leader {
 			r.dropSurplus(ctx, node, st, began)
 			return
@@ -107,6 +108,9 @@
 // address or of one that is silent.
 func (r *Replica) takeIn(ctx context.Context, q *rpc.JoinRequest) (*rpc.JoinReply, error) {
 	node, _ := r.current()
+	if node == nil && r.folder == "" {
+		return r.learnFrom(q), nil
+	}
 	if node == nil {
 		return nil, errNoNode
 	}
--- a/pkg/fleetcontrol/observe.go
+++ b/pkg/fleetcontrol/observe.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/replica"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
@@ -40,6 +42,51 @@
 	return true
 }
 
+// learnFrom takes what a replica tells, and answers what is known.
+func (r *Replica) learnFrom(q *rpc.JoinRequest) *rpc.JoinReply {
+	if len(q.GetMembers().GetList()) > 0 {
+		known := &rpc.JoinReply{
+			Leader:  q.GetLeader(),
+			Members: q.GetMembers(),
+		}
+		if known.GetLeader() == "" {
+			known.Leader = r.observed().GetLeader()
+		}
+		r.setObserved(known)
+	}
+	if seen := r.observed(); seen != nil {
+		return seen
+	}
+	return &rpc.JoinReply{}
+}
+
+// tellSeeds tells the hosts that the settings name and that are no replicas
+// who the replicas are: after a stop of all, nobody else could.
+func (r *Replica) tellSeeds(ctx context.Context, st replica.Status) {
+	members := map[string]bool{
+		r.address(): true,
+	}
+	for _, m := range st.Members.GetList() {
+		members[m.GetAddress()] = true
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	g := group.New(ctx)
+	defer g.Wait()
+	for _, address := range r.peers() {
+		if members[address] || len(st.Members.GetList()) == 0 {
+			continue
+		}
+		g.Go(func(ctx context.Context) {
+			// One that can't be reached is told again with the next round.
+			_, _ = rpc.NewFleetProtobufClient("http://"+address, r.client).Join(ctx, &rpc.JoinRequest{
+				Leader:  st.Leader.GetAddress(),
+				Members: st.Members,
+			})
+		})
+	}
+}
+
 func (r *Replica) observed() *rpc.JoinReply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
