One incarnation an address; questions and orders name it

Cause: after a restart the old incarnation's row was brought back by the answer that the new one gave at the same address, so one endpoint stood twice in the list, was ordered two ranges and filled no hole for 6 s. Ruled out: loads that take long (layers seen 1.5 s after the order), the plan. Test: registry_test 'ends the earlier incarnation', failed before.

--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -38,6 +38,7 @@
 	EndpointLeaving  Event = "endpoint_leaving"
 	EndpointGone     Event = "endpoint_gone"
 	EndpointSilent   Event = "endpoint_silent"
+	EndpointLayers   Event = "endpoint_layers"
 	ConfigInForce    Event = "configuration_in_force"
 	ConfigAccepted   Event = "configuration_accepted"
 	ConfigRefused    Event = "configuration_refused"
@@ -59,7 +60,7 @@
 var Events = []Event{
 	Started, Stopping, Stopped, Reloaded,
 	RequestRefused, RequestFailed, RequestServed, RequestLeft, AttemptFailed, StreamRepathed, StreamResumed, StreamStalled,
-	EndpointAvoided, EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent,
+	EndpointAvoided, EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
 	ConfigInForce, ConfigAccepted, ConfigRefused, ConfigFailed,
 	ControlLost, ControlRegained, ReadyChanged, RoleChanged, ReplicasChanged, ReplicaJoining,
 	StorageFailed, StorageRecovered, OrderSent, OrderFailed, Unexpected,
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -19,6 +19,8 @@
 	Model string
 	// Layers is what the endpoint holds.
 	Layers Range
+	// Orders is how many orders it has taken, as far as known.
+	Orders uint64
 	// Loading says that an order is under way.
 	Loading bool
 	// HeardAt is when a control host last had a heartbeat.
--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -57,11 +57,11 @@
 // noOrders stands in for endpoints that answer nothing.
 type noOrders struct{}
 
-func (noOrders) Place(context.Context, string, fleet.Range, uint64) (placement.Outcome, error) {
+func (noOrders) Place(context.Context, string, string, fleet.Range, uint64) (placement.Outcome, error) {
 	return placement.Unknown, errors.New("no endpoint")
 }
 
-func (noOrders) Report(context.Context, string) (placement.Report, error) {
+func (noOrders) Report(context.Context, string, string) (placement.Report, error) {
 	return placement.Report{}, errors.New("no endpoint")
 }
 
--- a/pkg/fleetcontrol/survey.go
+++ b/pkg/fleetcontrol/survey.go
@@ -117,11 +117,11 @@
 	s.group.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		report, err := s.cfg.Orders.Report(ctx, e.Address)
+		report, err := s.cfg.Orders.Report(ctx, e.ID, e.Address)
 		if err == nil {
 			s.survey.answered(e.ID)
 			if e.Kind != "" {
-				s.table.Reported(e.ID, report.Layers, report.Busy, report.Slow)
+				s.table.Reported(e.ID, report)
 			}
 			return
 		}
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -35,20 +35,15 @@
 }
 
 // Report is what an endpoint tells of itself.
-type Report struct {
-	Layers fleet.Range
-	Orders uint64 // taken since its start
-	Busy   bool
-	// Slow is how many times as slow as its kind the endpoint is.
-	Slow float64
-}
+type Report = registry.Status
 
 // Orderer reaches endpoints.
 type Orderer interface {
-	// Place orders layers, if the endpoint has taken as many orders as given.
-	Place(ctx context.Context, address string, layers fleet.Range, orders uint64) (Outcome, error)
-	// Report asks what an endpoint holds.
-	Report(ctx context.Context, address string) (Report, error)
+	// Place orders layers of one incarnation, if it has taken as many orders
+	// as given.
+	Place(ctx context.Context, id, address string, layers fleet.Range, orders uint64) (Outcome, error)
+	// Report asks what an incarnation holds. It fails if another one answers.
+	Report(ctx context.Context, id, address string) (Report, error)
 }
 
 const (
@@ -189,10 +184,13 @@
 	k.mu.Lock()
 	s := k.known[o.ID]
 	if s == nil {
-		s = &standing{}
+		s = &standing{
+			taken: e.Orders,
+		}
 		k.known[o.ID] = s
 	}
 	s.layers = o.Layers
+	s.taken = max(s.taken, e.Orders)
 	s.asking = true
 	doubt := s.doubt
 	taken := s.taken
@@ -215,7 +213,7 @@
 func (k *Keeper) resolve(ctx context.Context, s *standing, wanted fleet.Range, e *fleet.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	report, err := k.orders.Report(ctx, e.Address)
+	report, err := k.orders.Report(ctx, e.ID, e.Address)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if err != nil {
@@ -225,7 +223,7 @@
 		return true
 	}
 	s.taken = report.Orders
-	k.table.Reported(e.ID, report.Layers, report.Busy, report.Slow)
+	k.table.Reported(e.ID, report)
 	if report.Busy || report.Layers == wanted {
 		s.asking = false
 		s.until = k.svc.Now().Add(askAgain)
@@ -238,7 +236,7 @@
 func (k *Keeper) send(ctx context.Context, s *standing, o Order, e *fleet.Endpoint, taken uint64, load time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	outcome, err := k.orders.Place(ctx, e.Address, o.Layers, taken)
+	outcome, err := k.orders.Place(ctx, e.ID, e.Address, o.Layers, taken)
 	fields := []eventlog.Field{
 		eventlog.Str("endpoint", o.ID), eventlog.Str("address", e.Address),
 		eventlog.Int("from", int64(o.Layers.From)), eventlog.Int("to", int64(o.Layers.To)),
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -104,12 +104,14 @@
 		}
 		t.note(t.rows[e.ID])
 		t.logChange(&e)
+		t.supersede(&e)
 		return true
 	}
 	next := old.Endpoint
 	if e.Sequence > old.Sequence {
 		next = e
-		next.Slow = old.Slow // heartbeats don't tell these two
+		next.Slow = old.Slow // heartbeats don't tell these
+		next.Orders = old.Orders
 		next.Loading = old.Loading && e.Layers == old.Layers
 	}
 	next.Leaving = e.Leaving || old.Leaving
@@ -120,6 +122,9 @@
 	}
 	next.Silent = old.Silent && !next.HeardAt.After(old.HeardAt)
 	same := sameNews(&old.Endpoint, &next)
+	if next.Layers != old.Layers {
+		t.logLayers(&next)
+	}
 	if next.Leaving != old.Leaving || next.Gone != old.Gone {
 		t.logChange(&next)
 	}
@@ -130,6 +135,23 @@
 	return !same
 }
 
+// supersede ends the earlier incarnations at a new one's address: each start
+// of an endpoint is a new one, and an address has one endpoint at a time.
+func (t *Table) supersede(e *fleet.Endpoint) {
+	if e.Gone || e.Address == "" {
+		return
+	}
+	for id, r := range t.rows {
+		if id == e.ID || r.Address != e.Address || r.Gone || r.HeardAt.After(e.HeardAt) {
+			continue
+		}
+		r.Gone = true
+		r.Leaving = true
+		t.note(r)
+		t.logChange(&r.Endpoint)
+	}
+}
+
 // sameNews reports whether entry hosts need not learn of a change.
 func sameNews(a, b *fleet.Endpoint) bool {
 	return a.Service == b.Service && a.Address == b.Address && a.Domain == b.Domain && a.Slots == b.Slots &&
@@ -248,28 +270,51 @@
 	return list
 }
 
-// Reported takes what an endpoint answered when it was asked: that it is
-// there, what it holds, and how slow it is.
-func (t *Table) Reported(id string, layers fleet.Range, loading bool, slow float64) {
+// Status is what an endpoint tells of itself when it is asked.
+type Status struct {
+	Layers fleet.Range
+	Orders uint64 // taken since its start
+	Busy   bool   // with an order
+	// Slow is how many times as slow as its kind the endpoint is.
+	Slow float64
+}
+
+// Reported takes what an endpoint answered when it was asked.
+func (t *Table) Reported(id string, report Status) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.rows[id]
-	if r == nil {
+	if r == nil || r.Gone {
 		return
 	}
 	next := r.Endpoint
 	next.HeardAt = t.svc.Now()
 	next.Silent = false
-	next.Layers = layers
-	next.Loading = loading
-	next.Slow = roundSlow(slow)
+	next.Layers = report.Layers
+	next.Orders = report.Orders
+	next.Loading = report.Busy
+	next.Slow = roundSlow(report.Slow)
 	same := sameNews(&r.Endpoint, &next)
+	if next.Layers != r.Layers || next.Loading != r.Loading || next.Slow != r.Slow {
+		t.logLayers(&next)
+	}
 	r.Endpoint = next
 	if !same {
 		t.note(r)
 	}
 }
 
+// logLayers tells what an endpoint holds and how it does.
+func (t *Table) logLayers(e *fleet.Endpoint) {
+	loading := int64(0)
+	if e.Loading {
+		loading = 1
+	}
+	t.log.Event(eventlog.EndpointLayers, eventlog.Str("endpoint", e.ID), eventlog.Str("address", e.Address),
+		eventlog.Int("from", int64(e.Layers.From)), eventlog.Int("to", int64(e.Layers.To)),
+		eventlog.Int("loading", loading), eventlog.Int("slow_percent", int64(100*e.Slow)))
+}
+
 // slowStep is how finely slowness is told: a finer one is news all the time.
 const slowStep = 0.5
 
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -83,7 +83,7 @@
 			t.Announce(endpoint("a", 2))
 			Expect(t.All()[0].Silent).To(BeFalse())
 			t.Lost("a")
-			t.Reported("a", fleet.Range{}, false, 1)
+			t.Reported("a", Status{Slow: 1})
 			Expect(t.All()[0].Silent).To(BeFalse())
 		})
 	})
@@ -92,7 +92,7 @@
 		withTable(func(t *Table, _ *timer.Manual) {
 			e := endpoint("a", 1)
 			t.Announce(e)
-			t.Reported("a", fleet.Range{}, true, 1)
+			t.Reported("a", Status{Busy: true, Slow: 1})
 			t.Announce(endpoint("a", 2))
 			Expect(t.All()[0].Loading).To(BeTrue())
 			done := endpoint("a", 3)
@@ -107,7 +107,9 @@
 			t.Announce(endpoint("a", 1))
 			_, known := t.Since(0)
 			changed := t.Changed()
-			t.Announce(endpoint("b", 1))
+			other := endpoint("b", 1)
+			other.Address = "10.0.0.2:80"
+			t.Announce(other)
 			Expect(changed).To(BeClosed())
 			list, _ := t.Since(known)
 			Expect(list).To(HaveLen(1))
@@ -115,6 +117,19 @@
 		})
 	})
 
+	It("ends the earlier incarnation at the address of a new one", func() {
+		withTable(func(t *Table, clock *timer.Manual) {
+			t.Announce(endpoint("old", 7))
+			t.Lost("old")
+			clock.Advance(time.Millisecond)
+			t.Announce(endpoint("new", 1))
+			t.Reported("old", Status{Slow: 1})
+			for _, e := range t.All() {
+				Expect(e.Usable()).To(Equal(e.ID == "new"), e.ID)
+			}
+		})
+	})
+
 	It("forgets what was not heard of for long", func() {
 		withTable(func(t *Table, clock *timer.Manual) {
 			t.Announce(endpoint("a", 1))
@@ -143,6 +158,7 @@
 		for range n {
 			id := fmt.Sprintf("e%d", rapid.IntRange(0, 3).Draw(rt, "endpoint"))
 			e := endpoint(id, uint64(rapid.IntRange(1, 9).Draw(rt, "sequence")))
+			e.Address = id + ":80"
 			e.Leaving = rapid.IntRange(0, 5).Draw(rt, "leaves") == 0
 			tables[rapid.IntRange(0, 1).Draw(rt, "table")].Announce(e)
 			m := truth[id]
