Don't cut a stream off a leaving endpoint unless it is continued

Ruled out: the change of the configuration beside it. Change: a repeat is taken from the budget before a running stream is given up; endpoints that leave aren't counted as attempts, since they end. Test: stream_test, two cases that failed before.

--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/pathing"
 )
 
@@ -55,6 +56,20 @@
 	}
 }
 
+// errFirstLeaves says that a stream is continued elsewhere since its first
+// endpoint leaves. That endpoint ends, so it isn't counted against the most
+// that may run the request.
+var errFirstLeaves = errors.New("the first endpoint leaves; continued elsewhere")
+
+// mayLeave reports whether a stream can be taken off its first endpoint now; if
+// not, it stays until the endpoint ends it.
+func (l *leaveWatch) mayLeave() bool {
+	l.first = nil
+	s := l.s
+	s.avoid[s.path[0].ID] = true
+	return s.ran < s.j.route.MaxAttempts && s.pathFrom(nil) != nil && s.payAhead()
+}
+
 // move puts one path around all parts that leave. Its error says that the
 // stream must be sent anew.
 func (l *leaveWatch) move(ctx context.Context) error {
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -150,5 +150,8 @@
 		return false
 	}
 	other := s.pathFrom(nil)
-	return other != nil && (path == nil || pathing.Crossings(other) < pathing.Crossings(path))
+	if other == nil || path != nil && pathing.Crossings(other) >= pathing.Crossings(path) {
+		return false
+	}
+	return s.payAhead()
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -53,6 +53,8 @@
 	avoid    map[string]bool
 	path     []fleet.Part
 	ends     []func()
+	// paid says that the next send has its repeat from the budget.
+	paid bool
 }
 
 // outcome is how one send of a stream ended.
@@ -259,7 +261,19 @@
 // mayRepeat reports whether a send may follow one that ended by cause. Those
 // that never reached an endpoint aren't paid for.
 func (s *streamRun) mayRepeat(cause error) bool {
-	return s.sends < maxStreamSends && (notSent(cause) || s.g.repeats.spend(s.g.source.Hosts()))
+	if s.sends >= maxStreamSends {
+		return false
+	}
+	paid := s.paid
+	s.paid = false
+	return paid || notSent(cause) || s.g.repeats.spend(s.g.source.Hosts())
+}
+
+// payAhead takes a repeat from the budget before a stream that still runs is
+// given up for another send; without one it is better left running.
+func (s *streamRun) payAhead() bool {
+	s.paid = s.paid || s.sends < maxStreamSends && s.g.repeats.spend(s.g.source.Hosts())
+	return s.paid
 }
 
 func (s *streamRun) mayResume(cause error) bool {
@@ -315,8 +329,9 @@
 				return broken, err
 			}
 		case <-l.first:
-			s.ran++
-			return broken, errors.New("the first endpoint leaves")
+			if l.mayLeave() {
+				return broken, errFirstLeaves
+			}
 		case it := <-f.items:
 			if end, cause, over := s.takeItem(ctx, it, w); over {
 				return end, cause
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -194,6 +194,73 @@
 		})
 	})
 
+	It("isn't cut off an endpoint that leaves when it can't be continued elsewhere", func() {
+		for _, spent := range []bool{true, false} {
+			withGateway(func(b *bench) {
+				b.gateway.repeats.budget.Window = 1000 * time.Hour // nothing comes back
+				for spent && b.gateway.repeats.spend(1) {
+					continue
+				}
+				if !spent {
+					b.source.endpoints["llm"] = b.source.endpoints["llm"][:2]
+				}
+				b.backend.answer = func(int, *Call) (*Answer, error) {
+					return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				out := &fakeOutput{}
+				done := make(chan bool)
+				go func() {
+					req := b.request("stream")
+					req.Received = time.Now()
+					b.gateway.Serve(ctx, req, out)
+					done <- true
+				}()
+				Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+				b.source.leave(b.backend.sent()[0].Path[0].ID)
+				Consistently(func() int {
+					b.clock.Advance(firstGrace / 2)
+					return len(b.backend.sent())
+				}, "100ms", "10ms").Should(Equal(1))
+				Expect(done).NotTo(Receive())
+				cancel()
+				Eventually(done, "5s").Should(Receive())
+			})
+		}
+	})
+
+	It("is continued elsewhere as often as its first endpoints leave", func() {
+		withGateway(func(b *bench) {
+			b.source.endpoints["llm"] = []fleet.Endpoint{
+				engineEndpoint("x", 0, 4), engineEndpoint("y", 0, 4), engineEndpoint("z", 0, 4),
+			}
+			b.backend.answer = func(n int, _ *Call) (*Answer, error) {
+				if n < 3 {
+					return &Answer{Status: 200, Sealed: true, Body: hang(events(n, n))}, nil
+				}
+				return whole(200, events(3, 4)), nil
+			}
+			out := &fakeOutput{}
+			done := make(chan bool)
+			go func() {
+				req := b.request("stream")
+				req.Received = time.Now()
+				b.gateway.Serve(context.Background(), req, out)
+				done <- true
+			}()
+			for n := 1; n < 3; n++ {
+				Eventually(out.text, "5s").Should(Equal(events(1, n)))
+				b.source.leave(b.backend.sent()[n-1].ID)
+				Eventually(func() int {
+					b.clock.Advance(firstGrace / 4)
+					return len(b.backend.sent())
+				}, "5s", "5ms").Should(Equal(n + 1))
+			}
+			Eventually(done, "5s").Should(Receive())
+			Expect(out.text()).To(Equal(events(1, 4)))
+		})
+	})
+
 	It("leaves a part that leaves", func() {
 		withGateway(func(b *bench) {
 			b.backend.answer = func(int, *Call) (*Answer, error) {
