--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -270,6 +270,9 @@
 
 // Error implements error.
 func (e *InvalidError) Error() string {
+	if e.cause == nil {
+		return "invalid configuration"
+	}
 	return "invalid configuration: " + e.cause.Error()
 }
 
