--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -88,6 +89,7 @@
 	hint        string
 	interrupt   context.CancelFunc // of the call under way
 	interrupted bool
+	wasReady    bool
 	changed     chan struct{} // closed when endpoints change
 	confirmed   chan struct{} // closed with each confirmation
 }
@@ -176,6 +178,7 @@
 func (f *Follower) request() *rpc.SyncRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.noteReady()
 	q := &rpc.SyncRequest{
 		Host: &rpc.FleetHost{
 			Name:          f.cfg.Name,
@@ -399,6 +402,16 @@
 	return f.index != nil && !f.leaving && f.trusted(age) && len(f.byService) > 0
 }
 
+// noteReady logs when readiness has changed.
+func (f *Follower) noteReady() {
+	now := f.ready()
+	if now == f.wasReady {
+		return
+	}
+	f.wasReady = now
+	f.cfg.Log.Event(eventlog.ReadyChanged, eventlog.Str("ready", strconv.FormatBool(now)))
+}
+
 // Leave makes this host unready for good, and tells the control hosts at once.
 func (f *Follower) Leave() {
 	f.mu.Lock()
--- /dev/null
+++ b/pkg/fleetentry/follower_test.go
@@ -0,0 +1,239 @@
+package fleetentry
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/gateway"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFleetEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleetentry")
+}
+
+type plainDecoder struct{}
+
+func (plainDecoder) Decode(content []byte) (*fleet.Configuration, error) {
+	c := &fleet.Configuration{}
+	return c, json.Unmarshal(content, c)
+}
+
+type noLoads struct{}
+
+func (noLoads) Loads() map[string]gateway.Load { return nil }
+func (noLoads) Suspects() []string             { return nil }
+
+// fakeControl answers held calls by a script.
+type fakeControl struct {
+	rpc.Fleet // the calls that no test makes
+	mu        sync.Mutex
+	answer    func(n int, q *rpc.SyncRequest) *rpc.SyncReply
+	calls     []*rpc.SyncRequest
+}
+
+func (c *fakeControl) Sync(_ context.Context, q *rpc.SyncRequest) (*rpc.SyncReply, error) {
+	c.mu.Lock()
+	c.calls = append(c.calls, q)
+	n := len(c.calls)
+	c.mu.Unlock()
+	return c.answer(n, q), nil
+}
+
+func (c *fakeControl) asked() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.calls)
+}
+
+// withControl serves a scripted control host.
+func withControl(answer func(n int, q *rpc.SyncRequest) *rpc.SyncReply, f func(c *fakeControl, address string)) {
+	c := &fakeControl{answer: answer}
+	s := httptest.NewServer(rpc.NewFleetServer(c))
+	defer s.Close()
+	f(c, strings.TrimPrefix(s.URL, "http://"))
+}
+
+func newFollower(clock timer.Service, seeds ...string) *Follower {
+	f := NewFollower(FollowerConfig{
+		Name:          "me",
+		Domain:        "a",
+		CallerAddress: "10.0.0.1:80",
+		Seeds:         func() []string { return seeds },
+		Revoke:        5 * time.Second,
+		Decoder:       plainDecoder{},
+		Client:        &http.Client{},
+		Timer:         clock,
+	})
+	f.Tell(noLoads{})
+	return f
+}
+
+func document(version uint64) *rpc.Document {
+	text, err := json.Marshal(&fleet.Configuration{Version: version})
+	Expect(err).NotTo(HaveOccurred())
+	packed, err := fleet.Pack(text)
+	Expect(err).NotTo(HaveOccurred())
+	return &rpc.Document{Version: version, Content: packed}
+}
+
+func confirmed(version uint64) *rpc.SyncReply {
+	return &rpc.SyncReply{
+		Confirmed: true,
+		Epoch:     1,
+		Whole:     true,
+		Settled:   true,
+		Document:  document(version),
+		Endpoints: []*rpc.Announcement{{Id: "e1", Service: "s", Address: "10.1.0.1:80", Sequence: 3}},
+	}
+}
+
+var _ = Describe("what an entry host believes", func() {
+	It("is nothing before the first confirmation, and callers aren't sent to it", func() {
+		f := newFollower(timer.NewManual(time.Unix(1000, 0)))
+		Expect(f.View().Index).To(BeNil())
+		Expect(f.View().Fresh).To(BeFalse())
+		Expect(f.Ready()).To(BeFalse())
+		Expect(f.Addresses()).To(BeEmpty())
+	})
+
+	It("goes stale step by step: final refusals first, then keys, then readiness", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f := newFollower(clock)
+		Expect(f.take("c", confirmed(3), clock.Now())).To(BeTrue())
+		Expect(f.View().Fresh && f.View().Trusted && f.Ready()).To(BeTrue())
+		clock.Advance(freshFor)
+		Expect(f.View().Fresh).To(BeFalse())
+		Expect(f.View().Trusted).To(BeTrue())
+		clock.Advance(5*time.Second - revokeMargin - freshFor)
+		Expect(f.View().Trusted).To(BeFalse())
+		Expect(f.Ready()).To(BeFalse())
+	})
+
+	It("counts a confirmation from when the call was sent, not from when its answer came", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f := newFollower(clock)
+		sent := clock.Now()
+		clock.Advance(3 * time.Second)
+		reply := confirmed(3)
+		reply.HeldMs = 400
+		f.take("c", reply, sent)
+		Expect(f.View().Age).To(Equal(2600 * time.Millisecond))
+	})
+
+	It("never goes back to an older configuration", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f := newFollower(clock)
+		f.take("c", confirmed(7), clock.Now())
+		f.take("c", confirmed(5), clock.Now())
+		Expect(f.View().Index.Version()).To(BeEquivalentTo(7))
+	})
+
+	It("keeps that an endpoint leaves, and loses endpoints only to a whole, settled list", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f := newFollower(clock)
+		f.take("c", confirmed(3), clock.Now())
+		leaving := confirmed(3)
+		leaving.Endpoints[0].Leaving = true
+		f.take("c", leaving, clock.Now())
+		f.take("c", confirmed(3), clock.Now())
+		Expect(f.Endpoints("s")).To(HaveLen(1), "a whole, settled list tells how it is")
+		young := confirmed(3)
+		young.Epoch = 2
+		young.Settled = false
+		young.Endpoints = nil
+		f.take("c", young, clock.Now())
+		Expect(f.Endpoints("s")).To(HaveLen(1), "a leader that has just begun knows little")
+	})
+
+	It("asks whom a control host names, and the next of all when one is silent", func() {
+		hole, err := net.Listen("tcp", "127.0.0.1:0") // takes connections and says nothing
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = hole.Close() }() // the test is over
+		withControl(func(int, *rpc.SyncRequest) *rpc.SyncReply { return confirmed(3) }, func(_ *fakeControl, leader string) {
+			withControl(func(int, *rpc.SyncRequest) *rpc.SyncReply {
+				return &rpc.SyncReply{Leader: leader}
+			}, func(_ *fakeControl, other string) {
+				f := newFollower(timer.NewSystem(), hole.Addr().String(), other)
+				g := group.New(context.Background())
+				began := time.Now()
+				g.Go(f.Run)
+				Eventually(f.Ready, "5s", "10ms").Should(BeTrue())
+				Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+				g.Stop()
+			})
+		})
+	})
+
+	It("tells at once that it leaves, though a call is held", func() {
+		held := make(chan struct{})
+		withControl(func(n int, q *rpc.SyncRequest) *rpc.SyncReply {
+			if n == 2 {
+				<-held
+			}
+			return confirmed(3)
+		}, func(c *fakeControl, address string) {
+			f := newFollower(timer.NewSystem(), address)
+			g := group.New(context.Background())
+			g.Go(f.Run)
+			Eventually(c.asked, "5s", "5ms").Should(Equal(2))
+			f.Leave()
+			Eventually(c.asked, "5s", "5ms").Should(BeNumerically(">", 2))
+			c.mu.Lock()
+			Expect(c.calls[2].GetHost().GetReady()).To(BeFalse())
+			c.mu.Unlock()
+			close(held)
+			g.Stop()
+		})
+	})
+})
+
+var _ = Describe("a host that stops", func() {
+	It("takes requests for a while, then refuses them with a time to come back, and ends when idle", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f := newFollower(clock)
+		f.take("c", confirmed(3), clock.Now())
+		h := NewHost(f, 8*time.Second, clock, nil)
+		end := h.Begin()
+		done := make(chan bool)
+		g := group.New(context.Background())
+		g.Go(func(ctx context.Context) {
+			h.Drain(ctx)
+			done <- true
+		})
+		Eventually(h.Leaving, "5s").Should(BeTrue())
+		Eventually(func() bool { h.mu.Lock(); defer h.mu.Unlock(); return !h.left.IsZero() }, "5s").Should(BeTrue())
+		Expect(h.Ready()).To(BeFalse())
+		Expect(h.Refusal()).To(BeNil())
+		clock.Advance(refuseAfter)
+		Expect(h.Refusal().Kind()).To(Equal(failure.Draining))
+		Expect(h.Refusal().RetryAfter()).To(BeNumerically(">", 0))
+		clock.Advance(leastStay)
+		Consistently(done, "50ms").ShouldNot(Receive())
+		end()
+		Eventually(func() bool {
+			clock.Advance(idlePoll)
+			select {
+			case <-done:
+				return true
+			default:
+				return false
+			}
+		}, "5s", "5ms").Should(BeTrue())
+		g.Stop()
+	})
+})
