--- a/pkg/cmds/opcmd/op.go
+++ b/pkg/cmds/opcmd/op.go
@@ -52,7 +52,7 @@
 	f.StringSliceVar(&o.admin, "admin", split(os.Getenv(adminVariable)), "administration addresses of control hosts ($"+adminVariable+")")
 	f.StringVar(&o.key, "key", os.Getenv(keyVariable), "operator's key, or a caller's for ask ($"+keyVariable+")")
 	f.StringVarP(&o.output, "output", "o", outputTable, "table or json")
-	cmd.AddCommand(o.bundleCommand(), o.rolloutCommand(), o.statusCommand(), o.replicaCommand(), o.keyCommand(), o.askCommand(), o.versionCommand())
+	cmd.AddCommand(o.bundleCommand(), o.rolloutCommand(), o.statusCommand(), o.replicaCommand(), o.keyCommand(), o.askCommand(), o.explainCommand(), o.versionCommand())
 	cmd.SetOut(out)
 	return cmd
 }
--- a/pkg/fleetcontrol/survey.go
+++ b/pkg/fleetcontrol/survey.go
@@ -57,6 +57,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.misses[id]++
+	delete(s.asked, id) // asked again with the next round
 	return s.misses[id]
 }
 
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -135,8 +135,8 @@
 		demand.First = &part
 	}
 	path := pathing.Choose(s.j.service.Engine, s.stages(func(e *fleet.Endpoint) bool {
-		return s.avoid[e.ID] || s.g.tracker.Avoided(e.ID)
-	}), demand, jitter)
+		return s.failed(e.ID) || s.g.tracker.Avoided(e.ID)
+	}), demand, s.jitter)
 	if path == nil || !pathing.Whole(s.j.service.Engine, path) {
 		return nil
 	}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -16,6 +16,7 @@
 	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/pathing"
+	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
 const (
@@ -37,7 +38,8 @@
 	// eventQueue lets the reader run ahead of a caller that reads slowly.
 	eventQueue = 4
 	// jitterWidth is how far hosts that know the same differ in their choice.
-	jitterWidth = 0.1
+	jitterWidth    = 0.1
+	cutJitterWidth = 0.4
 )
 
 // streamRun is one stream on its way to a caller.
@@ -47,14 +49,17 @@
 	sends    int
 	ran      int
 	begun    bool
-	started  time.Time // of the present send
-	last     string    // id of the last event passed on
-	lastFrom string    // where the caller wanted to resume
-	avoid    map[string]bool
+	started  time.Time       // of the present send
+	last     string          // id of the last event passed on
+	lastFrom string          // where the caller wanted to resume
+	avoid    map[string]bool // failed this request
+	refused  map[string]bool // had no room for it just now
 	path     []fleet.Part
 	ends     []func()
 	// paid says that the next send has its repeat from the budget.
 	paid bool
+	// waited is how long it has waited for room.
+	waited time.Duration
 }
 
 // outcome is how one send of a stream ended.
@@ -74,6 +79,7 @@
 		j:        j,
 		lastFrom: j.req.LastEvent,
 		avoid:    map[string]bool{},
+		refused:  map[string]bool{},
 	}
 	g.repeats.earn(g.source.Hosts())
 	defer s.release()
@@ -156,8 +162,14 @@
 	return out
 }
 
-func jitter() float64 {
-	return 1 - jitterWidth + 2*jitterWidth*rand.Float64()
+// jitter returns a factor for an endpoint's cost. Streams that were cut are
+// spread more widely: they come all at once, before loads can tell.
+func (s *streamRun) jitter() float64 {
+	width := jitterWidth
+	if s.ran > 0 {
+		width = cutJitterWidth
+	}
+	return 1 - width + 2*width*rand.Float64()
 }
 
 // chooseSoon finds a path, once there is one. While endpoints may still
@@ -170,15 +182,37 @@
 			s.take(path)
 			return nil
 		}
-		if !s.g.awaitEndpoints(ctx, s.j.req, changed) {
-			if e == nil {
-				s.take(path)
-			}
-			return e
+		if s.g.awaitEndpoints(ctx, s.j.req, changed) || s.awaitRoom(ctx, e) {
+			continue
+		}
+		if e == nil {
+			s.take(path)
 		}
+		return e
 	}
 }
 
+const (
+	// roomWait is how long a stream that has begun waits for a path: its caller
+	// gives it up after a gap of two seconds, of which a third may be over.
+	roomWait = 900 * time.Millisecond
+	// roomPause is how often it looks: memory is freed with every stream that
+	// ends, a few dozen a second.
+	roomPause = 100 * time.Millisecond
+)
+
+// awaitRoom waits a little before a stream that was cut looks for a path again.
+// When an endpoint is lost, its streams come to the others all at once, and
+// find them full for a moment.
+func (s *streamRun) awaitRoom(ctx context.Context, e *failure.Error) bool {
+	if e == nil || s.ran == 0 || s.waited >= roomWait {
+		return false
+	}
+	s.waited += roomPause
+	s.refused = map[string]bool{}
+	return timer.Sleep(ctx, s.g.svc, roomPause) == nil
+}
+
 // choose finds a path around what failed this request or this host lately;
 // without one, around what failed this request only.
 func (s *streamRun) choose() ([]fleet.Part, *failure.Error) {
@@ -186,11 +220,11 @@
 	if e == nil {
 		return s.chooseSingle()
 	}
-	strict := s.stages(func(p *fleet.Endpoint) bool { return s.avoid[p.ID] || s.g.tracker.Avoided(p.ID) })
-	path := pathing.Choose(e, strict, s.demand(), jitter)
+	strict := s.stages(func(p *fleet.Endpoint) bool { return s.failed(p.ID) || s.g.tracker.Avoided(p.ID) })
+	path := pathing.Choose(e, strict, s.demand(), s.jitter)
 	if path == nil {
-		loose := s.stages(func(p *fleet.Endpoint) bool { return s.avoid[p.ID] })
-		path = pathing.Choose(e, loose, s.demand(), jitter)
+		loose := s.stages(func(p *fleet.Endpoint) bool { return s.failed(p.ID) })
+		path = pathing.Choose(e, loose, s.demand(), s.jitter)
 	}
 	if path == nil || !pathing.Whole(e, path) {
 		return nil, s.noPath()
@@ -200,7 +234,7 @@
 		return path, nil
 	}
 	d.Stay = true
-	if path = pathing.Choose(e, strict, d, jitter); path == nil {
+	if path = pathing.Choose(e, strict, d, s.jitter); path == nil {
 		return nil, failure.New(failure.Overloaded, "the pipes between failure domains are full").WithRetryAfter(pipesAgain)
 	}
 	return path, nil
@@ -210,6 +244,11 @@
 // the endpoint that left a hole is replaced in one to five seconds.
 const pipesAgain = time.Second
 
+// failed reports whether an endpoint failed or refused this request.
+func (s *streamRun) failed(id string) bool {
+	return s.avoid[id] || s.refused[id]
+}
+
 // noPath says why no path was found.
 func (s *streamRun) noPath() *failure.Error {
 	held := 0
@@ -224,12 +263,16 @@
 		}
 	}
 	return failure.New(failure.NoChain, "no path over every layer: %d endpoints, %d with layers, %d silent, %d failed this request",
-		len(list), held, silent, len(s.avoid)).WithRetryAfter(comeBack)
+		len(list), held, silent, len(s.avoid)+len(s.refused)).WithRetryAfter(comeBack)
 }
 
 // chooseSingle picks an endpoint of a service whose endpoints hold everything.
 func (s *streamRun) chooseSingle() ([]fleet.Part, *failure.Error) {
-	e, ok := s.g.pick(s.j.service.Name, s.avoid)
+	tried := map[string]bool{}
+	for _, e := range s.g.source.Endpoints(s.j.service.Name) {
+		tried[e.ID] = s.failed(e.ID)
+	}
+	e, ok := s.g.pick(s.j.service.Name, tried)
 	if !ok {
 		return nil, s.noPath()
 	}
@@ -389,7 +432,7 @@
 		}
 	}
 	why := "status " + strconv.Itoa(a.Status)
-	s.avoid[at.ID] = true
+	s.refused[at.ID] = true
 	s.g.tracker.Avoid(at.ID, why)
 	s.g.attemptFailed(s.j, at.ID, why)
 	return errors.Errorf("endpoint %s: %s", at.ID, why)
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -261,6 +261,44 @@
 		})
 	})
 
+	It("waits a little for room, once it was cut, before it is broken off", func() {
+		withGateway(func(b *bench) {
+			b.source.endpoints["llm"] = []fleet.Endpoint{engineEndpoint("x", 0, 4), engineEndpoint("y", 0, 4)}
+			room := make(chan bool, 1)
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				switch {
+				case n == 1:
+					return &Answer{Status: 200, Sealed: true, Body: brokenBody{Reader: strings.NewReader(events(1, 1))}}, nil
+				case len(room) == 0:
+					return refusedBy(c.Address), nil
+				}
+				return whole(200, events(2, 3)), nil
+			}
+			out := &fakeOutput{}
+			done := make(chan bool)
+			go func() {
+				req := b.request("stream")
+				req.Received = time.Now()
+				b.gateway.Serve(context.Background(), req, out)
+				done <- true
+			}()
+			Eventually(func() int { return len(b.backend.sent()) }, "5s").Should(Equal(2))
+			Consistently(done, "30ms").ShouldNot(Receive())
+			room <- true
+			Eventually(func() bool {
+				b.clock.Advance(roomPause)
+				select {
+				case <-done:
+					return true
+				default:
+					return false
+				}
+			}, "5s", "5ms").Should(BeTrue())
+			Expect(out.text()).To(Equal(events(1, 3)))
+			Expect(out.aborted).To(BeFalse())
+		})
+	})
+
 	It("leaves a part that leaves", func() {
 		withGateway(func(b *bench) {
 			b.backend.answer = func(int, *Call) (*Answer, error) {
--- /dev/null
+++ b/pkg/story/story.go
@@ -0,0 +1,171 @@
+// Package story puts together, from the log lines of many hosts, what became
+// of one request and what was known of the endpoints and hosts it touched.
+package story
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// around is how far before and after a request the lines of the endpoints and
+// hosts that it touched belong to its story.
+const around = 5 * time.Second
+
+// maxLine bounds one line of a log.
+const maxLine = 64 << 10
+
+// Line is one line of a log.
+type Line struct {
+	Time   time.Time
+	Host   string
+	Event  string
+	Fields map[string]any
+	raw    string
+}
+
+// Text returns the fields but for time, host and event, sorted by name.
+func (l *Line) Text() string {
+	names := make([]string, 0, len(l.Fields))
+	for n := range l.Fields {
+		if n != "time" && n != "host" && n != "event" {
+			names = append(names, n)
+		}
+	}
+	sort.Strings(names)
+	parts := make([]string, 0, len(names))
+	for _, n := range names {
+		value, err := json.Marshal(l.Fields[n])
+		if err != nil {
+			continue // it was decoded from JSON
+		}
+		parts = append(parts, n+"="+strings.Trim(string(value), `"`))
+	}
+	return strings.Join(parts, " ")
+}
+
+// Read returns the lines of a log. What isn't a line of ours is passed over; a
+// collector may have put something before the object.
+func Read(r io.Reader) ([]Line, error) {
+	var list []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 0, maxLine), maxLine)
+	for s.Scan() {
+		if l, ok := parse(s.Bytes()); ok {
+			list = append(list, l)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, errors.Wrap(err, "read log")
+	}
+	return list, nil
+}
+
+func parse(text []byte) (Line, bool) {
+	at := bytes.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	l := Line{
+		Fields: map[string]any{},
+		raw:    string(text[at:]),
+	}
+	if json.Unmarshal(text[at:], &l.Fields) != nil {
+		return Line{}, false
+	}
+	stamp, _ := l.Fields["time"].(string)
+	when, err := time.Parse(time.RFC3339Nano, stamp)
+	if err != nil {
+		return Line{}, false
+	}
+	l.Time = when
+	l.Host, _ = l.Fields["host"].(string)
+	l.Event, _ = l.Fields["event"].(string)
+	return l, l.Event != ""
+}
+
+// Of returns the story of a request, in order of time: its own lines, and
+// those about the endpoints it touched and the hosts that carried it from
+// shortly before to shortly after it.
+func Of(lines []Line, request string) []Line {
+	var own []Line
+	for _, l := range lines {
+		if l.Fields["request"] == request {
+			own = append(own, l)
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	sortByTime(own)
+	from := began(&own[0]).Add(-around)
+	to := own[len(own)-1].Time.Add(around)
+	touched := touches(own)
+	out := own
+	for _, l := range lines {
+		_, ofRequest := l.Fields["request"]
+		if ofRequest || l.Time.Before(from) || l.Time.After(to) || !touched.by(&l) {
+			continue
+		}
+		out = append(out, l)
+	}
+	sortByTime(out)
+	return out
+}
+
+// began returns when a request came, by the time it had taken.
+func began(l *Line) time.Time {
+	for _, name := range []string{"took_ms", "after_ms"} {
+		if ms, ok := l.Fields[name].(float64); ok {
+			return l.Time.Add(-time.Duration(ms) * time.Millisecond)
+		}
+	}
+	return l.Time
+}
+
+func sortByTime(list []Line) {
+	sort.SliceStable(list, func(i, j int) bool { return list[i].Time.Before(list[j].Time) })
+}
+
+// touch is what a request touched: hosts, and text that names endpoints.
+type touch struct {
+	hosts map[string]bool
+	text  string
+}
+
+func touches(own []Line) touch {
+	t := touch{
+		hosts: map[string]bool{},
+	}
+	var b strings.Builder
+	for _, l := range own {
+		t.hosts[l.Host] = true
+		b.WriteString(l.raw)
+	}
+	t.text = b.String()
+	return t
+}
+
+// hostEvents are the events of a host that bear on every request it carries.
+var hostEvents = map[string]bool{
+	"control_lost": true, "control_regained": true, "configuration_in_force": true, "ready_changed": true,
+	"started": true, "stopping": true, "stopped": true,
+}
+
+func (t touch) by(l *Line) bool {
+	if hostEvents[l.Event] {
+		return t.hosts[l.Host]
+	}
+	for _, name := range []string{"endpoint", "address"} {
+		if v, _ := l.Fields[name].(string); v != "" && strings.Contains(t.text, v) {
+			return true
+		}
+	}
+	return l.Event == "role_changed" || l.Event == "configuration_accepted"
+}
--- /dev/null
+++ b/pkg/story/story_test.go
@@ -0,0 +1,44 @@
+package story
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestStory(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "story")
+}
+
+const logs = `collector says {"time":"2026-01-01T00:00:10.000Z","host":"h1","event":"attempt_failed","request":"r1","endpoint":"e1","why":"status 503","after_ms":3}
+not a line
+{"time":"2026-01-01T00:00:09.900Z","host":"c1","event":"endpoint_silent","endpoint":"e1","address":"10.0.0.1:1","age_ms":400}
+{"time":"2026-01-01T00:00:09.950Z","host":"c1","event":"endpoint_silent","endpoint":"e9","address":"10.0.0.9:1","age_ms":400}
+{"time":"2026-01-01T00:00:10.100Z","host":"h1","event":"request_refused","request":"r1","kind":"overloaded","after_ms":103}
+{"time":"2026-01-01T00:00:10.100Z","host":"h2","event":"request_refused","request":"r2","kind":"overloaded","after_ms":1}
+{"time":"2026-01-01T00:00:08.000Z","host":"h1","event":"control_lost","address":"10.0.0.7:1"}
+{"time":"2026-01-01T00:00:08.000Z","host":"h2","event":"control_lost","address":"10.0.0.7:1"}
+{"time":"2026-01-01T00:00:01.000Z","host":"h1","event":"control_lost","address":"10.0.0.7:1"}
+`
+
+var _ = Describe("a request's story", func() {
+	It("has its lines over all hosts, and those of what it touched, in order", func() {
+		lines, err := Read(strings.NewReader(logs))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(lines).To(HaveLen(8))
+		var events []string
+		for _, l := range Of(lines, "r1") {
+			events = append(events, l.Host+" "+l.Event)
+		}
+		Expect(events).To(Equal([]string{"h1 control_lost", "c1 endpoint_silent", "h1 attempt_failed", "h1 request_refused"}))
+	})
+
+	It("is empty for a request that no line names", func() {
+		lines, err := Read(strings.NewReader(logs))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(Of(lines, "r9")).To(BeEmpty())
+	})
+})
