--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+var _ = Describe("routes", func() {
+	cfg := &Configuration{
+		Version: 1,
+		Routes: []Route{
+			{Name: "short", Host: "H.example", Prefix: "/a/"},
+			{Name: "long", Host: "h.example", Prefix: "/a/b/"},
+		},
+		Accounts: []Account{{Name: "t", Keys: []string{"k"}}},
+	}
+	x := NewIndex(cfg)
+
+	It("are found by host and longest prefix", func() {
+		for _, one := range []struct {
+			host, path, name string
+		}{
+			{"h.example", "/a/x", "short"},
+			{"h.example", "/a/b/x", "long"},
+			{"h.example:80", "/a/b/", "long"},
+			{"H.EXAMPLE", "/a/bb", "short"},
+			{"h.example", "/b/a/", ""},
+			{"other", "/a/", ""},
+			{"h.example", "/a", ""},
+		} {
+			name := ""
+			if r := x.Route(one.host, one.path); r != nil {
+				name = r.Name
+			}
+			Expect(name).To(Equal(one.name), one.host+one.path)
+		}
+	})
+
+	It("share their requests by weight", func() {
+		r := &Route{Split: []Share{{Service: "a", Weight: 90}, {Service: "z", Weight: 0}, {Service: "b", Weight: 10}}}
+		Expect(r.Pick(0)).To(Equal("a"))
+		Expect(r.Pick(0.899)).To(Equal("a"))
+		Expect(r.Pick(0.91)).To(Equal("b"))
+		Expect(r.Pick(0.9999999)).To(Equal("b"))
+	})
+})
+
+var _ = Describe("a packed configuration", func() {
+	It("unpacks to the same bytes, and is a tenth where routes are many", func() {
+		text := []byte(strings.Repeat(`{"name":"r","host":"h.example","path_prefix":"/x/","timeout_ms":20000},`, 1480))
+		packed, err := Pack(text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(packed)).To(BeNumerically("<", len(text)/10))
+		back, err := Unpack(packed)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(back).To(Equal(text))
+		_, err = Unpack(packed[:len(packed)/2])
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("an endpoint on the wire", func() {
+	It("comes back as it was, with its age", func() {
+		now := time.Unix(1000, 0)
+		e := Endpoint{ID: "i", Service: "s", Address: "a:1", Domain: "d", Slots: 3, Leaving: true, Sequence: 9, Kind: "k",
+			Model: "m", Layers: Range{From: 2, To: 5}, Loading: true, Silent: true, Slow: 2.5, HeardAt: now.Add(-time.Second)}
+		Expect(EndpointFromWire(e.ToWire(now), now)).To(Equal(e))
+	})
+})
--- /dev/null
+++ b/pkg/gateway/pipes_test.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func across(domains ...string) []fleet.Part {
+	var path []fleet.Part
+	for _, d := range domains {
+		path = append(path, fleet.Part{Domain: d})
+	}
+	return path
+}
+
+var _ = Describe("the pipes between failure domains", func() {
+	engine := &fleet.Engine{
+		PipeMbps:    8, // a million bytes a second
+		ActivationB: 1000,
+	}
+
+	It("let paths within a domain pass, however many", func() {
+		p := newPipes(timer.NewManual(time.Unix(0, 0)))
+		for range 10000 {
+			Expect(p.take(engine, across("a", "a"), 1000, 10)).To(BeTrue())
+		}
+	})
+
+	It("are filled by all hosts together to their share and no further", func() {
+		const hosts = 5
+		const tokens = 10 // 10,000 bytes
+		clock := timer.NewManual(time.Unix(0, 0))
+		var all []*pipes
+		for range hosts {
+			all = append(all, newPipes(clock))
+		}
+		taken := 0
+		const seconds = 20
+		for range seconds * 10 {
+			clock.Advance(100 * time.Millisecond)
+			for _, p := range all {
+				for p.take(engine, across("a", "b"), tokens, hosts) {
+					taken += tokens * 1000
+				}
+			}
+		}
+		share := pipeShare * 1e6
+		Expect(float64(taken)).To(BeNumerically("<=", share*(seconds+pipeBurst)*1.01))
+		Expect(float64(taken)).To(BeNumerically(">=", share*seconds*0.9))
+	})
+
+	It("are parted by pair, either way, and taken all or not at all", func() {
+		p := newPipes(timer.NewManual(time.Unix(0, 0)))
+		for p.take(engine, across("b", "a"), 100, 1) {
+			continue
+		}
+		Expect(p.take(engine, across("a", "b"), 100, 1)).To(BeFalse())
+		before := p.refill(fleet.DomainPair{A: "b", B: "c"}, 6e5, 1e5).bytes
+		Expect(p.take(engine, across("a", "b", "c"), 100, 1)).To(BeFalse())
+		Expect(p.refill(fleet.DomainPair{A: "b", B: "c"}, 6e5, 1e5).bytes).To(Equal(before))
+		Expect(p.take(engine, across("b", "c"), 100, 1)).To(BeTrue())
+	})
+})
