A replica that was just taken in can answer votes after a restart

Ruled out: load (the stuck replica had commit 0 and no members in each), votes that split. Change: every replica tells who the members are.

--- /dev/null
+++ b/_scripts/mutate-fleet.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Breaks each rule of mutations-fleet.txt in a copy, and checks that the tests of
+# the package named beside it notice.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+survived=0
+git ls-files -z -- . ':!journal' | xargs -0 -I{} cp --parents {} "$copy"
+while IFS='|' read -r rule package file expression; do
+  case $rule in '#'* | '') continue ;; esac
+  sed -i "$expression" "$copy/$file"
+  if cmp -s "$file" "$copy/$file"; then
+    verdict="no change"
+  elif ! (cd "$copy" && go vet "./$package" >mutate.log 2>&1); then
+    verdict="does not build"
+  elif (cd "$copy" && timeout 120 go test "./$package" >mutate.log 2>&1); then
+    verdict="SURVIVED"
+  else
+    verdict="caught"
+  fi
+  echo "$verdict: $rule"
+  [ "$verdict" = caught ] || survived=$((survived + 1))
+  cp "$file" "$copy/$file"
+done <_scripts/mutations-fleet.txt
+[ "$survived" = 0 ]
--- /dev/null
+++ b/pkg/fleetcontrol/announce_test.go
@@ -0,0 +1,140 @@
+package fleetcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func announcement(leaving bool, sequence uint64) fleet.Endpoint {
+	return fleet.Endpoint{
+		ID:       "e1",
+		Service:  "s",
+		Address:  "127.0.2.1:80",
+		Leaving:  leaving,
+		Sequence: sequence,
+	}
+}
+
+func (c *cluster) knows(ip string) func() []fleet.Endpoint {
+	return func() []fleet.Endpoint {
+		return c.hosts[ip].server.table.All()
+	}
+}
+
+var _ = Describe("an endpoint's announcement", func() {
+	It("reaches every replica, and a leave does before it is acknowledged", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			other := c.other(lead)
+			s := c.hosts[other].server
+			Expect(s.Announce(context.Background(), announcement(false, 1))).To(Succeed())
+			Eventually(c.knows(lead), "5s", "10ms").Should(HaveLen(1))
+			Expect(s.Announce(context.Background(), announcement(true, 2))).To(Succeed())
+			Expect(c.knows(lead)()[0].Leaving).To(BeTrue())
+		})
+	})
+
+	It("of a leave isn't acknowledged by a replica that can tell nobody", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			alone := c.other(lead)
+			for _, ip := range c.ips {
+				if ip != alone {
+					c.stop(ip)
+				}
+			}
+			s := c.hosts[alone].server
+			Expect(s.Announce(context.Background(), announcement(true, 2))).To(MatchError(ErrAlone))
+			Expect(s.Deregister(context.Background(), "e1")).To(MatchError(ErrAlone))
+		})
+	})
+
+	It("is passed on to entry hosts by the leader's held call, with a confirmation", func() {
+		withCluster(func(c *cluster) {
+			lead := c.hosts[c.leader()].server
+			q := &rpc.SyncRequest{
+				Host:   &rpc.FleetHost{Name: "h", Ready: true, CallerAddress: "127.0.3.1:80"},
+				WaitMs: 100,
+			}
+			var first *rpc.SyncReply
+			Eventually(func() bool {
+				reply, err := lead.Sync(context.Background(), q)
+				first = reply
+				return err == nil && reply.GetConfirmed()
+			}, "5s", "20ms").Should(BeTrue())
+			q.Epoch = first.GetEpoch()
+			q.EndpointsVersion = first.GetEndpointsVersion()
+			q.HostsVersion = first.GetHostsVersion()
+			q.WaitMs = 1000
+			began := time.Now()
+			Expect(lead.Announce(context.Background(), announcement(true, 1))).To(Succeed())
+			reply, err := lead.Sync(context.Background(), q)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.GetConfirmed()).To(BeTrue())
+			Expect(reply.GetEndpoints()).To(HaveLen(1))
+			Expect(reply.GetEndpoints()[0].GetLeaving()).To(BeTrue())
+			Expect(time.Since(began)).To(BeNumerically("<", 900*time.Millisecond))
+		})
+	})
+
+	It("isn't confirmed by a replica that doesn't lead", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			reply, err := c.hosts[c.other(lead)].server.Sync(context.Background(), &rpc.SyncRequest{
+				Host: &rpc.FleetHost{Name: "h"},
+			})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.GetConfirmed()).To(BeFalse())
+			Expect(reply.GetLeader()).To(Equal(c.hosts[lead].server.replica.address()))
+		})
+	})
+})
+
+var _ = Describe("a configuration", func() {
+	It("of two with the same version stands as the first one that was taken, on every host", func() {
+		withCluster(func(c *cluster) {
+			done := make(chan error, len(c.ips))
+			for i, ip := range c.ips {
+				go func() {
+					done <- c.hosts[ip].server.Replace(context.Background(), document(9, string(rune('a'+i))))
+				}()
+			}
+			for range c.ips {
+				<-done // one that wasn't answered may or may not stand
+			}
+			var first []byte
+			for _, ip := range c.ips {
+				var text []byte
+				Eventually(func() error {
+					var err error
+					text, err = c.hosts[ip].server.Read(context.Background())
+					return err
+				}, "10s", "50ms").Should(Succeed())
+				if first == nil {
+					first = text
+				}
+				Expect(text).To(Equal(first))
+			}
+		})
+	})
+
+	It("that is older or the same is acknowledged and changes nothing; one that is invalid is refused", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			c.put(lead, document(9, "a"))
+			for _, text := range [][]byte{document(9, "b"), document(4, "c")} {
+				c.put(c.other(lead), text)
+				now, err := c.hosts[lead].server.Read(context.Background())
+				Expect(err).NotTo(HaveOccurred())
+				Expect(now).To(Equal(document(9, "a")))
+			}
+			err := c.hosts[lead].server.Replace(context.Background(), document(10, "a")[:40])
+			Expect(err).To(BeAssignableToTypeOf(&InvalidError{}))
+		})
+	})
+})
--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -190,10 +192,29 @@
 			}
 		}
 		return false
-	}, "10s", "20ms").Should(BeTrue())
+	}, "10s", "20ms").Should(BeTrue(), c.describe)
 	return found
 }
 
+// describe tells what each host believes of the replicas.
+func (c *cluster) describe() string {
+	var b strings.Builder
+	for ip, h := range c.hosts {
+		node, _ := h.server.replica.current()
+		if node == nil {
+			fmt.Fprintf(&b, "%s: no node\n", ip)
+			continue
+		}
+		st := node.Status()
+		fmt.Fprintf(&b, "%s: id %x %s term %d commit %d applied %d leader %s members", ip, st.ID, st.Role, st.Term, st.Commit, st.Applied, st.Leader.GetAddress())
+		for _, m := range st.Members.GetList() {
+			fmt.Fprintf(&b, " %x@%s", m.GetId(), m.GetAddress())
+		}
+		b.WriteString("\n")
+	}
+	return b.String()
+}
+
 func (c *cluster) other(ip string) string {
 	for _, one := range c.ips {
 		if one != ip && c.hosts[one] != nil {
--- a/pkg/fleetcontrol/members.go
+++ b/pkg/fleetcontrol/members.go
@@ -96,8 +96,12 @@
 		if err != nil {
 			continue // asked again with the next round
 		}
-		if reply.GetMember() {
+		if holds(reply.GetMembers(), st.ID) {
+			// Taken in, but its log may not tell yet: without the addresses it
+			// couldn't even answer a vote that a majority needs.
 			r.meet(reply.GetMembers())
+		}
+		if reply.GetMember() {
 			return
 		}
 		list = append([]string{reply.GetLeader()}, list...)
@@ -123,7 +127,8 @@
 	}
 	if st.Role != raft.Leader {
 		return &rpc.JoinReply{
-			Leader: st.Leader.GetAddress(),
+			Leader:  st.Leader.GetAddress(),
+			Members: st.Members,
 		}, nil
 	}
 	if holds(st.Members, q.GetId()) {
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -257,7 +257,7 @@
 	source := &fakeSource{
 		view: View{Index: fleet.NewIndex(configuration()), Fresh: true, Trusted: true},
 		endpoints: map[string][]fleet.Endpoint{
-			"app": {appEndpoint("p"), appEndpoint("q")},
+			"app": {appEndpoint("p"), appEndpoint("q"), appEndpoint("s")},
 			"llm": {engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4), engineEndpoint("z", 2, 4), engineEndpoint("w", 0, 2)},
 		},
 		leaving:   map[string]bool{},
