--- a/pkg/entry/claimer.go
+++ b/pkg/entry/claimer.go
@@ -9,6 +9,7 @@
 
 	"github.com/larchwinch/larchwinch/pkg/bundle"
 	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
@@ -69,19 +70,17 @@
 		Nonce:      out.nonce,
 		RunsMs:     uint32(c.runs.Milliseconds()),
 	}
-	var last error
-	for _, address := range c.control {
-		reply, err := rpc.NewClaimsProtobufClient("http://"+address, c.client).Claim(ctx, r)
-		if err == nil {
-			out.first = reply.GetOutcome()
-			return out, judge(reply, key)
-		}
-		last = err
-		if ctx.Err() != nil {
-			break
-		}
+	var reply *rpc.ClaimReply
+	err := netutil.InTurn(ctx, c.control, func(ctx context.Context, address string) (bool, error) {
+		var err error
+		reply, err = rpc.NewClaimsProtobufClient("http://"+address, c.client).Claim(ctx, r)
+		return err == nil, err
+	})
+	if err != nil {
+		return out, failure.Wrap(err, failure.ControlUnavailable, "the request must not be repeated and could not be claimed")
 	}
-	return out, failure.Wrap(last, failure.ControlUnavailable, "the request must not be repeated and could not be claimed")
+	out.first = reply.GetOutcome()
+	return out, judge(reply, key)
 }
 
 // judge returns what to tell the caller, or nil if the claim was granted or
--- /dev/null
+++ b/pkg/netutil/inturn_test.go
@@ -0,0 +1,68 @@
+package netutil
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestNetutil(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "netutil")
+}
+
+// silentUntil answers only after d, or when ctx ends.
+func silentUntil(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+var _ = Describe("addresses that are asked in turn", func() {
+	It("cost little of the caller's time where the first is silent", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 8*time.Second)
+		defer cancel()
+		began := time.Now()
+		err := InTurn(ctx, []string{"silent", "good"}, func(ctx context.Context, address string) (bool, error) {
+			if address == "silent" {
+				return false, silentUntil(ctx, time.Minute)
+			}
+			return true, nil
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(time.Since(began)).To(BeNumerically("<", 2*time.Second))
+	})
+
+	It("are asked again with all the time left, so that a slow answer isn't lost", func() {
+		calls := 0
+		err := InTurn(context.Background(), []string{"slow", "down"}, func(ctx context.Context, address string) (bool, error) {
+			calls++
+			if address == "down" {
+				return false, errors.New("down")
+			}
+			err := silentUntil(ctx, 2*patience)
+			return err == nil, err
+		})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(calls).To(Equal(3))
+	})
+
+	It("end with the answer that says so, and with the caller's time", func() {
+		final := errors.New("final")
+		Expect(InTurn(context.Background(), []string{"a", "b"}, func(context.Context, string) (bool, error) {
+			return true, final
+		})).To(MatchError(final))
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		Expect(InTurn(ctx, []string{"a"}, func(ctx context.Context, _ string) (bool, error) {
+			return false, silentUntil(ctx, time.Minute)
+		})).To(MatchError(context.DeadlineExceeded))
+	})
+})
--- a/pkg/opclient/client.go
+++ b/pkg/opclient/client.go
@@ -14,6 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/api"
 	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
 )
 
 const (
@@ -67,18 +68,10 @@
 func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var last error
-	for _, address := range c.addresses {
+	return netutil.InTurn(ctx, c.addresses, func(ctx context.Context, address string) (bool, error) {
 		err := c.follow(ctx, method, "http://"+address+path, in, out)
-		if err == nil {
-			return nil
-		}
-		last = err
-		if f := failure.From(err); f.Kind() != failure.ControlUnavailable {
-			return err
-		}
-	}
-	return last
+		return err == nil || failure.From(err).Kind() != failure.ControlUnavailable, err
+	})
 }
 
 // follow sends the request on to the leader, keeping the key.
