--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -56,7 +56,7 @@
 		Metrics:   p.set,
 	}, p.group)
 	return p.run([]server{
-		{address: cfg.Listen.Control, handler: platform.NewControl(s, p.log)},
+		{address: cfg.Listen.Control, handler: platform.NewControl(s)},
 		{address: net.JoinHostPort(cfg.IP, cfg.ControlPort()), handler: fleetcontrol.Forwarded(s.RPC())},
 		{address: net.JoinHostPort(cfg.IP, controlMetricsPort), handler: p.set.Handler()},
 	}, s.Run, func(ctx context.Context) {
--- a/pkg/fleet/configuration.go
+++ b/pkg/fleet/configuration.go
@@ -85,18 +85,14 @@
 	// PerContext is added to a step for each 1,000 tokens of context.
 	PerContext    time.Duration
 	ReadPerSecond float64 // prompt tokens
-	Chunk         int     // most prompt tokens a step
-	Stride        int     // steps that a pass with writers makes
 	CacheBytes    float64 // KV cache of a token in one layer
 	ActivationB   float64 // bytes passed on for a token
 	PipeMbps      float64 // between failure domains, shared
 	LoadTime      time.Duration
-	LoadsAtOnce   int
 	Prompt        int                          // mean tokens
 	Answer        int                          // mean tokens
 	Delays        map[DomainPair]time.Duration `json:"-"`
 	Kinds         map[string]Kind
-	ReportLag     time.Duration
 }
 
 // DomainPair names two failure domains, in either order.
@@ -122,10 +118,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 }
 
 // Delay returns the one-way delay between two failure domains.
--- a/pkg/fleetcontrol/announce_test.go
+++ b/pkg/fleetcontrol/announce_test.go
@@ -100,9 +100,9 @@
 		withCluster(func(c *cluster) {
 			done := make(chan error, len(c.ips))
 			for i, ip := range c.ips {
-				go func() {
+				background(func() {
 					done <- c.hosts[ip].server.Replace(context.Background(), document(9, string(rune('a'+i))))
-				}()
+				})
 			}
 			for range c.ips {
 				<-done // one that wasn't answered may or may not stand
--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -230,3 +230,10 @@
 		return c.hosts[ip].server.Replace(context.Background(), content)
 	}, "10s", "50ms").Should(Succeed())
 }
+
+// background runs f beside the test, which sees to its end.
+func background(f func()) {
+	group.New(context.Background()).Go(func(context.Context) {
+		f()
+	})
+}
--- /dev/null
+++ b/pkg/fleetentry/view.go
@@ -0,0 +1,112 @@
+package fleetentry
+
+import (
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/gateway"
+)
+
+// View implements gateway.Source.
+func (f *Follower) View() gateway.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := f.cfg.Timer.Now().Sub(f.confirmedAt)
+	return gateway.View{
+		Index:   f.index,
+		Fresh:   age < freshFor,
+		Trusted: f.trusted(age),
+		Age:     age,
+	}
+}
+
+func (f *Follower) trusted(age time.Duration) bool {
+	return f.cfg.Revoke <= 0 || age < f.cfg.Revoke-revokeMargin
+}
+
+// Endpoints implements gateway.Source. The caller must not change the list.
+func (f *Follower) Endpoints(service string) []fleet.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.byService[service]
+}
+
+// EndpointLeaving implements gateway.Source.
+func (f *Follower) EndpointLeaving(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, known := f.endpoints[id]
+	return known && !e.Usable()
+}
+
+// Confirmed implements gateway.Source.
+func (f *Follower) Confirmed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmed
+}
+
+// Settled implements gateway.Source.
+func (f *Follower) Settled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.settled
+}
+
+// Changed implements gateway.Source.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// OthersLoad implements gateway.Source.
+func (f *Follower) OthersLoad(id string) gateway.Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.others[id]
+}
+
+// Hosts implements gateway.Source.
+func (f *Follower) Hosts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(1, len(f.hosts))
+}
+
+// Ready reports whether callers should be sent here.
+func (f *Follower) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ready()
+}
+
+func (f *Follower) ready() bool {
+	age := f.cfg.Timer.Now().Sub(f.confirmedAt)
+	return f.index != nil && !f.leaving && f.trusted(age) && len(f.byService) > 0
+}
+
+// Leaving reports whether Leave was called.
+func (f *Follower) Leaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving
+}
+
+// Addresses returns where callers may connect: the ready hosts, or this one if
+// no other is known.
+func (f *Follower) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, h := range f.hosts {
+		if h.GetName() == f.cfg.Name && !f.ready() {
+			continue
+		}
+		list = append(list, h.GetCallerAddress())
+	}
+	if len(list) == 0 && f.ready() {
+		list = append(list, f.cfg.CallerAddress)
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/gateway/choose.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/pathing"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+// demand is the request's need of memory and steps.
+func (s *streamRun) demand() pathing.Demand {
+	e := s.j.service.Engine
+	d := pathing.Demand{
+		Prompt: float64(s.j.req.Prompt),
+		Answer: float64(s.j.req.AnswerHint),
+	}
+	if d.Prompt <= 0 {
+		d.Prompt = float64(e.Prompt)
+	}
+	if d.Answer <= 0 {
+		d.Answer = float64(e.Answer)
+	}
+	if most := float64(s.j.req.MaxAnswer); most > 0 {
+		d.Answer = min(d.Answer, most)
+	}
+	return d
+}
+
+// stages returns the endpoints that hold layers, with their load.
+func (s *streamRun) stages(avoid func(e *fleet.Endpoint) bool) []pathing.Stage {
+	list := s.g.source.Endpoints(s.j.service.Name)
+	out := make([]pathing.Stage, 0, len(list))
+	for i := range list {
+		e := &list[i]
+		if e.Layers.Len() <= 0 || e.Loading || e.Silent || avoid(e) {
+			continue
+		}
+		own := s.g.tracker.Load(e.ID)
+		others := s.g.source.OthersLoad(e.ID)
+		out = append(out, pathing.Stage{
+			ID:       e.ID,
+			Address:  e.Address,
+			Domain:   e.Domain,
+			Kind:     e.Kind,
+			Layers:   e.Layers,
+			Requests: float64(own.Requests + others.Requests),
+			Tokens:   float64(own.Tokens + others.Tokens),
+			Slow:     e.Slow,
+		})
+	}
+	return out
+}
+
+// jitter returns a factor for an endpoint's cost. Streams that were cut are
+// spread more widely: they come all at once, before loads can tell.
+func (s *streamRun) jitter() float64 {
+	width := jitterWidth
+	if s.ran > 0 {
+		width = cutJitterWidth
+	}
+	return 1 - width + 2*width*rand.Float64()
+}
+
+// chooseSoon finds a path, once there is one. While endpoints may still
+// announce themselves, one that crosses failure domains isn't taken.
+func (s *streamRun) chooseSoon(ctx context.Context) *failure.Error {
+	for {
+		changed := s.g.source.Changed()
+		path, e := s.choose()
+		if e == nil && (pathing.Crossings(path) == 0 || s.g.source.Settled()) {
+			s.take(path)
+			return nil
+		}
+		if s.g.awaitEndpoints(ctx, s.j.req, changed) || s.awaitRoom(ctx, e) {
+			continue
+		}
+		if e == nil {
+			s.take(path)
+		}
+		return e
+	}
+}
+
+const (
+	// roomWait is how long a stream that has begun waits for a path: its caller
+	// gives it up after a gap of two seconds, of which a third may be over.
+	roomWait = 900 * time.Millisecond
+	// roomPause is how often it looks: memory is freed with every stream that
+	// ends, a few dozen a second.
+	roomPause = 100 * time.Millisecond
+)
+
+// awaitRoom waits a little before a stream that was cut looks for a path again.
+// When an endpoint is lost, its streams come to the others all at once, and
+// find them full for a moment.
+func (s *streamRun) awaitRoom(ctx context.Context, e *failure.Error) bool {
+	if e == nil || s.ran == 0 || s.waited >= roomWait {
+		return false
+	}
+	s.waited += roomPause
+	s.refused = map[string]bool{}
+	return timer.Sleep(ctx, s.g.svc, roomPause) == nil
+}
+
+// choose finds a path around what failed this request or this host lately;
+// without one, around what failed this request only.
+func (s *streamRun) choose() ([]fleet.Part, *failure.Error) {
+	e := s.j.service.Engine
+	if e == nil {
+		return s.chooseSingle()
+	}
+	strict := s.stages(func(p *fleet.Endpoint) bool { return s.failed(p.ID) || s.g.tracker.Avoided(p.ID) })
+	path := pathing.Choose(e, strict, s.demand(), s.jitter)
+	if path == nil {
+		loose := s.stages(func(p *fleet.Endpoint) bool { return s.failed(p.ID) })
+		path = pathing.Choose(e, loose, s.demand(), s.jitter)
+	}
+	if path == nil || !pathing.Whole(e, path) {
+		return nil, s.noPath()
+	}
+	d := s.demand()
+	if s.g.pipes.take(e, path, d.Prompt+d.Answer, s.g.source.Hosts()) {
+		return path, nil
+	}
+	d.Stay = true
+	if path = pathing.Choose(e, strict, d, s.jitter); path == nil {
+		return nil, failure.New(failure.Overloaded, "the pipes between failure domains are full").WithRetryAfter(pipesAgain)
+	}
+	return path, nil
+}
+
+// pipesAgain is when a caller should come back after a refusal for full pipes:
+// the endpoint that left a hole is replaced in one to five seconds.
+const pipesAgain = time.Second
+
+// failed reports whether an endpoint failed or refused this request.
+func (s *streamRun) failed(id string) bool {
+	return s.avoid[id] || s.refused[id]
+}
+
+// noPath says why no path was found.
+func (s *streamRun) noPath() *failure.Error {
+	held := 0
+	silent := 0
+	list := s.g.source.Endpoints(s.j.service.Name)
+	for i := range list {
+		if list[i].Layers.Len() > 0 {
+			held++
+		}
+		if list[i].Silent {
+			silent++
+		}
+	}
+	return failure.New(failure.NoChain, "no path over every layer: %d endpoints, %d with layers, %d silent, %d failed this request",
+		len(list), held, silent, len(s.avoid)+len(s.refused)).WithRetryAfter(comeBack)
+}
+
+// chooseSingle picks an endpoint of a service whose endpoints hold everything.
+func (s *streamRun) chooseSingle() ([]fleet.Part, *failure.Error) {
+	tried := map[string]bool{}
+	for _, e := range s.g.source.Endpoints(s.j.service.Name) {
+		tried[e.ID] = s.failed(e.ID)
+	}
+	e, ok := s.g.pick(s.j.service.Name, tried)
+	if !ok {
+		return nil, s.noPath()
+	}
+	return []fleet.Part{{
+		ID:      e.ID,
+		Address: e.Address,
+		Domain:  e.Domain,
+	}}, nil
+}
+
+// take counts the request at every part of a path.
+func (s *streamRun) take(path []fleet.Part) {
+	s.release()
+	s.path = path
+	d := s.demandTokens()
+	for _, p := range path {
+		s.ends = append(s.ends, s.g.tracker.Begin(p.ID, d))
+	}
+}
+
+func (s *streamRun) demandTokens() int {
+	if s.j.service.Engine == nil {
+		return 0
+	}
+	d := s.demand()
+	return int(d.Prompt + d.Answer)
+}
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	. "github.com/onsi/ginkgo/v2"
@@ -329,3 +330,10 @@
 }
 
 func (brokenBody) Close() error { return nil }
+
+// background runs f beside the test, which sees to its end.
+func background(f func()) {
+	group.New(context.Background()).Go(func(context.Context) {
+		f()
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
@@ -16,150 +14,6 @@
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
-// Request is a caller's request, read whole.
-type Request struct {
-	ID     string
-	Method string
-	// Target is path and query as the caller wrote them.
-	Target string
-	Path   string
-	Host   string
-	// Header is what is passed on unchanged.
-	Header http.Header
-	Body   []byte
-	// Key names the client account; empty if none was sent.
-	Key string
-	// Wait is how long the caller waits, counted from Received; 0 if unknown.
-	Wait     time.Duration
-	Received time.Time
-	// LastEvent is the event after which the caller resumes a stream.
-	LastEvent string
-	// Prompt and MaxAnswer are tokens; AnswerHint is the caller's estimate.
-	Prompt     int
-	MaxAnswer  int
-	AnswerHint int
-}
-
-// Call is one request as it is sent to an endpoint.
-type Call struct {
-	Request   *Request
-	ID        string // incarnation expected at Address
-	Address   string
-	Account   string
-	Wait      time.Duration
-	Path      []fleet.Part
-	LastEvent string
-	Priority  int
-}
-
-// Answer is an endpoint's.
-type Answer struct {
-	Status int
-	Header http.Header
-	Body   io.ReadCloser
-	// NotRun says that the endpoint did not and will not run the request.
-	NotRun bool
-	// Misdirected says that another endpoint, or other layers, are there.
-	Misdirected bool
-	// Fault is the address of the endpoint on the path that is at fault.
-	Fault string
-	// Sealed says that the answer is the endpoint's own and not damaged.
-	Sealed bool
-}
-
-// SendError says that no answer came.
-type SendError struct {
-	// Sent says that the request may have reached the endpoint.
-	Sent  bool
-	Cause error
-}
-
-// Error implements error.
-func (e *SendError) Error() string {
-	if e.Sent {
-		return "sent, no answer: " + e.Cause.Error()
-	}
-	return "not sent: " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *SendError) Unwrap() error {
-	return e.Cause
-}
-
-// Backend reaches endpoints.
-type Backend interface {
-	// Send sends a call; its error is a *SendError.
-	Send(ctx context.Context, c *Call) (*Answer, error)
-	// Stalled asks the first endpoint of a path which requests stand still,
-	// and at which address.
-	Stalled(ctx context.Context, address string) (map[string]string, error)
-	// Repath gives a request that is under way another path with the same
-	// first part.
-	Repath(ctx context.Context, address, requestID string, path []fleet.Part) error
-}
-
-// Output takes the answer to a caller.
-type Output interface {
-	// Refuse writes a failure of our own.
-	Refuse(e *failure.Error)
-	// Whole writes an endpoint's whole answer.
-	Whole(status int, header http.Header, body []byte)
-	// Begin writes the head of a stream.
-	Begin(status int, header http.Header)
-	// Event passes bytes on at once.
-	Event(data []byte) error
-	// Abort breaks the answer off so that it doesn't look complete.
-	Abort()
-}
-
-// View is what an entry host believes at one moment.
-type View struct {
-	// Index is nil before the first configuration.
-	Index *fleet.Index
-	// Fresh says that the configuration was confirmed lately enough to refuse
-	// by it; Trusted that no key in it can have been taken away for longer
-	// than allowed.
-	Fresh   bool
-	Trusted bool
-	// Age is since when the configuration was last confirmed.
-	Age time.Duration
-}
-
-// Source is where an entry host's beliefs come from.
-type Source interface {
-	View() View
-	// Endpoints returns the usable endpoints of a service.
-	Endpoints(service string) []fleet.Endpoint
-	// EndpointLeaving reports whether an endpoint is known to leave or gone.
-	EndpointLeaving(id string) bool
-	// Changed returns a channel that is closed when endpoints change.
-	Changed() <-chan struct{}
-	// Settled reports whether every endpoint had time to announce itself
-	// since the control hosts began.
-	Settled() bool
-	// Confirmed returns a channel that is closed with the next confirmation.
-	Confirmed() <-chan struct{}
-	// OthersLoad returns what the other entry hosts have under way.
-	OthersLoad(id string) Load
-	// Hosts returns how many entry hosts share the work.
-	Hosts() int
-}
-
-// Load is work under way at an endpoint.
-type Load struct {
-	Requests int
-	Tokens   int
-}
-
-// Budget bounds repeats over all hosts.
-type Budget struct {
-	// Ratio is repeats for each request, Extra those beyond it in a Window.
-	Ratio  float64
-	Extra  int
-	Window time.Duration
-}
-
 // Gateway carries requests. It is safe for use by several goroutines.
 type Gateway struct {
 	backend Backend
@@ -319,9 +173,19 @@
 		return notReady("keys were last confirmed %v ago", v.Age)
 	}
 	j.account = account.Name
+	j.priority = rank(account.Priority, j.route.Priority)
 	return nil
 }
 
+// routeRanks is how many priorities of routes are told apart within one of a
+// client account; endpoints know ten ranks in all.
+const routeRanks = 3
+
+// rank puts a client account's priority before its route's.
+func rank(account, route int) int {
+	return account*routeRanks + min(route, routeRanks-1)
+}
+
 // refuse answers with a failure of our own and logs it.
 func (g *Gateway) refuse(req *Request, j *job, out Output, e *failure.Error) {
 	event := eventlog.RequestRefused
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -15,9 +15,9 @@
 // hang is a body from which nothing comes until it is closed.
 func hang(text string) io.ReadCloser {
 	r, w := io.Pipe()
-	go func() {
+	background(func() {
 		_, _ = w.Write([]byte(text)) // ends when the reader does
-	}()
+	})
 	return r
 }
 
@@ -105,7 +105,7 @@
 			b.source.endpoints["llm"] = nil
 			done := make(chan bool)
 			out := &fakeOutput{}
-			go func() {
+			background(func() {
 				req := b.request("stream")
 				b.gateway.serveStream(context.Background(), &job{
 					req:     req,
@@ -115,7 +115,7 @@
 					end:     req.Received.Add(time.Minute),
 				})
 				done <- true
-			}()
+			})
 			Consistently(done, "50ms").ShouldNot(Receive())
 			b.clock.Advance(settleWait)
 			Eventually(done, "5s").Should(Receive())
@@ -142,12 +142,12 @@
 			}
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan bool)
-			go func() {
+			background(func() {
 				req := b.request("stream")
 				req.Received = time.Now()
 				b.gateway.Serve(ctx, req, &fakeOutput{})
 				done <- true
-			}()
+			})
 			Eventually(func() int {
 				b.clock.Advance(gapStall)
 				return b.backend.repathed()
@@ -173,12 +173,12 @@
 			}
 			out := &fakeOutput{}
 			done := make(chan bool)
-			go func() {
+			background(func() {
 				req := b.request("stream")
 				req.Received = time.Now()
 				b.gateway.Serve(context.Background(), req, out)
 				done <- true
-			}()
+			})
 			Eventually(func() bool {
 				b.clock.Advance(gapStall)
 				select {
@@ -210,12 +210,12 @@
 				ctx, cancel := context.WithCancel(context.Background())
 				out := &fakeOutput{}
 				done := make(chan bool)
-				go func() {
+				background(func() {
 					req := b.request("stream")
 					req.Received = time.Now()
 					b.gateway.Serve(ctx, req, out)
 					done <- true
-				}()
+				})
 				Eventually(out.text, "5s").Should(Equal(events(1, 1)))
 				b.source.leave(b.backend.sent()[0].Path[0].ID)
 				Consistently(func() int {
@@ -242,12 +242,12 @@
 			}
 			out := &fakeOutput{}
 			done := make(chan bool)
-			go func() {
+			background(func() {
 				req := b.request("stream")
 				req.Received = time.Now()
 				b.gateway.Serve(context.Background(), req, out)
 				done <- true
-			}()
+			})
 			for n := 1; n < 3; n++ {
 				Eventually(out.text, "5s").Should(Equal(events(1, n)))
 				b.source.leave(b.backend.sent()[n-1].ID)
@@ -276,12 +276,12 @@
 			}
 			out := &fakeOutput{}
 			done := make(chan bool)
-			go func() {
+			background(func() {
 				req := b.request("stream")
 				req.Received = time.Now()
 				b.gateway.Serve(context.Background(), req, out)
 				done <- true
-			}()
+			})
 			Eventually(func() int { return len(b.backend.sent()) }, "5s").Should(Equal(2))
 			Consistently(done, "30ms").ShouldNot(Receive())
 			room <- true
@@ -306,12 +306,12 @@
 			}
 			ctx, cancel := context.WithCancel(context.Background())
 			done := make(chan bool)
-			go func() {
+			background(func() {
 				req := b.request("stream")
 				req.Received = time.Now()
 				b.gateway.Serve(ctx, req, &fakeOutput{})
 				done <- true
-			}()
+			})
 			Eventually(func() int { return len(b.backend.sent()) }, "5s").Should(Equal(1))
 			b.source.leave(b.backend.sent()[0].Path[1].ID)
 			Eventually(func() int {
--- a/pkg/gateway/whole_test.go
+++ b/pkg/gateway/whole_test.go
@@ -119,13 +119,19 @@
 		})
 	})
 
+	It("ranks by client account first, then by route", func() {
+		Expect(rank(0, 2)).To(BeNumerically("<", rank(1, 0)))
+		Expect(rank(1, 0)).To(BeNumerically("<", rank(1, 1)))
+		Expect(rank(2, 9)).To(BeNumerically("<", rank(3, 0)))
+	})
+
 	It("waits a little for a host that becomes ready", func() {
 		withGateway(func(b *bench) {
 			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(200, "ok"), nil }
 			good := b.source.view
 			b.source.view = View{}
 			done := make(chan *fakeOutput)
-			go func() { done <- b.serve("safe") }()
+			background(func() { done <- b.serve("safe") })
 			Consistently(done, "50ms").ShouldNot(Receive())
 			b.source.confirm(good)
 			var out *fakeOutput
--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 )
@@ -313,3 +314,8 @@
 	}
 	return n
 }
+
+// ms returns a duration in milliseconds.
+func ms(d time.Duration) float64 {
+	return float64(d) / float64(time.Millisecond)
+}
