--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PROGRAMS := larchwinch larchwinch-entry larchwinch-control larchwinch-standin larchwinch-load
 GOFILES := $(shell git ls-files '*.go' | grep -v '\.pb\.go$$\|\.twirp\.go$$')
 
-.PHONY: build run demo test check fuzz mutate measure bench generate
+.PHONY: build run demo test check fuzz mutate soak measure bench generate
 
 build:
 	go build -ldflags '-linkmode=external' -o bin/ $(addprefix ./cmd/,$(PROGRAMS))
@@ -35,6 +35,12 @@
 
 mutate:
 	_scripts/mutate.sh
+	_scripts/mutate-fleet.sh
+
+# Fifty runs of the real programs under faults from outside, each with a fresh
+# seed; a failure prints the seed that reproduces it.
+soak:
+	_scripts/soak.sh 50 12
 
 measure: build
 	_scripts/measure.sh throughput 20
