Space out the configurations that a host is sent

Cause: in a storm of changes each version went to every host at once, though most were overtaken before they were read. A reply that leaves one out confirms nothing. Tests: announce_test, follower_test.

--- a/pkg/fleetcontrol/announce_test.go
+++ b/pkg/fleetcontrol/announce_test.go
@@ -82,6 +82,40 @@
 		})
 	})
 
+	It("of a configuration storm brings a host one now and then, and the last in time", func() {
+		withCluster(func(c *cluster) {
+			ip := c.leader()
+			lead := c.hosts[ip].server
+			q := &rpc.SyncRequest{
+				Host:   &rpc.FleetHost{Name: "h"},
+				WaitMs: 50,
+			}
+			brought := 0
+			take := func() bool {
+				reply, err := lead.Sync(context.Background(), q)
+				if err != nil || !reply.GetConfirmed() {
+					return false
+				}
+				q.Epoch = reply.GetEpoch()
+				q.EndpointsVersion = reply.GetEndpointsVersion()
+				q.HostsVersion = reply.GetHostsVersion()
+				if d := reply.GetDocument(); d != nil {
+					brought++
+					q.DocumentVersion = d.GetVersion()
+				}
+				return q.GetDocumentVersion() == reply.GetNewest()
+			}
+			began := time.Now()
+			for v := uint64(1); v <= 20; v++ {
+				c.put(ip, document(v, "a"))
+				take()
+			}
+			Eventually(take, "5s").Should(BeTrue())
+			Expect(q.DocumentVersion).To(BeEquivalentTo(20))
+			Expect(brought).To(BeNumerically("<=", 3+int(time.Since(began)/documentPause)))
+		})
+	})
+
 	It("isn't confirmed by a replica that doesn't lead", func() {
 		withCluster(func(c *cluster) {
 			lead := c.leader()
--- a/pkg/fleetcontrol/hosts.go
+++ b/pkg/fleetcontrol/hosts.go
@@ -25,6 +25,30 @@
 	info  *rpc.FleetHost
 	at    time.Time
 	loads []*rpc.EndpointLoad
+	// documentAt is when it was last sent a configuration.
+	documentAt time.Time
+}
+
+// documentPause is the least time between two configurations that a host is
+// sent: in a storm of changes most are overtaken before they are read, and one
+// of 1,500 routes is 25 KB for every host. With the held call's 400 ms it stays
+// well under the 2 s in which a change must be in force.
+const documentPause = 500 * time.Millisecond
+
+// mayHaveDocument reports whether a host may be sent a configuration now, and
+// notes that it is.
+func (h *hosts) mayHaveDocument(now time.Time, name string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	row := h.rows[name]
+	if row == nil {
+		return true
+	}
+	if now.Sub(row.documentAt) < documentPause {
+		return false
+	}
+	row.documentAt = now
+	return true
 }
 
 func newHosts() *hosts {
@@ -40,11 +64,15 @@
 	defer h.mu.Unlock()
 	name := q.GetHost().GetName()
 	old := h.rows[name]
-	h.rows[name] = &hostRow{
+	row := &hostRow{
 		info:  q.GetHost(),
 		at:    now,
 		loads: q.GetLoads(),
 	}
+	if old != nil && q.GetDocumentVersion() > 0 {
+		row.documentAt = old.documentAt
+	}
+	h.rows[name] = row
 	if old == nil || old.info.GetReady() != q.GetHost().GetReady() ||
 		old.info.GetCallerAddress() != q.GetHost().GetCallerAddress() {
 		h.note()
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -85,7 +85,9 @@
 	reply.Endpoints = fleet.EndpointsToWire(list, s.cfg.Timer.Now())
 	reply.EndpointsVersion = version
 	reply.Hosts, reply.HostsVersion = s.hosts.list(q.GetHostsVersion(), reply.Whole)
-	if doc := machine.Document(); doc.GetVersion() > q.GetDocumentVersion() {
+	doc := machine.Document()
+	reply.Newest = doc.GetVersion()
+	if doc.GetVersion() > q.GetDocumentVersion() && s.hosts.mayHaveDocument(s.cfg.Timer.Now(), q.GetHost().GetName()) {
 		reply.Document = doc
 	}
 	return reply
--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -208,7 +208,8 @@
 	return q
 }
 
-// take installs a confirmed reply. The reply was true after the call had
+// take installs a confirmed reply. It confirms the configuration held here only
+// if that is the one that stands. The reply was true after the call had
 // waited for as long as it says, so after sent plus that time.
 func (f *Follower) take(address string, reply *rpc.SyncReply, sent time.Time) bool {
 	index, err := f.decode(reply.GetDocument())
@@ -223,7 +224,8 @@
 		f.index = index
 		f.cfg.Log.Event(eventlog.ConfigInForce, eventlog.Int("version", int64(index.Version())), eventlog.Str("from", address))
 	}
-	if at := sent.Add(time.Duration(reply.GetHeldMs()) * time.Millisecond); at.After(f.confirmedAt) {
+	at := sent.Add(time.Duration(reply.GetHeldMs()) * time.Millisecond)
+	if at.After(f.confirmedAt) && f.index != nil && f.index.Version() >= reply.GetNewest() {
 		f.confirmedAt = at
 	}
 	if f.lost {
--- a/pkg/fleetentry/follower_test.go
+++ b/pkg/fleetentry/follower_test.go
@@ -135,6 +135,21 @@
 		Expect(f.View().Age).To(Equal(2600 * time.Millisecond))
 	})
 
+	It("isn't confirmed by a reply that knows a newer configuration and doesn't bring it", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f := newFollower(clock)
+		f.take("c", confirmed(3), clock.Now())
+		clock.Advance(time.Second)
+		reply := confirmed(3)
+		reply.Document = nil
+		reply.Newest = 4
+		f.take("c", reply, clock.Now())
+		Expect(f.View().Age).To(Equal(time.Second))
+		reply.Newest = 3
+		f.take("c", reply, clock.Now())
+		Expect(f.View().Age).To(BeZero())
+	})
+
 	It("never goes back to an older configuration", func() {
 		clock := timer.NewManual(time.Unix(1000, 0))
 		f := newFollower(clock)
