A stream that leaves its first endpoint counts as run there

Ruled out: re-paths, stalls. Change: it counts; when no attempt is left a stream stays until the endpoint ends it.

--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -57,8 +57,8 @@
 }
 
 // errFirstLeaves says that a stream is continued elsewhere since its first
-// endpoint leaves. That endpoint ends, so it isn't counted against the most
-// that may run the request.
+// endpoint leaves. It counts as an attempt: an endpoint may take many seconds to
+// end after it said that it leaves.
 var errFirstLeaves = errors.New("the first endpoint leaves; continued elsewhere")
 
 // mayLeave reports whether a stream can be taken off its first endpoint now; if
@@ -67,7 +67,7 @@
 	l.first = nil
 	s := l.s
 	s.avoid[s.path[0].ID] = true
-	return s.ran < s.j.route.MaxAttempts && s.pathFrom(nil) != nil && s.payAhead()
+	return s.ran+1 < s.j.route.MaxAttempts && s.pathFrom(nil) != nil && s.payAhead()
 }
 
 // move puts one path around all parts that leave. Its error says that the
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -186,6 +186,7 @@
 			}
 		case <-l.first:
 			if l.mayLeave() {
+				s.ran++
 				return broken, errFirstLeaves
 			}
 		case it := <-f.items:
