--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// endpointDial bounds a connection's making: twice the second's half in which
-// an endpoint that takes connections at all has answered.
+// endpointDial bounds how long making a connection may take: an endpoint that
+// takes connections answers in a few ms, and a caller's goal is half a second.
 const endpointDial = 400 * time.Millisecond
 
 // endpointClient returns the client for endpoints: a connection for each call.
