--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/pathing"
 )
 
@@ -16,17 +15,16 @@
 	// partAgain is how often a stream looks again for another part in the same
 	// failure domain: the endpoint that replaces the leaving one may be loading.
 	partAgain = 300 * time.Millisecond
-	// firstGrace is the same for the first part: nothing but a new send can
-	// take a stream away from it.
-	firstGrace = 1500 * time.Millisecond
 )
 
-// leaveWatch takes a stream off the endpoints of its path that leave.
+// leaveWatch takes a stream off the parts of its path that leave, where that
+// needs no new send. The first part can't be left without one: a stream stays
+// there until it ends or the endpoint breaks it off, and is continued then. To
+// give it up sooner would cut streams that still had time to end.
 type leaveWatch struct {
 	s       *streamRun
 	changed <-chan struct{}
-	part    <-chan time.Time // when to move off other parts
-	first   <-chan time.Time // when to leave the first
+	part    <-chan time.Time // when to move off parts that leave
 }
 
 func newLeaveWatch(s *streamRun) *leaveWatch {
@@ -39,65 +37,40 @@
 	return l
 }
 
-// look starts the clocks for what leaves.
+// look starts the clock for parts that leave.
 func (l *leaveWatch) look() {
 	s := l.s
 	l.changed = s.g.source.Changed()
-	for i, p := range s.path {
-		if !s.g.source.EndpointLeaving(p.ID) {
-			continue
-		}
-		if i > 0 && l.part == nil {
+	if l.part != nil {
+		return
+	}
+	for _, p := range s.path[1:] {
+		if s.g.source.EndpointLeaving(p.ID) {
 			l.part = s.g.svc.After(partGrace)
-		}
-		if i == 0 && l.first == nil && s.j.route.Resumable {
-			l.first = s.g.svc.After(firstGrace)
+			return
 		}
 	}
 }
 
-// errFirstLeaves says that a stream is continued elsewhere since its first
-// endpoint leaves. It counts as an attempt: an endpoint may take many seconds to
-// end after it said that it leaves.
-var errFirstLeaves = errors.New("the first endpoint leaves; continued elsewhere")
-
-// mayLeave reports whether a stream can be taken off its first endpoint now; if
-// not, it stays until the endpoint ends it.
-func (l *leaveWatch) mayLeave() bool {
-	l.first = nil
+// move puts one path around all parts that leave, if that takes no crossing; a
+// stream that would have to cross stays as long as it is served.
+func (l *leaveWatch) move(ctx context.Context) {
 	s := l.s
-	s.avoid[s.path[0].ID] = true
-	return s.ran+1 < s.j.route.MaxAttempts && s.pathFrom(nil) != nil && s.payAhead()
-}
-
-// move puts one path around all parts that leave. Its error says that the
-// stream must be sent anew.
-func (l *leaveWatch) move(ctx context.Context) error {
 	l.part = nil
-	for _, p := range l.s.path[1:] {
-		if l.s.g.source.EndpointLeaving(p.ID) {
-			l.part = l.s.g.svc.After(partAgain)
-			return l.s.leavePart(ctx, p.Address)
-		}
-	}
-	return nil
-}
-
-// leavePart moves off the part at address if that takes no crossing; a stream
-// that would have to cross stays as long as it is served.
-func (s *streamRun) leavePart(ctx context.Context, address string) error {
-	for _, p := range s.path {
+	leaving := ""
+	for _, p := range s.path[1:] {
 		if s.g.source.EndpointLeaving(p.ID) {
 			s.avoid[p.ID] = true
+			leaving = p.Address
 		}
 	}
+	if leaving == "" {
+		return
+	}
 	path := s.pathFrom(&s.path[0])
 	if path != nil && pathing.Crossings(path) <= pathing.Crossings(s.path) {
-		s.follow(ctx, path, address)
-		return nil
-	}
-	if s.betterElsewhere(path) {
-		return errElsewhere
+		s.follow(ctx, path, leaving)
+		return
 	}
-	return nil
+	l.part = s.g.svc.After(partAgain)
 }
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -180,15 +180,7 @@
 		case <-l.changed:
 			l.look()
 		case <-l.part:
-			if err := l.move(ctx); err != nil {
-				s.ran++
-				return broken, err
-			}
-		case <-l.first:
-			if l.mayLeave() {
-				s.ran++
-				return broken, errFirstLeaves
-			}
+			l.move(ctx)
 		case it := <-f.items:
 			if end, cause, over := s.takeItem(ctx, it, w); over {
 				return end, cause
