--- a/pkg/fleetcontrol/hosts.go
+++ b/pkg/fleetcontrol/hosts.go
@@ -31,7 +31,7 @@
 
 // documentPause is the least time between two configurations that a host is
 // sent: in a storm of changes most are overtaken before they are read, and one
-// of 1,500 routes is 25 KB for every host. With the held call's 400 ms it stays
+// of many routes is large for every host. With the held call's 400 ms it stays
 // well under the 2 s in which a change must be in force.
 const documentPause = 500 * time.Millisecond
 
