Streams leave parts that gave up their layers; endpoints that came back are placed at once

Cause: an order to hold other layers is carried out once nothing passes the endpoint any more. One that came back to its address was kept for 5 s as if another were about to leave, and a new leader planned with endpoints whose order it didn't know.

Change: the leader takes an endpoint for loading as soon as its order was taken, entry hosts move their streams off it spread over 0.7 s, donors that hold first layers come last, an endpoint at a known address is placed at once, one that carries out an unknown order is left out of the plan.

--- a/pkg/fleetentry/view.go
+++ b/pkg/fleetentry/view.go
@@ -39,6 +39,14 @@
 	return known && !e.Usable()
 }
 
+// GaveUp implements gateway.Source.
+func (f *Follower) GaveUp(id string, layers fleet.Range) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e, known := f.endpoints[id]
+	return known && e.Loading && (e.Layers.From > layers.From || e.Layers.To < layers.To)
+}
+
 // Confirmed implements gateway.Source.
 func (f *Follower) Confirmed() <-chan struct{} {
 	f.mu.Lock()
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -84,6 +84,7 @@
 	view      View
 	endpoints map[string][]fleet.Endpoint
 	leaving   map[string]bool
+	gaveUp    map[string]bool
 	changed   chan struct{}
 	confirmed chan struct{}
 	unsettled bool
@@ -106,6 +107,12 @@
 	return s.leaving[id]
 }
 
+func (s *fakeSource) GaveUp(id string, _ fleet.Range) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gaveUp[id]
+}
+
 func (s *fakeSource) Changed() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,9 +127,19 @@
 
 // leave says that an endpoint leaves.
 func (s *fakeSource) leave(id string) {
+	s.change(func() { s.leaving[id] = true })
+}
+
+// giveUp says that an endpoint gave up its layers.
+func (s *fakeSource) giveUp(id string) {
+	s.change(func() { s.gaveUp[id] = true })
+}
+
+// change makes a change of endpoints known.
+func (s *fakeSource) change(f func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leaving[id] = true
+	f()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -262,6 +279,7 @@
 			"llm": {engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4), engineEndpoint("z", 2, 4), engineEndpoint("w", 0, 2)},
 		},
 		leaving:   map[string]bool{},
+		gaveUp:    map[string]bool{},
 		changed:   make(chan struct{}),
 		confirmed: make(chan struct{}),
 	}
@@ -300,6 +318,19 @@
 	return out
 }
 
+// stream starts a stream that ends with ctx at the latest; done tells its end.
+func (b *bench) stream(ctx context.Context) (out *fakeOutput, done chan bool) {
+	out = &fakeOutput{}
+	done = make(chan bool, 1)
+	req := b.request("stream")
+	req.Received = time.Now()
+	background(func() {
+		b.gateway.Serve(ctx, req, out)
+		done <- true
+	})
+	return out, done
+}
+
 func whole(status int, body string) *Answer {
 	return &Answer{Status: status, Sealed: true, Body: io.NopCloser(strings.NewReader(body))}
 }
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"hash/fnv"
+	"math"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/pathing"
 )
 
@@ -15,16 +18,22 @@
 	// partAgain is how often a stream looks again for another part in the same
 	// failure domain: the endpoint that replaces the leaving one may be loading.
 	partAgain = 300 * time.Millisecond
+	// vacateSpread is the time over which the streams of all hosts leave a part
+	// that gave up its layers. It loads others only once the last has left; but
+	// 60 prompts of 900 tokens, read again for 8 layers by a slow accelerator,
+	// take 0.25 s, and a stream's pause must stay under 0.2 s.
+	vacateSpread = 700 * time.Millisecond
 )
 
-// leaveWatch takes a stream off the parts of its path that leave, where that
-// needs no new send. The first part can't be left without one: a stream stays
-// there until it ends or the endpoint breaks it off, and is continued then. To
-// give it up sooner would cut streams that still had time to end.
+// leaveWatch takes a stream off the parts of its path that leave or give up
+// their layers, where that needs no new send. The first part can't be left
+// without one: a stream stays there until it ends or the endpoint breaks it
+// off, and is continued then. To give it up sooner would cut streams that still
+// had time to end.
 type leaveWatch struct {
 	s       *streamRun
 	changed <-chan struct{}
-	part    <-chan time.Time // when to move off parts that leave
+	part    <-chan time.Time // when to move off
 }
 
 func newLeaveWatch(s *streamRun) *leaveWatch {
@@ -37,7 +46,7 @@
 	return l
 }
 
-// look starts the clock for parts that leave.
+// look starts the clock for parts that leave or have given up their layers.
 func (l *leaveWatch) look() {
 	s := l.s
 	l.changed = s.g.source.Changed()
@@ -45,31 +54,46 @@
 		return
 	}
 	for _, p := range s.path[1:] {
-		if s.g.source.EndpointLeaving(p.ID) {
+		switch {
+		case s.g.source.GaveUp(p.ID, p.Layers):
+			l.part = s.g.svc.After(time.Duration(fraction(s.j.req.ID) * float64(vacateSpread)))
+			return
+		case s.g.source.EndpointLeaving(p.ID):
 			l.part = s.g.svc.After(partGrace)
 			return
 		}
 	}
 }
 
-// move puts one path around all parts that leave, if that takes no crossing; a
-// stream that would have to cross stays as long as it is served.
+// fraction returns a number from 0 to 1 that differs from request to request.
+func fraction(id string) float64 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return float64(h.Sum32()) / math.MaxUint32
+}
+
+// mustLeave reports whether a stream should leave a part of its path.
+func (l *leaveWatch) mustLeave(p fleet.Part) bool {
+	return l.s.g.source.EndpointLeaving(p.ID) || l.s.g.source.GaveUp(p.ID, p.Layers)
+}
+
+// move puts one path around all parts that must be left, if that takes no
+// crossing; a stream that would have to cross stays as long as it is served.
 func (l *leaveWatch) move(ctx context.Context) {
 	s := l.s
 	l.part = nil
-	leaving := ""
+	left := ""
 	for _, p := range s.path[1:] {
-		if s.g.source.EndpointLeaving(p.ID) {
+		if l.mustLeave(p) {
 			s.avoid[p.ID] = true
-			leaving = p.Address
+			left = p.Address
 		}
 	}
-	if leaving == "" {
+	if left == "" {
 		return
 	}
 	path := s.pathFrom(&s.path[0])
-	if path != nil && pathing.Crossings(path) <= pathing.Crossings(s.path) {
-		s.follow(ctx, path, leaving)
+	if path != nil && pathing.Crossings(path) <= pathing.Crossings(s.path) && s.follow(ctx, path, left) {
 		return
 	}
 	l.part = s.g.svc.After(partAgain)
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -115,8 +115,9 @@
 	return nil
 }
 
-// follow gives the stream a path around the part at address.
-func (s *streamRun) follow(ctx context.Context, path []fleet.Part, address string) {
+// follow gives the stream a path around the part at address, and reports
+// whether the first endpoint took it.
+func (s *streamRun) follow(ctx context.Context, path []fleet.Part, address string) bool {
 	first := s.path[0].Address
 	ctx, cancel := context.WithTimeout(ctx, stallAskTimeout)
 	defer cancel()
@@ -125,6 +126,7 @@
 	if err == nil {
 		s.take(path)
 	}
+	return err == nil
 }
 
 // pathFrom returns a path that begins with a part that stands, or any if nil.
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"strings"
 	"time"
@@ -141,13 +142,7 @@
 				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
 			}
 			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan bool)
-			background(func() {
-				req := b.request("stream")
-				req.Received = time.Now()
-				b.gateway.Serve(ctx, req, &fakeOutput{})
-				done <- true
-			})
+			_, done := b.stream(ctx)
 			Eventually(func() int {
 				b.clock.Advance(gapStall)
 				return b.backend.repathed()
@@ -171,14 +166,7 @@
 				Expect(c.LastEvent).To(Equal("1"))
 				return whole(200, events(2, 3)), nil
 			}
-			out := &fakeOutput{}
-			done := make(chan bool)
-			background(func() {
-				req := b.request("stream")
-				req.Received = time.Now()
-				b.gateway.Serve(context.Background(), req, out)
-				done <- true
-			})
+			out, done := b.stream(context.Background())
 			Eventually(func() bool {
 				b.clock.Advance(gapStall)
 				select {
@@ -204,14 +192,7 @@
 				Expect(c.LastEvent).To(Equal("1"))
 				return whole(200, events(2, 3)), nil
 			}
-			out := &fakeOutput{}
-			done := make(chan bool)
-			background(func() {
-				req := b.request("stream")
-				req.Received = time.Now()
-				b.gateway.Serve(context.Background(), req, out)
-				done <- true
-			})
+			out, done := b.stream(context.Background())
 			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
 			b.source.leave(b.backend.sent()[0].Path[0].ID)
 			Consistently(func() int {
@@ -235,14 +216,7 @@
 				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
 			}
 			ctx, cancel := context.WithCancel(context.Background())
-			out := &fakeOutput{}
-			done := make(chan bool)
-			background(func() {
-				req := b.request("stream")
-				req.Received = time.Now()
-				b.gateway.Serve(ctx, req, out)
-				done <- true
-			})
+			out, done := b.stream(ctx)
 			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
 			b.source.leave("y")
 			Consistently(func() int {
@@ -267,14 +241,7 @@
 				}
 				return whole(200, events(2, 3)), nil
 			}
-			out := &fakeOutput{}
-			done := make(chan bool)
-			background(func() {
-				req := b.request("stream")
-				req.Received = time.Now()
-				b.gateway.Serve(context.Background(), req, out)
-				done <- true
-			})
+			out, done := b.stream(context.Background())
 			Eventually(func() int { return len(b.backend.sent()) }, "5s").Should(Equal(2))
 			Consistently(done, "30ms").ShouldNot(Receive())
 			room <- true
@@ -298,13 +265,7 @@
 				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
 			}
 			ctx, cancel := context.WithCancel(context.Background())
-			done := make(chan bool)
-			background(func() {
-				req := b.request("stream")
-				req.Received = time.Now()
-				b.gateway.Serve(ctx, req, &fakeOutput{})
-				done <- true
-			})
+			_, done := b.stream(ctx)
 			Eventually(func() int { return len(b.backend.sent()) }, "5s").Should(Equal(1))
 			b.source.leave(b.backend.sent()[0].Path[1].ID)
 			Eventually(func() int {
@@ -315,4 +276,42 @@
 			Eventually(done, "5s").Should(Receive())
 		})
 	})
+
+	It("leaves a part that gave up its layers well before a leaving one, and stays on a first one", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) {
+				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			out, done := b.stream(ctx)
+			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+			path := b.backend.sent()[0].Path
+			b.source.giveUp(path[0].ID)
+			b.source.giveUp(path[1].ID)
+			moved := 0 * time.Second
+			Eventually(func() int {
+				b.clock.Advance(10 * time.Millisecond)
+				moved += 10 * time.Millisecond
+				return b.backend.repathed()
+			}, "5s", "1ms").Should(Equal(1))
+			Expect(moved).To(BeNumerically("<", partGrace))
+			Expect(b.backend.repaths[0][0]).To(Equal(path[0]))
+			Expect(b.backend.repaths[0][1].ID).NotTo(Equal(path[1].ID))
+			cancel()
+			Eventually(done, "5s").Should(Receive())
+		})
+	})
+
+	It("spreads the streams that leave a part over some time", func() {
+		early, late := 0, 0
+		for i := range 100 {
+			if fraction(fmt.Sprintf("%016x", i*7919)) < 0.5 {
+				early++
+				continue
+			}
+			late++
+		}
+		Expect(early).To(BeNumerically(">", 25))
+		Expect(late).To(BeNumerically(">", 25))
+	})
 })
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -127,6 +127,9 @@
 	Endpoints(service string) []fleet.Endpoint
 	// EndpointLeaving reports whether an endpoint is known to leave or gone.
 	EndpointLeaving(id string) bool
+	// GaveUp reports whether an endpoint is known to have given up some of
+	// layers: it was ordered to hold others.
+	GaveUp(id string, layers fleet.Range) bool
 	// Changed returns a channel that is closed when endpoints change.
 	Changed() <-chan struct{}
 	// Settled reports whether every endpoint had time to announce itself
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -69,6 +69,7 @@
 	mu    sync.Mutex
 	known map[string]*standing // by incarnation
 	seen  map[string]time.Time // when an incarnation was first seen
+	homes map[string]bool      // addresses at which incarnations were seen
 	began time.Time            // when this keeper first tended; zero: not yet
 }
 
@@ -91,6 +92,7 @@
 		group:  g,
 		known:  map[string]*standing{},
 		seen:   map[string]time.Time{},
+		homes:  map[string]bool{},
 	}
 }
 
@@ -100,16 +102,22 @@
 	defer k.mu.Unlock()
 	k.known = map[string]*standing{}
 	k.seen = map[string]time.Time{}
+	k.homes = map[string]bool{}
 	k.began = time.Time{}
 }
 
 // fresh reports whether an endpoint has only just come. Those that were there
-// when this keeper began are not.
-func (k *Keeper) fresh(id string, now time.Time) bool {
-	at, known := k.seen[id]
+// when this keeper began are not, nor is one that came back to its address: it
+// replaces nothing that still runs.
+func (k *Keeper) fresh(e *fleet.Endpoint, now time.Time) bool {
+	at, known := k.seen[e.ID]
 	if !known {
 		at = now
-		k.seen[id] = now
+		if k.homes[e.Address] {
+			at = k.began
+		}
+		k.seen[e.ID] = at
+		k.homes[e.Address] = true
 	}
 	return at.After(k.began) && now.Sub(at) < spareFor
 }
@@ -134,7 +142,7 @@
 	}
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.Service != svc.Name || !e.Usable() || e.Silent {
+		if e.Service != svc.Name || !e.Usable() || e.Silent || k.strange(e) {
 			continue
 		}
 		byID[e.ID] = e
@@ -143,7 +151,7 @@
 			Domain: e.Domain,
 			Kind:   e.Kind,
 			Layers: k.holds(e, now),
-			Fresh:  k.fresh(e.ID, now),
+			Fresh:  k.fresh(e, now),
 			Moving: k.moving(e, now),
 		})
 	}
@@ -167,7 +175,14 @@
 // moving reports whether an order to an endpoint may still be under way.
 func (k *Keeper) moving(e *fleet.Endpoint, now time.Time) bool {
 	s := k.known[e.ID]
-	return s != nil && s.layers != e.Layers && (s.asking || now.Before(s.until))
+	return s != nil && s.layers != e.Layers && (s.asking || e.Loading || now.Before(s.until))
+}
+
+// strange reports whether an endpoint carries out an order that this keeper
+// didn't give: which layers it will hold isn't known, and it takes no other
+// order before.
+func (k *Keeper) strange(e *fleet.Endpoint) bool {
+	return e.Loading && e.Layers.Len() == 0 && k.known[e.ID] == nil
 }
 
 // loadTime is how long a load may take before it is doubted: several may run
@@ -250,6 +265,7 @@
 		s.taken = taken + 1
 		s.doubt = true // asked for if no heartbeat has told of it by then
 		s.until = k.svc.Now().Add(load + askAgain)
+		k.table.Ordered(o.ID, s.taken)
 	case Conflict:
 		s.doubt = true
 		s.until = k.svc.Now()
--- /dev/null
+++ b/pkg/placement/keeper_test.go
@@ -0,0 +1,164 @@
+package placement_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/placement"
+	"github.com/larchwinch/larchwinch/pkg/registry"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// fakeOrderer takes every order and remembers it.
+type fakeOrderer struct {
+	mu     sync.Mutex
+	orders []placement.Order
+}
+
+func (o *fakeOrderer) Place(_ context.Context, id, _ string, layers fleet.Range, _ uint64) (placement.Outcome, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.orders = append(o.orders, placement.Order{
+		ID:     id,
+		Layers: layers,
+	})
+	return placement.Taken, nil
+}
+
+func (o *fakeOrderer) Report(context.Context, string, string) (placement.Report, error) {
+	return placement.Report{
+		Busy: true,
+		Slow: 1,
+	}, nil
+}
+
+func (o *fakeOrderer) given() []placement.Order {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]placement.Order(nil), o.orders...)
+}
+
+// keeping is a keeper over a table and an orderer that takes everything.
+type keeping struct {
+	keeper  *placement.Keeper
+	orderer *fakeOrderer
+	table   *registry.Table
+	clock   *timer.Manual
+	group   *group.Group
+}
+
+// withKeeper runs f on a keeper that has just begun to lead.
+func withKeeper(f func(k *keeping)) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	g := group.New(context.Background())
+	defer g.Stop()
+	k := &keeping{
+		orderer: &fakeOrderer{},
+		table:   registry.New(clock, nil, time.Second),
+		clock:   clock,
+		group:   g,
+	}
+	k.keeper = placement.NewKeeper(k.orderer, k.table, clock, nil, g)
+	f(k)
+}
+
+// announce has an endpoint of kind small tell what it holds.
+func (k *keeping) announce(id, address string, layers fleet.Range) {
+	k.table.Announce(fleet.Endpoint{
+		ID:       id,
+		Address:  address,
+		Service:  "llm",
+		Domain:   "a",
+		Kind:     "small",
+		Sequence: 1,
+		Layers:   layers,
+	})
+}
+
+// tend plans once, and waits until the orders given were answered.
+func (k *keeping) tend() {
+	cfg := &fleet.Configuration{
+		Services: []fleet.Service{
+			{
+				Name:   "llm",
+				Engine: engine(),
+			},
+		},
+	}
+	k.keeper.Tend(context.Background(), cfg, func() bool { return true })
+	k.group.Wait()
+}
+
+// cover announces ten endpoints that hold every layer once.
+func (k *keeping) cover() {
+	for i := range 10 {
+		k.announce(fmt.Sprintf("e%d", i), fmt.Sprintf("10.0.0.%d:80", i), fleet.Range{
+			From: 8 * i,
+			To:   8*i + 8,
+		})
+	}
+}
+
+var _ = Describe("a keeper", func() {
+	It("keeps a new endpoint for a hole, but places one that came back to its address at once", func() {
+		withKeeper(func(k *keeping) {
+			k.cover()
+			k.tend()
+			Expect(k.orderer.given()).To(BeEmpty())
+			k.clock.Advance(time.Second)
+			k.announce("new", "10.0.0.50:80", fleet.Range{})
+			k.tend()
+			Expect(k.orderer.given()).To(BeEmpty())
+			k.announce("extra", "10.0.0.51:80", fleet.Range{From: 0, To: 8})
+			k.tend()
+			k.clock.Advance(time.Second)
+			k.announce("extra-again", "10.0.0.51:80", fleet.Range{})
+			k.tend()
+			Expect(k.orderer.given()).To(HaveLen(1))
+			Expect(k.orderer.given()[0].ID).To(Equal("extra-again"))
+		})
+	})
+
+	It("makes an order known at once, and counts on it for as long as the endpoint loads", func() {
+		withKeeper(func(k *keeping) {
+			k.cover()
+			k.announce("spare", "10.0.0.60:80", fleet.Range{From: 40, To: 48})
+			k.tend()
+			k.table.Gone("e0")
+			k.tend()
+			Expect(k.orderer.given()).To(HaveLen(1))
+			moved := k.orderer.given()[0]
+			Expect(moved.Layers).To(Equal(fleet.Range{From: 0, To: 8}))
+			e, _ := k.table.Get(moved.ID)
+			Expect(e.Loading).To(BeTrue())
+			Expect(e.Layers.Len()).To(Equal(0))
+			k.announce("other", "10.0.0.61:80", fleet.Range{From: 40, To: 48})
+			k.clock.Advance(time.Minute)
+			k.tend()
+			Expect(k.orderer.given()).To(HaveLen(1), "the hole is on its way to be filled")
+		})
+	})
+
+	It("leaves an endpoint alone that carries out an order it doesn't know, and fills the hole by another", func() {
+		withKeeper(func(k *keeping) {
+			k.cover()
+			k.table.Gone("e0")
+			k.announce("busy", "10.0.0.60:80", fleet.Range{})
+			k.table.Reported("busy", registry.Status{
+				Busy: true,
+				Slow: 1,
+			})
+			k.announce("spare", "10.0.0.61:80", fleet.Range{From: 40, To: 48})
+			k.tend()
+			Expect(k.orderer.given()).To(HaveLen(1))
+			Expect(k.orderer.given()[0].Layers).To(Equal(fleet.Range{From: 0, To: 8}))
+			Expect(k.orderer.given()[0].ID).NotTo(Equal("busy"))
+		})
+	})
+})
--- a/pkg/placement/mend.go
+++ b/pkg/placement/mend.go
@@ -40,27 +40,39 @@
 }
 
 // donor returns the server of a group that is best moved: all of its layers
-// are held by others too; of those the one that fills most of the hole with
-// least room to spare. It returns -1 if there is none.
+// are held by others too. One that holds the first layers is taken last, since
+// requests can't leave the first endpoint of their path, and the load waits for
+// them; then counts what fills most of the hole, with least room to spare. It
+// returns -1 if there is none.
 func (p *planner) donor(g int, hole fleet.Range) int {
 	best := -1
-	bestFill := 0
 	for i, s := range p.servers {
 		if p.group[s.Domain] != g || s.Moving || s.Layers.Len() == 0 || !p.spare(g, s) {
 			continue
 		}
-		fill := min(hole.Len(), p.room(s))
-		if fill == 0 || s.Layers.From <= hole.From && s.Layers.To > hole.From {
+		if p.room(s) == 0 || s.Layers.From <= hole.From && s.Layers.To > hole.From {
 			continue
 		}
-		if best < 0 || fill > bestFill || fill == bestFill && p.room(s) < p.room(p.servers[best]) {
+		if best < 0 || p.betterDonor(s, p.servers[best], hole) {
 			best = i
-			bestFill = fill
 		}
 	}
 	return best
 }
 
+// betterDonor reports whether a is better moved into a hole than b.
+func (p *planner) betterDonor(a, b Server, hole fleet.Range) bool {
+	if firstA, firstB := a.Layers.From == 0, b.Layers.From == 0; firstA != firstB {
+		return firstB
+	}
+	fillA := min(hole.Len(), p.room(a))
+	fillB := min(hole.Len(), p.room(b))
+	if fillA != fillB {
+		return fillA > fillB
+	}
+	return p.room(a) < p.room(b)
+}
+
 // spare reports whether every layer of a server is held by another in its group.
 func (p *planner) spare(g int, s Server) bool {
 	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -304,6 +304,26 @@
 	}
 }
 
+// Ordered notes that an endpoint took an order to hold other layers: it has
+// given up those that it held, and loads. taken is how many orders it has taken.
+func (t *Table) Ordered(id string, taken uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[id]
+	if r == nil || r.Gone {
+		return
+	}
+	next := r.Endpoint
+	next.Layers = fleet.Range{}
+	next.Loading = true
+	next.Orders = taken
+	same := sameNews(&r.Endpoint, &next)
+	r.Endpoint = next
+	if !same {
+		t.note(r)
+	}
+}
+
 // logLayers tells what an endpoint holds and how it does.
 func (t *Table) logLayers(e *fleet.Endpoint) {
 	loading := int64(0)
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -102,6 +102,23 @@
 		})
 	})
 
+	It("takes an endpoint that was ordered to hold other layers for loading at once", func() {
+		withTable(func(t *Table, _ *timer.Manual) {
+			e := endpoint("a", 1)
+			e.Layers = fleet.Range{From: 0, To: 4}
+			t.Announce(e)
+			_, known := t.Since(0)
+			t.Ordered("a", 1)
+			list, _ := t.Since(known)
+			Expect(list).To(HaveLen(1), "entry hosts learn of it")
+			Expect(list[0].Loading).To(BeTrue())
+			Expect(list[0].Layers.Len()).To(Equal(0))
+			Expect(list[0].Orders).To(BeEquivalentTo(1))
+			t.Ordered("unknown", 1)
+			Expect(t.All()).To(HaveLen(1))
+		})
+	})
+
 	It("tells what changed since a version, and wakes who waits", func() {
 		withTable(func(t *Table, _ *timer.Manual) {
 			t.Announce(endpoint("a", 1))
