An ordinary service that has no report isn't taken for lost

Cause: entry hosts name endpoints that failed them, and heartbeats may be late; the leader then asks the endpoint for its report.

Ruled out: lost endpoints (they refuse connections or leave questions open; 528 such lines in eight logs, against 55 with status 400).

--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -56,15 +56,21 @@
 	return text
 }
 
-// noOrders stands in for endpoints that answer nothing.
-type noOrders struct{}
+// fakeOrders stands in for endpoints: they take no order, and answer questions
+// by report; without it, nothing answers.
+type fakeOrders struct {
+	report func(id string) (placement.Report, error)
+}
 
-func (noOrders) Place(context.Context, string, string, fleet.Range, uint64) (placement.Outcome, error) {
+func (fakeOrders) Place(context.Context, string, string, fleet.Range, uint64) (placement.Outcome, error) {
 	return placement.Unknown, errors.New("no endpoint")
 }
 
-func (noOrders) Report(context.Context, string, string) (placement.Report, error) {
-	return placement.Report{}, errors.New("no endpoint")
+func (o fakeOrders) Report(_ context.Context, id, _ string) (placement.Report, error) {
+	if o.report == nil {
+		return placement.Report{}, errors.New("no endpoint")
+	}
+	return o.report(id)
 }
 
 // cluster is control hosts on loopback numbers of their own.
@@ -77,7 +83,9 @@
 	diskless string
 	// seeds, if set, stand in the settings in place of the founders.
 	seeds []string
-	hosts map[string]*host
+	// orders stands in for the endpoints of hosts that are started from now on.
+	orders fakeOrders
+	hosts  map[string]*host
 }
 
 type host struct {
@@ -140,7 +148,7 @@
 		Losses:    c.losses,
 		Heartbeat: 200 * time.Millisecond,
 		Decoder:   plainDecoder{},
-		Orders:    noOrders{},
+		Orders:    c.orders,
 		Client:    client,
 		Timer:     timer.NewSystem(),
 		Metrics:   metrics.New(),
--- a/pkg/fleetcontrol/survey.go
+++ b/pkg/fleetcontrol/survey.go
@@ -5,8 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/placement"
 )
 
 const (
@@ -109,8 +111,7 @@
 	}
 }
 
-// ask asks one endpoint, if it wasn't for as long as pause. One that refuses
-// connections or is silent twice is lost.
+// ask asks one endpoint, if it wasn't for as long as pause.
 func (s *Server) ask(e fleet.Endpoint, pause time.Duration) {
 	if e.Gone || !s.survey.due(e.ID, s.cfg.Timer.Now(), pause) {
 		return
@@ -119,17 +120,23 @@
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		report, err := s.cfg.Orders.Report(ctx, e.ID, e.Address)
-		if err == nil {
-			s.survey.answered(e.ID)
-			if e.Kind != "" {
-				s.table.Reported(e.ID, report)
-			}
-			return
-		}
-		silent := ctx.Err() != nil
-		if s.survey.missed(e.ID) >= doubtful || !silent {
-			s.cfg.Log.Event(eventlog.EndpointAvoided, eventlog.Str("endpoint", e.ID), eventlog.Str("why", "report"), eventlog.Err(err))
-			s.table.Lost(e.ID)
-		}
+		s.heard(e, report, err, ctx.Err() != nil)
 	})
 }
+
+// heard takes the outcome of a question. An endpoint that refuses connections
+// or left two questions open is lost; one that has nothing to tell is there.
+func (s *Server) heard(e fleet.Endpoint, report placement.Report, err error, silent bool) {
+	switch {
+	case err == nil:
+		s.survey.answered(e.ID)
+		if e.Kind != "" {
+			s.table.Reported(e.ID, report)
+		}
+	case errors.Is(err, placement.ErrNoReport):
+		s.survey.answered(e.ID)
+	case s.survey.missed(e.ID) >= doubtful || !silent:
+		s.cfg.Log.Event(eventlog.EndpointAvoided, eventlog.Str("endpoint", e.ID), eventlog.Str("why", "report"), eventlog.Err(err))
+		s.table.Lost(e.ID)
+	}
+}
--- /dev/null
+++ b/pkg/fleetcontrol/survey_test.go
@@ -0,0 +1,49 @@
+package fleetcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/placement"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// withServer runs f on a control host that isn't started, whose endpoints
+// answer by report, and on the group in which it asks them.
+func withServer(report func(id string) (placement.Report, error), f func(s *Server, g *group.Group)) {
+	g := group.New(context.Background())
+	defer g.Stop()
+	f(New(Config{
+		SeedIPs:   func() []string { return nil },
+		Heartbeat: time.Second,
+		Orders:    fakeOrders{report: report},
+		Timer:     timer.NewManual(time.Unix(1000, 0)),
+		Metrics:   metrics.New(),
+	}, g), g)
+}
+
+var _ = Describe("a question whether an endpoint is there", func() {
+	It("is answered by a service that tells nothing of itself", func() {
+		cases := []struct {
+			err  error
+			lost bool
+		}{
+			{placement.ErrNoReport, false},
+			{errors.New("connection refused"), true},
+		}
+		for _, c := range cases {
+			withServer(func(string) (placement.Report, error) { return placement.Report{}, c.err }, func(s *Server, g *group.Group) {
+				s.table.Announce(announcement(false, 1))
+				s.doubt([]string{"e1"})
+				g.Wait()
+				e, _ := s.table.Get("e1")
+				Expect(e.Silent).To(Equal(c.lost), c.err.Error())
+			})
+		}
+	})
+})
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
@@ -37,12 +38,17 @@
 // Report is what an endpoint tells of itself.
 type Report = registry.Status
 
+// ErrNoReport says that an endpoint answered, but is of a kind that tells
+// nothing of itself: it is there.
+var ErrNoReport = errors.New("the endpoint gives no report")
+
 // Orderer reaches endpoints.
 type Orderer interface {
 	// Place orders layers of one incarnation, if it has taken as many orders
 	// as given.
 	Place(ctx context.Context, id, address string, layers fleet.Range, orders uint64) (Outcome, error)
-	// Report asks what an incarnation holds. It fails if another one answers.
+	// Report asks what an incarnation holds. It fails if another one answers,
+	// and with ErrNoReport if it is no engine.
 	Report(ctx context.Context, id, address string) (Report, error)
 }
 
