Streams change only the bad parts of their path; request_served tells a stream's pace

Cause: a stream that went around a part chose its whole path anew, so endpoints that were fine could change too, each of which reads every token again.

Change: the good parts stay; if that can't be done in the domain, the path behind the first part is chosen anew, as before. request_served tells of streams when the first event came and the longest pause, which is what found this.

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -59,6 +59,13 @@
 	return b.stalled, b.stallErr
 }
 
+// stall makes a request stand still at an address.
+func (b *fakeBackend) stall(request, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stalled = map[string]string{request: address}
+}
+
 func (b *fakeBackend) Repath(_ context.Context, _, _ string, path []fleet.Part) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -96,10 +103,15 @@
 	return s.view
 }
 
-func (s *fakeSource) Endpoints(service string) []fleet.Endpoint { return s.endpoints[service] }
-func (s *fakeSource) OthersLoad(string) Load                    { return Load{} }
-func (s *fakeSource) Hosts() int                                { return 1 }
-func (s *fakeSource) Settled() bool                             { return !s.unsettled }
+func (s *fakeSource) Endpoints(service string) []fleet.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpoints[service]
+}
+
+func (s *fakeSource) OthersLoad(string) Load { return Load{} }
+func (s *fakeSource) Hosts() int             { return 1 }
+func (s *fakeSource) Settled() bool          { return !s.unsettled }
 
 func (s *fakeSource) EndpointLeaving(id string) bool {
 	s.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -204,14 +204,17 @@
 	out.Refuse(e)
 }
 
-// served counts and logs an answer.
-func (g *Gateway) served(j *job, status int, endpoint string, attempts int) {
+// served counts and logs an answer; more is added to the line.
+func (g *Gateway) served(j *job, status int, endpoint string, attempts int, more ...eventlog.Field) {
 	took := g.svc.Now().Sub(j.req.Received)
 	metrics.Observe(g.metrics.Histogram("request_us", metrics.Label{Name: "class", Value: j.route.Kind.String()}), took)
 	g.metrics.Counter("requests_served", metrics.Label{Name: "class", Value: j.route.Kind.String()}).Inc(1)
-	g.log.Event(eventlog.RequestServed, eventlog.Str("request", j.req.ID), eventlog.Str("account", j.account), eventlog.Str("route", j.route.Name),
+	fields := []eventlog.Field{
+		eventlog.Str("request", j.req.ID), eventlog.Str("account", j.account), eventlog.Str("route", j.route.Name),
 		eventlog.Int("status", int64(status)), eventlog.Str("endpoint", endpoint),
-		eventlog.Int("attempts", int64(attempts)), eventlog.Ms("took_ms", took))
+		eventlog.Int("attempts", int64(attempts)), eventlog.Ms("took_ms", took),
+	}
+	g.log.Event(eventlog.RequestServed, append(fields, more...)...)
 }
 
 // attemptFailed logs one.
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -77,8 +77,9 @@
 	return l.s.g.source.EndpointLeaving(p.ID) || l.s.g.source.GaveUp(p.ID, p.Layers)
 }
 
-// move puts one path around all parts that must be left, if that takes no
-// crossing; a stream that would have to cross stays as long as it is served.
+// move puts other endpoints in the place of all parts that must be left, or else
+// chooses the path behind the first part anew, if that takes no crossing: an
+// endpoint that could take over may stand on the path already. A stream that would have to cross stays as long as it is served.
 func (l *leaveWatch) move(ctx context.Context) {
 	s := l.s
 	l.part = nil
@@ -92,9 +93,10 @@
 	if left == "" {
 		return
 	}
-	path := s.pathFrom(&s.path[0])
-	if path != nil && pathing.Crossings(path) <= pathing.Crossings(s.path) && s.follow(ctx, path, left) {
-		return
+	for _, path := range [][]fleet.Part{s.pathAround(l.mustLeave), s.pathFrom(&s.path[0])} {
+		if path != nil && pathing.Crossings(path) <= pathing.Crossings(s.path) && s.follow(ctx, path, left) {
+			return
+		}
 	}
 	l.part = s.g.svc.After(partAgain)
 }
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -100,12 +100,16 @@
 	if address == s.path[0].Address {
 		return nil
 	}
+	at := func(p fleet.Part) bool { return p.Address == address }
 	for _, p := range s.path {
-		if p.Address == address {
+		if at(p) {
 			s.avoid[p.ID] = true
 		}
 	}
-	path := s.pathFrom(&s.path[0])
+	path := s.pathAround(at)
+	if path == nil || pathing.Crossings(path) > pathing.Crossings(s.path) {
+		path = s.pathFrom(&s.path[0])
+	}
 	if s.betterElsewhere(path) {
 		return errElsewhere
 	}
@@ -148,7 +152,7 @@
 // betterElsewhere reports whether a stream should be sent anew rather than
 // follow path.
 func (s *streamRun) betterElsewhere(path []fleet.Part) bool {
-	if !s.j.route.Resumable || s.ran+1 >= s.j.route.MaxAttempts {
+	if !s.j.route.Resumable || s.ran+1 >= s.j.route.MaxAttempts || path != nil && pathing.Crossings(path) == 0 {
 		return false
 	}
 	other := s.pathFrom(nil)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -56,6 +56,7 @@
 	paid bool
 	// waited is how long it has waited for room.
 	waited time.Duration
+	pulse  pulse
 }
 
 // outcome is how one send of a stream ended.
@@ -86,7 +87,8 @@
 		}
 		switch end, cause := s.send(ctx); end {
 		case finished:
-			g.served(j, http.StatusOK, formatPath(s.path), s.sends)
+			metrics.Observe(g.metrics.Histogram("longest_pause_us"), s.pulse.pause)
+			g.served(j, http.StatusOK, formatPath(s.path), s.sends, s.pulse.fields(j.req.Received)...)
 			return
 		case left:
 			s.expire(ctx)
@@ -248,6 +250,7 @@
 	if s.last == "" && s.lastFrom == "" || s.sends == 1 && s.last == "" {
 		metrics.Observe(s.g.metrics.Histogram("first_event_us"), s.g.svc.Now().Sub(s.j.req.Received))
 	}
+	s.pulse.beat(s.g.svc.Now(), s.last)
 	if err := s.j.out.Event(ev.data); err != nil {
 		return err
 	}
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"time"
 
@@ -302,6 +303,65 @@
 		})
 	})
 
+	It("keeps the parts of its path that are good when it goes around one", func() {
+		cases := []struct {
+			what  string
+			upset func(b *bench, id string)
+		}{
+			{"one that stands still", func(b *bench, id string) { b.backend.stall("r1", id+":1") }},
+			{"one that gave up its layers", func(b *bench, id string) { b.source.giveUp(id) }},
+			{"one that leaves", func(b *bench, id string) { b.source.leave(id) }},
+		}
+		for _, c := range cases {
+			withGateway(func(b *bench) {
+				b.source.endpoints["llm"] = []fleet.Endpoint{
+					engineEndpoint("x", 0, 1), engineEndpoint("y", 1, 3), engineEndpoint("z", 3, 4),
+				}
+				b.backend.answer = func(int, *Call) (*Answer, error) {
+					return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				out, done := b.stream(ctx)
+				Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+				// The last part is slow now, and others hold its layers: a path
+				// chosen anew would leave it.
+				slow := engineEndpoint("z", 3, 4)
+				slow.Slow = 20
+				b.source.change(func() {
+					b.source.endpoints["llm"] = []fleet.Endpoint{
+						engineEndpoint("x", 0, 1), engineEndpoint("y", 1, 3), slow,
+						engineEndpoint("v", 0, 4), engineEndpoint("z2", 3, 4), engineEndpoint("z3", 3, 4),
+					}
+				})
+				c.upset(b, "y")
+				Eventually(func() int {
+					b.clock.Advance(50 * time.Millisecond)
+					return b.backend.repathed()
+				}, "5s", "2ms").Should(BeNumerically(">", 0), c.what)
+				path := b.backend.repaths[0]
+				Expect(path).To(HaveLen(3), c.what)
+				Expect(path[1].ID).To(Equal("v"), c.what)
+				Expect(path[1].Layers).To(Equal(fleet.Range{From: 1, To: 3}), c.what)
+				Expect(path[2].ID).To(Equal("z"), c.what)
+				cancel()
+				Eventually(done, "5s").Should(Receive())
+			})
+		}
+	})
+
+	It("tells when its first event came, and of the longest pause", func() {
+		p := &pulse{}
+		start := time.Unix(1000, 0)
+		Expect(p.fields(start)).To(BeEmpty())
+		for i, ms := range []int{40, 70, 300, 310} {
+			p.beat(start.Add(time.Duration(ms)*time.Millisecond), strconv.Itoa(i))
+		}
+		Expect(p.first).To(Equal(start.Add(40 * time.Millisecond)))
+		Expect(p.pause).To(Equal(230 * time.Millisecond))
+		Expect(p.after).To(Equal("2"))
+		Expect(p.fields(start)).To(HaveLen(3))
+	})
+
 	It("spreads the streams that leave a part over some time", func() {
 		early, late := 0, 0
 		for i := range 100 {
--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -26,11 +26,14 @@
 
 // Stage is an endpoint that holds layers, with its load.
 type Stage struct {
-	ID       string
-	Address  string
-	Domain   string
-	Kind     string
+	ID      string
+	Address string
+	Domain  string
+	Kind    string
+	// Layers are those that a path may use. Held is how many the endpoint holds,
+	// if more: its memory is shared by all of them.
 	Layers   fleet.Range
+	Held     int
 	Requests float64 // under way
 	Tokens   float64 // in KV memory, of requests under way
 	// Slow multiplies its times; 1 is as expected.
@@ -122,7 +125,7 @@
 func (s *search) layerCost(st *Stage) float64 {
 	e := s.engine
 	k := e.Kinds[st.Kind]
-	held := float64(st.Layers.Len())
+	held := float64(max(st.Held, st.Layers.Len()))
 	share := 1 / float64(e.Layers)
 	others := st.Requests
 	step := ms(e.StepTime) + others*ms(e.PerSequence) + st.Tokens/1000*ms(e.PerContext)
@@ -134,7 +137,7 @@
 		read = s.demand.Prompt / e.ReadPerSecond * 1000 * k.ReadFactor * share * (1 + busy)
 	}
 	cost := (write + read) * math.Max(1, st.Slow)
-	room := e.CacheTokens(st.Kind, st.Layers.Len()) / math.Max(1, held)
+	room := e.CacheTokens(st.Kind, int(held)) / math.Max(1, held)
 	need := st.Tokens + s.demand.Prompt + s.demand.Answer
 	if room <= 0 || need > room {
 		return cost * fullPenalty
