--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -17,6 +17,7 @@
 	d := pathing.Demand{
 		Prompt: float64(s.j.req.Prompt),
 		Answer: float64(s.j.req.AnswerHint),
+		Home:   s.g.domain,
 	}
 	if d.Prompt <= 0 {
 		d.Prompt = float64(e.Prompt)
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -301,7 +301,7 @@
 		backend: backend,
 		source:  source,
 		clock:   clock,
-		gateway: New(backend, source, budget, clock, nil, metrics.New()),
+		gateway: New("a", backend, source, budget, clock, nil, metrics.New()),
 	}
 	clock.Advance(10 * time.Second) // the budget fills
 	f(b)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 // Gateway carries requests. It is safe for use by several goroutines.
 type Gateway struct {
+	domain  string // this host's failure domain
 	backend Backend
 	source  Source
 	svc     timer.Service
@@ -26,9 +27,10 @@
 	pipes   *pipes
 }
 
-// New returns a gateway.
-func New(backend Backend, source Source, budget Budget, svc timer.Service, log *eventlog.Log, set *metrics.Set) *Gateway {
+// New returns the gateway of a host in a failure domain.
+func New(domain string, backend Backend, source Source, budget Budget, svc timer.Service, log *eventlog.Log, set *metrics.Set) *Gateway {
 	return &Gateway{
+		domain:  domain,
 		backend: backend,
 		source:  source,
 		svc:     svc,
--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -15,6 +15,10 @@
 	// the pipe between two domains carries every token of prompt and answer
 	// and is shared (docs/PLATFORM.md).
 	crossingMs = 3000
+	// awayMs is added for a path that begins in another failure domain than the
+	// host's. Its events cross between domains, and hosts that all prefer the
+	// fastest domain fill it, while loads tell of that 0.4 s later.
+	awayMs = 1000
 	// loopMs is the time in which a token of a lightly loaded path comes round;
 	// a stage is busy for the part of it that its passes take.
 	loopMs = 10
@@ -48,6 +52,8 @@
 	First *fleet.Part
 	// Stay keeps the path in one failure domain.
 	Stay bool
+	// Home is the failure domain of the host that asks; empty if any will do.
+	Home string
 }
 
 // Choose returns the cheapest path, or nil if the stages don't cover every
@@ -244,6 +250,9 @@
 const hopMs = 0.2
 
 func (s *search) hopCost(a, b int) float64 {
+	if a < 0 && s.demand.Home != "" && s.names[b] != s.demand.Home {
+		return awayMs
+	}
 	if a < 0 {
 		return 0
 	}
--- a/pkg/pathing/pathing_test.go
+++ b/pkg/pathing/pathing_test.go
@@ -65,6 +65,16 @@
 		Expect(ids(path)).To(Equal([]string{"f=0-10"}))
 	})
 
+	It("begins in the host's own domain, unless another one's is much faster", func() {
+		home := demand
+		home.Home = "a"
+		near, far := stage("near", "a", "slow", 0, 10), stage("far", "b", "fast", 0, 10)
+		Expect(ids(Choose(engine(), []Stage{near, far}, home, even))).To(Equal([]string{"near=0-10"}))
+		Expect(ids(Choose(engine(), []Stage{near, far}, demand, even))).To(Equal([]string{"far=0-10"}))
+		near.Slow = 10
+		Expect(ids(Choose(engine(), []Stage{near, far}, home, even))).To(Equal([]string{"far=0-10"}))
+	})
+
 	It("cuts where ranges overlap so that the faster does more", func() {
 		path := Choose(engine(), []Stage{stage("s", "a", "slow", 0, 10), stage("f", "a", "fast", 4, 10)}, demand, even)
 		Expect(ids(path)).To(Equal([]string{"s=0-4", "f=4-10"}))
