Endpoints shift along the layers to fill a hole that no single one can fill

Only an endpoint all of whose layers were held twice could be moved, and there was none. Paths then crossed domains until the pipes were full, and the third domain took the rest: up to 100 callers a 2 s gave up without a first event, long after the last fault.

Ruled out: the choice of paths (those that were left all lay in the one whole domain, whose memory was full); slow endpoints (none then).

Change: where no endpoint can be spared, a group's endpoints shift, each next to the one before, until the overlaps fill the hole; the moves that load least are chosen, first layers last.

--- a/pkg/placement/mend.go
+++ b/pkg/placement/mend.go
@@ -2,7 +2,8 @@
 
 import "github.com/larchwinch/larchwinch/pkg/fleet"
 
-// mend moves servers that aren't needed where they are into holes.
+// mend moves servers that aren't needed where they are into holes; where there
+// are none, it packs the group anew.
 func (p *planner) mend() []Order {
 	var orders []Order
 	for g := range p.cover {
@@ -13,6 +14,7 @@
 			}
 			i := p.donor(g, hole)
 			if i < 0 {
+				orders = append(orders, p.repack(g)...)
 				break
 			}
 			orders = append(orders, p.move(i, hole))
@@ -85,6 +87,16 @@
 
 // move orders a server into a hole.
 func (p *planner) move(i int, hole fleet.Range) Order {
+	n := p.room(p.servers[i])
+	from := min(hole.From, p.engine.Layers-n)
+	return p.moveTo(i, fleet.Range{
+		From: from,
+		To:   from + n,
+	})
+}
+
+// moveTo orders a server to hold other layers, and counts it there.
+func (p *planner) moveTo(i int, layers fleet.Range) Order {
 	s := &p.servers[i]
 	g := p.group[s.Domain]
 	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
@@ -92,16 +104,11 @@
 		p.chance[g][l] -= 1 / float64(s.Layers.Len())
 		p.total[l]--
 	}
-	n := p.room(*s)
-	from := min(hole.From, p.engine.Layers-n)
-	s.Layers = fleet.Range{
-		From: from,
-		To:   from + n,
-	}
+	s.Layers = layers
 	s.Moving = true
 	p.count(*s)
 	return Order{
 		ID:     s.ID,
-		Layers: s.Layers,
+		Layers: layers,
 	}
 }
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -45,7 +45,8 @@
 // Plan returns the orders that are due. Each empty server takes the layers that
 // are covered least, counted first among the domains that hold a copy together.
 // A hole that no empty server fills takes a server all of whose layers others
-// hold too; nothing else is moved.
+// hold too, or else servers shift until their overlaps fill it; nothing else is
+// moved.
 func Plan(e *fleet.Engine, servers []Server) []Order {
 	if e.Layers <= 0 || e.LayerMB <= 0 {
 		return nil
@@ -93,7 +94,13 @@
 
 // room is how many layers a server should hold.
 func (p *planner) room(s Server) int {
-	n := int(p.engine.Kinds[s.Kind].MB * weightShare / p.engine.LayerMB)
+	return p.roomAt(s, weightShare)
+}
+
+// roomAt is how many layers a server holds if weights may take a share of its
+// memory.
+func (p *planner) roomAt(s Server, share float64) int {
+	n := int(p.engine.Kinds[s.Kind].MB * share / p.engine.LayerMB)
 	if n == 0 && p.engine.MaxLayers(s.Kind) > 1 {
 		n = 1
 	}
@@ -105,7 +112,7 @@
 func (p *planner) findGroups() {
 	rooms := map[string]int{}
 	for _, s := range p.servers {
-		rooms[s.Domain] += max(p.room(s), s.Layers.Len())
+		rooms[s.Domain] += max(p.roomAt(s, repackShares[len(repackShares)-1]), s.Layers.Len())
 	}
 	domains := make([]string, 0, len(rooms))
 	for d := range rooms {
--- a/pkg/placement/plan_test.go
+++ b/pkg/placement/plan_test.go
@@ -127,6 +127,42 @@
 		Expect(orders[0].Layers).To(Equal(old.Layers))
 	})
 
+	It("shifts servers along where a hole is left that no single one can fill", func() {
+		e := engine()
+		// Of 83 layers' room, all but three are needed: the overlaps lie elsewhere.
+		list := servers("a", "mid", 2)
+		list = append(list, servers("a", "small", 4)...)
+		list = append(list, servers("a", "tiny", 5)...)
+		at := []int{0, 13, 26, 34, 42, 61, 50, 55, 69, 72, 75}
+		for i := range list {
+			n := map[string]int{"mid": 13, "small": 8, "tiny": 5}[list[i].Kind]
+			list[i].Layers = fleet.Range{From: at[i], To: at[i] + n}
+		}
+		Expect(covered(list, "a", 80)).To(BeFalse())
+		orders := placement.Plan(e, list)
+		after := apply(list, orders)
+		Expect(covered(after, "a", 80)).To(BeTrue())
+		Expect(len(orders)).To(BeNumerically("<=", 3))
+		for _, o := range orders {
+			Expect(o.ID).NotTo(Equal("a-mid-0"), "the first endpoint of every path")
+		}
+		Expect(placement.Plan(e, after)).To(BeEmpty())
+		list[7].Moving = true
+		Expect(placement.Plan(e, list)).To(BeEmpty(), "what moves may change the picture")
+	})
+
+	It("gives weights more of the memories when what is left can't hold the model otherwise", func() {
+		e := engine()
+		list := apply(servers("a", "small", 10), placement.Plan(e, servers("a", "small", 10)))
+		Expect(covered(list, "a", 80)).To(BeTrue())
+		rest := list[:9]
+		after := apply(rest, placement.Plan(e, rest))
+		Expect(covered(after, "a", 80)).To(BeTrue())
+		for _, s := range after {
+			Expect(s.Layers.Len()).To(BeNumerically("<=", 9))
+		}
+	})
+
 	It("moves a server that isn't needed into a hole that no empty one fills", func() {
 		e := engine()
 		list := apply(users(), placement.Plan(e, users()))
