Other hosts are taken to have begun what this host has begun since its last call

Cause: what other hosts have under way is 0.4 to 0.8 s old.

Ruled out: refusals and repeats (none); the list of endpoints (whole by then).

Change: to what the others told is added what this host has begun since its own last call, times the other hosts.

Test: follower_test.go; a mutation, caught.

--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -43,6 +43,8 @@
 // Loads tells what this host has under way.
 type Loads interface {
 	Loads() map[string]gateway.Load
+	// Load returns what is under way at one endpoint.
+	Load(id string) gateway.Load
 	// Suspects returns the endpoints that failed this host just now.
 	Suspects() []string
 }
@@ -80,6 +82,7 @@
 	endpoints   map[string]fleet.Endpoint
 	byService   map[string][]fleet.Endpoint
 	others      map[string]gateway.Load
+	told        map[string]gateway.Load // this host's, with the last call
 	hostVersion uint64
 	hosts       []*rpc.FleetHost
 	replicas    []string
@@ -198,7 +201,8 @@
 		q.WaitMs /= 2
 	}
 	q.Suspects = f.loads.Suspects()
-	for id, l := range f.loads.Loads() {
+	f.told = f.loads.Loads()
+	for id, l := range f.told {
 		q.Loads = append(q.Loads, &rpc.EndpointLoad{
 			Id:       id,
 			Requests: uint32(l.Requests),
--- a/pkg/fleetentry/follower_test.go
+++ b/pkg/fleetentry/follower_test.go
@@ -33,10 +33,25 @@
 	return c, json.Unmarshal(content, c)
 }
 
-type noLoads struct{}
+// fakeLoads has the same number of requests under way everywhere.
+type fakeLoads struct {
+	requests int
+}
+
+func (l *fakeLoads) Loads() map[string]gateway.Load {
+	return map[string]gateway.Load{
+		"e1": l.Load("e1"),
+	}
+}
+
+func (l *fakeLoads) Load(string) gateway.Load {
+	return gateway.Load{
+		Requests: l.requests,
+		Tokens:   100 * l.requests,
+	}
+}
 
-func (noLoads) Loads() map[string]gateway.Load { return nil }
-func (noLoads) Suspects() []string             { return nil }
+func (l *fakeLoads) Suspects() []string { return nil }
 
 // fakeControl answers held calls by a script.
 type fakeControl struct {
@@ -79,7 +94,7 @@
 		Client:        &http.Client{},
 		Timer:         clock,
 	})
-	f.Tell(noLoads{})
+	f.Tell(&fakeLoads{})
 	return f
 }
 
@@ -150,6 +165,31 @@
 		Expect(f.View().Age).To(BeZero())
 	})
 
+	It("takes other hosts to have begun what this host has begun since its last call", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f := newFollower(clock)
+		own := &fakeLoads{requests: 2}
+		f.Tell(own)
+		f.request()
+		reply := confirmed(1)
+		reply.HostsVersion = 1
+		reply.Hosts = []*rpc.FleetHost{{Name: "h1"}, {Name: "h2"}, {Name: "h3"}}
+		reply.Loads = []*rpc.EndpointLoad{{Id: "e1", Requests: 7, Tokens: 900}}
+		f.take("c", reply, clock.Now())
+		cases := []struct {
+			own    int
+			others gateway.Load
+		}{
+			{2, gateway.Load{Requests: 7, Tokens: 900}},
+			{5, gateway.Load{Requests: 13, Tokens: 1500}},
+			{1, gateway.Load{Requests: 7, Tokens: 900}},
+		}
+		for _, c := range cases {
+			own.requests = c.own
+			Expect(f.OthersLoad("e1")).To(Equal(c.others))
+		}
+	})
+
 	It("never goes back to an older configuration", func() {
 		clock := timer.NewManual(time.Unix(1000, 0))
 		f := newFollower(clock)
--- a/pkg/fleetentry/view.go
+++ b/pkg/fleetentry/view.go
@@ -68,11 +68,20 @@
 	return f.changed
 }
 
-// OthersLoad implements gateway.Source.
+// OthersLoad implements gateway.Source. What the other hosts told is up to two
+// calls old. What this host has begun since its own last call, they are taken to
+// have begun too: after a stop or a loss, requests come to all hosts at once,
+// and each would send them to the same endpoints.
 func (f *Follower) OthersLoad(id string) gateway.Load {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.others[id]
+	now := f.loads.Load(id)
+	load := f.others[id]
+	told := f.told[id]
+	others := max(0, len(f.hosts)-1)
+	load.Requests += others * max(0, now.Requests-told.Requests)
+	load.Tokens += others * max(0, now.Tokens-told.Tokens)
+	return load
 }
 
 // Hosts implements gateway.Source.
