A path that was refused for an endpoint isn't offered again; another is at once

Cause: an answer 409 to a new path names the endpoint at fault, and was only logged.

Change: the named endpoint is left out for this request, and another path is offered at once, two in all.

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -33,6 +33,7 @@
 	answer   func(n int, c *Call) (*Answer, error)
 	stalled  map[string]string
 	stallErr error
+	refuse   string // repaths that name this address are refused for it
 }
 
 func (b *fakeBackend) Send(ctx context.Context, c *Call) (*Answer, error) {
@@ -70,6 +71,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.repaths = append(b.repaths, path)
+	for _, p := range path {
+		if p.Address == b.refuse {
+			return &RepathError{
+				At: p.Address,
+			}
+		}
+	}
 	return nil
 }
 
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -77,6 +77,11 @@
 	return l.s.g.source.EndpointLeaving(p.ID) || l.s.g.source.GaveUp(p.ID, p.Layers)
 }
 
+// bad reports whether a part isn't to be kept when others are left.
+func (l *leaveWatch) bad(p fleet.Part) bool {
+	return l.s.shunned(p) || l.mustLeave(p)
+}
+
 // move puts other endpoints in the place of all parts that must be left, or else
 // chooses the path behind the first part anew, if that takes no crossing: an
 // endpoint that could take over may stand on the path already. A stream that would have to cross stays as long as it is served.
@@ -93,7 +98,7 @@
 	if left == "" {
 		return
 	}
-	for _, path := range [][]fleet.Part{s.pathAround(l.mustLeave), s.pathFrom(&s.path[0])} {
+	for _, path := range [][]fleet.Part{s.pathAround(l.bad), s.pathFrom(&s.path[0])} {
 		if path != nil && pathing.Crossings(path) <= pathing.Crossings(s.path) && s.follow(ctx, path, left) {
 			return
 		}
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -100,25 +100,31 @@
 	if address == s.path[0].Address {
 		return nil
 	}
-	at := func(p fleet.Part) bool { return p.Address == address }
-	for _, p := range s.path {
-		if at(p) {
-			s.avoid[p.ID] = true
+	s.shun(s.path, address)
+	for range repathTries {
+		path := s.pathAround(s.shunned)
+		if path == nil || pathing.Crossings(path) > pathing.Crossings(s.path) {
+			path = s.pathFrom(&s.path[0])
+		}
+		if s.betterElsewhere(path) {
+			return errElsewhere
+		}
+		if path == nil || s.follow(ctx, path, address) {
+			return nil
 		}
-	}
-	path := s.pathAround(at)
-	if path == nil || pathing.Crossings(path) > pathing.Crossings(s.path) {
-		path = s.pathFrom(&s.path[0])
-	}
-	if s.betterElsewhere(path) {
-		return errElsewhere
-	}
-	if path != nil {
-		s.follow(ctx, path, address)
 	}
 	return nil
 }
 
+// repathTries is how many paths are offered at once: one may be refused for an
+// endpoint that has no room or was lost with the first.
+const repathTries = 2
+
+// shunned reports whether a part failed this request.
+func (s *streamRun) shunned(p fleet.Part) bool {
+	return s.avoid[p.ID]
+}
+
 // follow gives the stream a path around the part at address, and reports
 // whether the first endpoint took it.
 func (s *streamRun) follow(ctx context.Context, path []fleet.Part, address string) bool {
@@ -129,8 +135,22 @@
 	s.g.log.Event(eventlog.StreamRepathed, eventlog.Str("request", s.j.req.ID), eventlog.Str("around", address), eventlog.Err(err))
 	if err == nil {
 		s.take(path)
+		return true
+	}
+	var fault *RepathError
+	if errors.As(err, &fault) {
+		s.shun(path, fault.At)
+	}
+	return false
+}
+
+// shun keeps this request off the part of a path at address.
+func (s *streamRun) shun(path []fleet.Part, address string) {
+	for _, p := range path {
+		if p.Address == address {
+			s.avoid[p.ID] = true
+		}
 	}
-	return err == nil
 }
 
 // pathFrom returns a path that begins with a part that stands, or any if nil.
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -349,6 +349,36 @@
 		}
 	})
 
+	It("offers another path at once where one was refused for an endpoint", func() {
+		withGateway(func(b *bench) {
+			slow := engineEndpoint("z2", 2, 4)
+			slow.Slow = 20
+			b.source.endpoints["llm"] = []fleet.Endpoint{
+				engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4), engineEndpoint("z", 2, 4), slow,
+			}
+			b.backend.answer = func(int, *Call) (*Answer, error) {
+				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			out, done := b.stream(ctx)
+			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+			lost, full := "y:1", "z:1"
+			if b.backend.sent()[0].Path[1].ID == "z" {
+				lost, full = full, lost
+			}
+			b.backend.refuse = full
+			b.backend.stall("r1", lost)
+			Eventually(func() int {
+				b.clock.Advance(gapStall)
+				return b.backend.repathed()
+			}, "5s", "2ms").Should(BeNumerically(">=", 2))
+			Expect(b.backend.repaths[0][1].Address).To(Equal(full))
+			Expect(b.backend.repaths[1][1].ID).To(Equal("z2"))
+			cancel()
+			Eventually(done, "5s").Should(Receive())
+		})
+	})
+
 	It("tells when its first event came, and of the longest pause", func() {
 		p := &pulse{}
 		start := time.Unix(1000, 0)
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -81,6 +81,17 @@
 	return e.Cause
 }
 
+// RepathError says that a new path wasn't taken because of one endpoint on it:
+// it isn't there, or has no room.
+type RepathError struct {
+	At string // the endpoint's address
+}
+
+// Error implements error.
+func (e *RepathError) Error() string {
+	return "the endpoint at " + e.At + " isn't there or has no room"
+}
+
 // Backend reaches endpoints.
 type Backend interface {
 	// Send sends a call; its error is a *SendError.
@@ -89,7 +100,7 @@
 	// and at which address.
 	Stalled(ctx context.Context, address string) (map[string]string, error)
 	// Repath gives a request that is under way another path with the same
-	// first part.
+	// first part. Its error is a *RepathError if it names an endpoint.
 	Repath(ctx context.Context, address, requestID string, path []fleet.Part) error
 }
 
