Slow endpoints are covered again, and streams leave them

Change: an endpoint four times as slow as its kind covers nothing in the plan: an endpoint that can be spared, or an empty one, takes its layers; nothing is shifted for it. Streams leave such parts where the domain has another.

--- a/pkg/fleetentry/view.go
+++ b/pkg/fleetentry/view.go
@@ -39,6 +39,13 @@
 	return known && !e.Usable()
 }
 
+// EndpointSlow implements gateway.Source.
+func (f *Follower) EndpointSlow(id string) float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints[id].Slow
+}
+
 // GaveUp implements gateway.Source.
 func (f *Follower) GaveUp(id string, layers fleet.Range) bool {
 	f.mu.Lock()
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -100,6 +100,7 @@
 	endpoints map[string][]fleet.Endpoint
 	leaving   map[string]bool
 	gaveUp    map[string]bool
+	slow      map[string]float64
 	changed   chan struct{}
 	confirmed chan struct{}
 	unsettled bool
@@ -127,6 +128,12 @@
 	return s.leaving[id]
 }
 
+func (s *fakeSource) EndpointSlow(id string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.slow[id]
+}
+
 func (s *fakeSource) GaveUp(id string, _ fleet.Range) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -300,6 +307,7 @@
 		},
 		leaving:   map[string]bool{},
 		gaveUp:    map[string]bool{},
+		slow:      map[string]float64{},
 		changed:   make(chan struct{}),
 		confirmed: make(chan struct{}),
 	}
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -25,8 +25,8 @@
 	vacateSpread = 700 * time.Millisecond
 )
 
-// leaveWatch takes a stream off the parts of its path that leave or give up
-// their layers, where that needs no new send. The first part can't be left
+// leaveWatch takes a stream off the parts of its path that leave, give up their
+// layers or turn slow, where that needs no new send. The first part can't be left
 // without one: a stream stays there until it ends or the endpoint breaks it
 // off, and is continued then. To give it up sooner would cut streams that still
 // had time to end.
@@ -46,7 +46,7 @@
 	return l
 }
 
-// look starts the clock for parts that leave or have given up their layers.
+// look starts the clock for parts that should be left.
 func (l *leaveWatch) look() {
 	s := l.s
 	l.changed = s.g.source.Changed()
@@ -55,7 +55,7 @@
 	}
 	for _, p := range s.path[1:] {
 		switch {
-		case s.g.source.GaveUp(p.ID, p.Layers):
+		case s.g.source.GaveUp(p.ID, p.Layers), l.slow(p):
 			l.part = s.g.svc.After(time.Duration(fraction(s.j.req.ID) * float64(vacateSpread)))
 			return
 		case s.g.source.EndpointLeaving(p.ID):
@@ -72,9 +72,18 @@
 	return float64(h.Sum32()) / math.MaxUint32
 }
 
+// slowPart is how many times as slow as its kind a part may be that streams stay
+// on: a pass of a slow accelerator takes 3 ms, and a stream's pause must stay
+// under 0.2 s with a few prompts read between two events.
+const slowPart = 4
+
+func (l *leaveWatch) slow(p fleet.Part) bool {
+	return l.s.g.source.EndpointSlow(p.ID) >= slowPart
+}
+
 // mustLeave reports whether a stream should leave a part of its path.
 func (l *leaveWatch) mustLeave(p fleet.Part) bool {
-	return l.s.g.source.EndpointLeaving(p.ID) || l.s.g.source.GaveUp(p.ID, p.Layers)
+	return l.s.g.source.EndpointLeaving(p.ID) || l.s.g.source.GaveUp(p.ID, p.Layers) || l.slow(p)
 }
 
 // bad reports whether a part isn't to be kept when others are left.
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -310,6 +310,7 @@
 		}{
 			{"one that stands still", func(b *bench, id string) { b.backend.stall("r1", id+":1") }},
 			{"one that gave up its layers", func(b *bench, id string) { b.source.giveUp(id) }},
+			{"one that turns slow", func(b *bench, id string) { b.source.change(func() { b.source.slow[id] = slowPart }) }},
 			{"one that leaves", func(b *bench, id string) { b.source.leave(id) }},
 		}
 		for _, c := range cases {
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -141,6 +141,8 @@
 	// GaveUp reports whether an endpoint is known to have given up some of
 	// layers: it was ordered to hold others.
 	GaveUp(id string, layers fleet.Range) bool
+	// EndpointSlow returns how many times as slow as its kind an endpoint is.
+	EndpointSlow(id string) float64
 	// Changed returns a channel that is closed when endpoints change.
 	Changed() <-chan struct{}
 	// Settled reports whether every endpoint had time to announce itself
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -157,6 +157,7 @@
 			Domain: e.Domain,
 			Kind:   e.Kind,
 			Layers: k.holds(e, now),
+			Slow:   e.Slow,
 			Fresh:  k.fresh(e, now),
 			Moving: k.moving(e, now),
 		})
--- a/pkg/placement/mend.go
+++ b/pkg/placement/mend.go
@@ -2,45 +2,65 @@
 
 import "github.com/larchwinch/larchwinch/pkg/fleet"
 
-// mend moves servers that aren't needed where they are into holes; where there
-// are none, it packs the group anew.
+// mend moves servers that aren't needed where they are into holes. Where there
+// are none, it packs the group anew, unless a slow server holds the layers.
 func (p *planner) mend() []Order {
 	var orders []Order
 	for g := range p.cover {
+		bare := false
+		from := 0
 		for {
-			hole, ok := p.holeOf(g)
+			hole, ok := p.holeOf(g, from)
 			if !ok {
 				break
 			}
-			i := p.donor(g, hole)
-			if i < 0 {
-				orders = append(orders, p.repack(g)...)
-				break
+			if i := p.donor(g, hole); i >= 0 {
+				orders = append(orders, p.move(i, hole))
+				continue
 			}
-			orders = append(orders, p.move(i, hole))
+			bare = bare || p.bare(g, hole)
+			from = hole.To
+		}
+		if bare {
+			orders = append(orders, p.repack(g)...)
 		}
 	}
 	return orders
 }
 
-// holeOf returns a group's first hole, if the group holds anything.
-func (p *planner) holeOf(g int) (fleet.Range, bool) {
+// holeOf returns a group's first hole at or after a layer, if the group holds
+// anything.
+func (p *planner) holeOf(g, from int) (fleet.Range, bool) {
 	held := false
 	hole := fleet.Range{
 		From: -1,
 	}
 	for l, n := range p.cover[g] {
 		held = held || n > 0
-		if n == 0 && hole.From < 0 {
+		if n > 0 || l < from {
+			continue
+		}
+		if hole.From < 0 {
 			hole.From = l
+			hole.To = l
 		}
-		if n == 0 && (hole.To == l || hole.To == 0) {
+		if hole.To == l {
 			hole.To = l + 1
 		}
 	}
 	return hole, held && hole.From >= 0
 }
 
+// bare reports whether nothing at all holds some layer of a hole.
+func (p *planner) bare(g int, hole fleet.Range) bool {
+	for l := hole.From; l < hole.To; l++ {
+		if p.held[g][l] == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // donor returns the server of a group that is best moved: all of its layers
 // are held by others too. One that holds the first layers is taken last, since
 // requests can't leave the first endpoint of their path, and the load waits for
@@ -49,7 +69,7 @@
 func (p *planner) donor(g int, hole fleet.Range) int {
 	best := -1
 	for i, s := range p.servers {
-		if p.group[s.Domain] != g || s.Moving || s.Layers.Len() == 0 || !p.spare(g, s) {
+		if p.group[s.Domain] != g || s.Moving || s.Slow >= slowLimit || s.Layers.Len() == 0 || !p.spare(g, s) {
 			continue
 		}
 		if p.room(s) == 0 || s.Layers.From <= hole.From && s.Layers.To > hole.From {
@@ -98,12 +118,7 @@
 // moveTo orders a server to hold other layers, and counts it there.
 func (p *planner) moveTo(i int, layers fleet.Range) Order {
 	s := &p.servers[i]
-	g := p.group[s.Domain]
-	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
-		p.cover[g][l]--
-		p.chance[g][l] -= 1 / float64(s.Layers.Len())
-		p.total[l]--
-	}
+	p.add(*s, -1)
 	s.Layers = layers
 	s.Moving = true
 	p.count(*s)
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -37,6 +37,8 @@
 	Layers fleet.Range
 	// Moving servers carry out an order, and are left alone.
 	Moving bool
+	// Slow is how many times as slow as its kind it is.
+	Slow float64
 	// Fresh servers have only just come: they are kept for a hole, since the
 	// one that they replace may be about to leave.
 	Fresh bool
@@ -66,6 +68,7 @@
 	servers []Server
 	group   map[string]int // by domain
 	cover   [][]int        // by group, then layer
+	held    [][]int        // the same, with servers that are slow
 	total   []int          // by layer
 	chance  [][]float64    // by group, then layer: sum of 1/layers of its holders
 }
@@ -83,12 +86,27 @@
 	return p
 }
 
+// slowLimit is how many times as slow as its kind a server may be that counts
+// as a cover of its layers: at four times, prompts wait longer for it than for
+// all the others together.
+const slowLimit = 4
+
 // count adds what a server holds to the covers.
 func (p *planner) count(s Server) {
+	p.add(s, 1)
+}
+
+// add adds a server's layers n times.
+func (p *planner) add(s Server, n int) {
+	g := p.group[s.Domain]
 	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
-		p.cover[p.group[s.Domain]][l]++
-		p.chance[p.group[s.Domain]][l] += 1 / float64(s.Layers.Len())
-		p.total[l]++
+		p.held[g][l] += n
+		if s.Slow >= slowLimit {
+			continue
+		}
+		p.cover[g][l] += n
+		p.chance[g][l] += float64(n) / float64(s.Layers.Len())
+		p.total[l] += n
 	}
 }
 
@@ -143,6 +161,7 @@
 
 func (p *planner) addGroup() int {
 	p.cover = append(p.cover, make([]int, p.engine.Layers))
+	p.held = append(p.held, make([]int, p.engine.Layers))
 	p.chance = append(p.chance, make([]float64, p.engine.Layers))
 	return len(p.cover) - 1
 }
--- a/pkg/placement/plan_test.go
+++ b/pkg/placement/plan_test.go
@@ -127,6 +127,33 @@
 		Expect(orders[0].Layers).To(Equal(old.Layers))
 	})
 
+	It("covers what a slow server holds by one that isn't needed, but shifts nothing for it", func() {
+		e := engine()
+		list := apply(users(), placement.Plan(e, users()))
+		for i := range list {
+			if list[i].ID == "b-mid-0" {
+				list[i].Slow = 12
+			}
+		}
+		orders := placement.Plan(e, list)
+		Expect(orders).NotTo(BeEmpty())
+		for _, o := range orders {
+			Expect(o.ID).To(HavePrefix("b-"))
+			Expect(o.ID).NotTo(Equal("b-mid-0"))
+		}
+		after := apply(list, orders)
+		var fast []placement.Server
+		for _, s := range after {
+			if s.Slow == 0 {
+				fast = append(fast, s)
+			}
+		}
+		Expect(covered(fast, "b", 80)).To(BeTrue())
+		none := apply(servers("a", "small", 10), placement.Plan(e, servers("a", "small", 10)))
+		none[3].Slow = 12
+		Expect(placement.Plan(e, none)).To(BeEmpty())
+	})
+
 	It("shifts servers along where a hole is left that no single one can fill", func() {
 		e := engine()
 		// Of 83 layers' room, all but three are needed: the overlaps lie elsewhere.
