Streams leave what gave up its layers though they can't leave what leaves

Cause: a stream tried to leave all parts that must be left at once.

Change: parts that merely leave may be kept, since they still serve.

--- a/pkg/gateway/around.go
+++ b/pkg/gateway/around.go
@@ -8,9 +8,12 @@
 // pathAround returns the stream's path with other endpoints in the place of the
 // parts that are bad, and all else as it stands: an endpoint that comes new into
 // a path reads every token so far, and one that stays keeps its memory. It
-// returns nil if the bad parts' layers can't be covered.
+// returns nil if no part is bad, or their layers can't be covered.
 func (s *streamRun) pathAround(bad func(p fleet.Part) bool) []fleet.Part {
 	kept, holes := split(s.path, bad)
+	if len(holes) == 0 {
+		return nil
+	}
 	stages := make([]pathing.Stage, 0, len(kept))
 	names := map[string]bool{
 		s.path[0].ID: true,
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/fleet"
@@ -86,14 +87,22 @@
 	return l.s.g.source.EndpointLeaving(p.ID) || l.s.g.source.GaveUp(p.ID, p.Layers) || l.slow(p)
 }
 
-// bad reports whether a part isn't to be kept when others are left.
+// bad reports whether a part isn't to be kept if that can be helped; worse,
+// whether it isn't to be kept though one that leaves is: that one still serves,
+// while an order waits for the streams on a part that gave up its layers.
 func (l *leaveWatch) bad(p fleet.Part) bool {
 	return l.s.shunned(p) || l.mustLeave(p)
 }
 
+func (l *leaveWatch) worse(p fleet.Part) bool {
+	return l.bad(p) && !l.s.g.source.EndpointLeaving(p.ID)
+}
+
 // move puts other endpoints in the place of all parts that must be left, or else
-// chooses the path behind the first part anew, if that takes no crossing: an
-// endpoint that could take over may stand on the path already. A stream that would have to cross stays as long as it is served.
+// of those that don't merely leave, or else chooses the path behind the first
+// part anew, if that takes no crossing: an endpoint that could take over may
+// stand on the path already. A stream that would have to cross stays as long as
+// it is served.
 func (l *leaveWatch) move(ctx context.Context) {
 	s := l.s
 	l.part = nil
@@ -107,10 +116,12 @@
 	if left == "" {
 		return
 	}
-	for _, path := range [][]fleet.Part{s.pathAround(l.bad), s.pathFrom(&s.path[0])} {
+	for _, path := range [][]fleet.Part{s.pathAround(l.bad), s.pathAround(l.worse), s.pathFrom(&s.path[0])} {
 		if path != nil && pathing.Crossings(path) <= pathing.Crossings(s.path) && s.follow(ctx, path, left) {
-			return
+			break
 		}
 	}
-	l.part = s.g.svc.After(partAgain)
+	if slices.ContainsFunc(s.path[1:], l.mustLeave) {
+		l.part = s.g.svc.After(partAgain)
+	}
 }
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -380,6 +380,33 @@
 		})
 	})
 
+	It("leaves a part that gave up its layers though it must stay on one that leaves", func() {
+		withGateway(func(b *bench) {
+			b.source.endpoints["llm"] = []fleet.Endpoint{
+				engineEndpoint("x", 0, 1), engineEndpoint("y", 1, 3), engineEndpoint("z", 3, 4),
+			}
+			b.backend.answer = func(int, *Call) (*Answer, error) {
+				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			out, done := b.stream(ctx)
+			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+			b.source.change(func() {
+				b.source.endpoints["llm"] = []fleet.Endpoint{engineEndpoint("x", 0, 1), engineEndpoint("y2", 1, 3)}
+			})
+			b.source.leave("z")
+			b.source.giveUp("y")
+			Eventually(func() int {
+				b.clock.Advance(50 * time.Millisecond)
+				return b.backend.repathed()
+			}, "5s", "2ms").Should(Equal(1))
+			Expect(b.backend.repaths[0][1].ID).To(Equal("y2"))
+			Expect(b.backend.repaths[0][2].ID).To(Equal("z"))
+			cancel()
+			Eventually(done, "5s").Should(Receive())
+		})
+	})
+
 	It("tells when its first event came, and of the longest pause", func() {
 		p := &pulse{}
 		start := time.Unix(1000, 0)
