Latency histograms by client account, bounded

The house style asks for histograms of each tenant; there were some by class only. Test: whole_test.go.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,7 @@
 	tracker *Tracker
 	repeats *repeats
 	pipes   *pipes
+	labels  *accountLabels
 }
 
 // New returns the gateway of a host in a failure domain.
@@ -39,6 +40,7 @@
 		tracker: NewTracker(svc, log),
 		repeats: newRepeats(budget, svc),
 		pipes:   newPipes(svc),
+		labels:  newAccountLabels(),
 	}
 }
 
@@ -210,6 +212,7 @@
 func (g *Gateway) served(j *job, status int, endpoint string, attempts int, more ...eventlog.Field) {
 	took := g.svc.Now().Sub(j.req.Received)
 	metrics.Observe(g.metrics.Histogram("request_us", metrics.Label{Name: "class", Value: j.route.Kind.String()}), took)
+	metrics.Observe(g.metrics.Histogram("account_us", metrics.Label{Name: "account", Value: g.labels.of(j.account)}), took)
 	g.metrics.Counter("requests_served", metrics.Label{Name: "class", Value: j.route.Kind.String()}).Inc(1)
 	fields := []eventlog.Field{
 		eventlog.Str("request", j.req.ID), eventlog.Str("account", j.account), eventlog.Str("route", j.route.Name),
--- a/pkg/gateway/whole_test.go
+++ b/pkg/gateway/whole_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"io"
+	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -157,4 +159,20 @@
 			})
 		}
 	})
+
+	It("is counted under its client account, of which a bounded number has a name", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(200, "ok"), nil }
+			b.serve("safe")
+			h := b.gateway.metrics.Histogram("account_us", metrics.Label{Name: "account", Value: "acc"})
+			Expect(h.Count()).To(BeEquivalentTo(1))
+			l := newAccountLabels()
+			Expect(l.of("")).To(Equal(noAccount))
+			for i := range maxAccounts {
+				Expect(l.of(strconv.Itoa(i))).To(Equal(strconv.Itoa(i)))
+			}
+			Expect(l.of("one more")).To(Equal(otherAccounts))
+			Expect(l.of("0")).To(Equal("0"))
+		})
+	})
 })
