--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -359,6 +359,21 @@
 	return out, done
 }
 
+// underWay starts a stream at endpoints that give its first event and no more,
+// and returns once the caller has it. end ends it.
+func (b *bench) underWay() (end func()) {
+	b.backend.answer = func(int, *Call) (*Answer, error) {
+		return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	out, done := b.stream(ctx)
+	Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+	return func() {
+		cancel()
+		Eventually(done, "5s").Should(Receive())
+	}
+}
+
 func whole(status int, body string) *Answer {
 	return &Answer{Status: status, Sealed: true, Body: io.NopCloser(strings.NewReader(body))}
 }
--- /dev/null
+++ b/pkg/gateway/repath.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/pathing"
+)
+
+// errElsewhere says that a stream is better continued by other endpoints, all
+// in one failure domain, than by a path that crosses domains: each token so far
+// would have to cross too, and the pipe between domains is shared.
+var errElsewhere = errors.New("no other endpoint in the failure domain; continued elsewhere")
+
+// repath puts other endpoints in the place of the one at address. Its error
+// says that the stream must be sent anew.
+func (s *streamRun) repath(ctx context.Context, address string) error {
+	if address == s.path[0].Address {
+		return nil
+	}
+	s.shun(s.path, address)
+	for range repathTries {
+		path := s.pathAround(s.shunned)
+		if path == nil || pathing.Crossings(path) > pathing.Crossings(s.path) {
+			path = s.pathFrom(&s.path[0])
+		}
+		if s.betterElsewhere(path) {
+			return errElsewhere
+		}
+		if path == nil || s.follow(ctx, path, address) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// repathTries is how many paths are offered at once: one may be refused for an
+// endpoint that has no room or was lost with the first.
+const repathTries = 2
+
+// shunned reports whether a part failed this request.
+func (s *streamRun) shunned(p fleet.Part) bool {
+	return s.avoid[p.ID]
+}
+
+// follow gives the stream a path around the part at address, and reports
+// whether the first endpoint took it.
+func (s *streamRun) follow(ctx context.Context, path []fleet.Part, address string) bool {
+	first := s.path[0].Address
+	ctx, cancel := context.WithTimeout(ctx, stallAskTimeout)
+	defer cancel()
+	err := s.g.backend.Repath(ctx, first, s.j.req.ID, path)
+	s.g.log.Event(eventlog.StreamRepathed, eventlog.Str("request", s.j.req.ID), eventlog.Str("around", address), eventlog.Err(err))
+	if err == nil {
+		s.take(path)
+		return true
+	}
+	var fault *RepathError
+	if errors.As(err, &fault) {
+		s.shun(path, fault.At)
+	}
+	return false
+}
+
+// shun keeps this request off the part of a path at address.
+func (s *streamRun) shun(path []fleet.Part, address string) {
+	for _, p := range path {
+		if p.Address == address {
+			s.avoid[p.ID] = true
+		}
+	}
+}
+
+// pathFrom returns a path that begins with a part that stands, or any if nil.
+func (s *streamRun) pathFrom(first *fleet.Part) []fleet.Part {
+	demand := s.demand()
+	if first != nil {
+		part := *first
+		demand.First = &part
+	}
+	path := pathing.Choose(s.j.service.Engine, s.stages(func(e *fleet.Endpoint) bool {
+		return s.failed(e.ID) || s.g.tracker.Avoided(e.ID)
+	}), demand, s.jitter)
+	if path == nil || !pathing.Whole(s.j.service.Engine, path) {
+		return nil
+	}
+	return path
+}
+
+// betterElsewhere reports whether a stream should be sent anew rather than
+// follow path.
+func (s *streamRun) betterElsewhere(path []fleet.Part) bool {
+	if !s.j.route.Resumable || s.ran+1 >= s.j.route.MaxAttempts || path != nil && pathing.Crossings(path) == 0 {
+		return false
+	}
+	other := s.pathFrom(nil)
+	if other == nil || path != nil && pathing.Crossings(other) >= pathing.Crossings(path) {
+		return false
+	}
+	return s.payAhead()
+}
+
+// pathAround returns the stream's path with other endpoints in the place of the
+// parts that are bad, and all else as it stands: an endpoint that comes new into
+// a path reads every token so far, and one that stays keeps its memory. It
+// returns nil if no part is bad, or their layers can't be covered.
+func (s *streamRun) pathAround(bad func(p fleet.Part) bool) []fleet.Part {
+	kept, holes := split(s.path, bad)
+	if len(holes) == 0 {
+		return nil
+	}
+	stages := make([]pathing.Stage, 0, len(kept))
+	names := map[string]bool{
+		s.path[0].ID: true,
+	}
+	for _, p := range kept {
+		names[p.ID] = true
+		stages = append(stages, pathing.Stage{
+			ID:      p.ID,
+			Address: p.Address,
+			Domain:  p.Domain,
+			Layers:  p.Layers,
+		})
+	}
+	fit := s.stages(func(e *fleet.Endpoint) bool {
+		return names[e.ID] || s.failed(e.ID) || s.g.tracker.Avoided(e.ID)
+	})
+	for _, st := range fit {
+		if c, ok := clip(st, holes); ok {
+			stages = append(stages, c)
+		}
+	}
+	demand := s.demand()
+	demand.First = &s.path[0]
+	path := pathing.Choose(s.j.service.Engine, stages, demand, s.jitter)
+	if path == nil || !pathing.Whole(s.j.service.Engine, path) {
+		return nil
+	}
+	return path
+}
+
+// split returns the parts of a path after the first that are good, and the
+// layers of those that are bad, neighbours joined.
+func split(path []fleet.Part, bad func(p fleet.Part) bool) (kept []fleet.Part, holes []fleet.Range) {
+	for _, p := range path[1:] {
+		n := len(holes)
+		switch {
+		case !bad(p):
+			kept = append(kept, p)
+		case n > 0 && holes[n-1].To == p.Layers.From:
+			holes[n-1].To = p.Layers.To
+		default:
+			holes = append(holes, p.Layers)
+		}
+	}
+	return kept, holes
+}
+
+// clip limits an endpoint to the first hole that it holds layers of: a path may
+// name it once only.
+func clip(st pathing.Stage, holes []fleet.Range) (pathing.Stage, bool) {
+	for _, h := range holes {
+		from := max(st.Layers.From, h.From)
+		to := min(st.Layers.To, h.To)
+		if from < to {
+			st.Held = st.Layers.Len()
+			st.Layers = fleet.Range{
+				From: from,
+				To:   to,
+			}
+			return st, true
+		}
+	}
+	return st, false
+}
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -213,19 +213,13 @@
 			other := engineEndpoint("z", 2, 4)
 			other.Domain = "b"
 			b.source.endpoints["llm"] = []fleet.Endpoint{engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4), other}
-			b.backend.answer = func(int, *Call) (*Answer, error) {
-				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			out, done := b.stream(ctx)
-			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+			end := b.underWay()
 			b.source.leave("y")
 			Consistently(func() int {
 				b.clock.Advance(partGrace)
 				return len(b.backend.sent()) + b.backend.repathed()
 			}, "100ms", "10ms").Should(Equal(1))
-			cancel()
-			Eventually(done, "5s").Should(Receive())
+			end()
 		})
 	})
 
@@ -280,12 +274,7 @@
 
 	It("leaves a part that gave up its layers well before a leaving one, and stays on a first one", func() {
 		withGateway(func(b *bench) {
-			b.backend.answer = func(int, *Call) (*Answer, error) {
-				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			out, done := b.stream(ctx)
-			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+			end := b.underWay()
 			path := b.backend.sent()[0].Path
 			b.source.giveUp(path[0].ID)
 			b.source.giveUp(path[1].ID)
@@ -298,8 +287,7 @@
 			Expect(moved).To(BeNumerically("<", partGrace))
 			Expect(b.backend.repaths[0][0]).To(Equal(path[0]))
 			Expect(b.backend.repaths[0][1].ID).NotTo(Equal(path[1].ID))
-			cancel()
-			Eventually(done, "5s").Should(Receive())
+			end()
 		})
 	})
 
@@ -318,12 +306,7 @@
 				b.source.endpoints["llm"] = []fleet.Endpoint{
 					engineEndpoint("x", 0, 1), engineEndpoint("y", 1, 3), engineEndpoint("z", 3, 4),
 				}
-				b.backend.answer = func(int, *Call) (*Answer, error) {
-					return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
-				}
-				ctx, cancel := context.WithCancel(context.Background())
-				out, done := b.stream(ctx)
-				Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+				end := b.underWay()
 				// The last part is slow now, and others hold its layers: a path
 				// chosen anew would leave it.
 				slow := engineEndpoint("z", 3, 4)
@@ -344,8 +327,7 @@
 				Expect(path[1].ID).To(Equal("v"), c.what)
 				Expect(path[1].Layers).To(Equal(fleet.Range{From: 1, To: 3}), c.what)
 				Expect(path[2].ID).To(Equal("z"), c.what)
-				cancel()
-				Eventually(done, "5s").Should(Receive())
+				end()
 			})
 		}
 	})
@@ -357,12 +339,7 @@
 			b.source.endpoints["llm"] = []fleet.Endpoint{
 				engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4), engineEndpoint("z", 2, 4), slow,
 			}
-			b.backend.answer = func(int, *Call) (*Answer, error) {
-				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			out, done := b.stream(ctx)
-			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+			end := b.underWay()
 			lost, full := "y:1", "z:1"
 			if b.backend.sent()[0].Path[1].ID == "z" {
 				lost, full = full, lost
@@ -375,8 +352,7 @@
 			}, "5s", "2ms").Should(BeNumerically(">=", 2))
 			Expect(b.backend.repaths[0][1].Address).To(Equal(full))
 			Expect(b.backend.repaths[1][1].ID).To(Equal("z2"))
-			cancel()
-			Eventually(done, "5s").Should(Receive())
+			end()
 		})
 	})
 
@@ -385,12 +361,7 @@
 			b.source.endpoints["llm"] = []fleet.Endpoint{
 				engineEndpoint("x", 0, 1), engineEndpoint("y", 1, 3), engineEndpoint("z", 3, 4),
 			}
-			b.backend.answer = func(int, *Call) (*Answer, error) {
-				return &Answer{Status: 200, Sealed: true, Body: hang(events(1, 1))}, nil
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			out, done := b.stream(ctx)
-			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+			end := b.underWay()
 			b.source.change(func() {
 				b.source.endpoints["llm"] = []fleet.Endpoint{engineEndpoint("x", 0, 1), engineEndpoint("y2", 1, 3)}
 			})
@@ -402,8 +373,7 @@
 			}, "5s", "2ms").Should(Equal(1))
 			Expect(b.backend.repaths[0][1].ID).To(Equal("y2"))
 			Expect(b.backend.repaths[0][2].ID).To(Equal("z"))
-			cancel()
-			Eventually(done, "5s").Should(Receive())
+			end()
 		})
 	})
 
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -3,7 +3,6 @@
 package registry
 
 import (
-	"math"
 	"sort"
 	"sync"
 	"time"
@@ -122,16 +121,22 @@
 	}
 	next.Silent = old.Silent && !next.HeardAt.After(old.HeardAt)
 	next.Recalled = old.Recalled && e.Recalled
-	same := sameNews(&old.Endpoint, &next)
 	if next.Layers != old.Layers {
 		t.logLayers(&next)
 	}
 	if next.Leaving != old.Leaving || next.Gone != old.Gone {
 		t.logChange(&next)
 	}
-	old.Endpoint = next
+	return t.replace(old, next)
+}
+
+// replace puts what is now known of an endpoint in a row, and reports whether
+// it is news.
+func (t *Table) replace(r *row, next fleet.Endpoint) bool {
+	same := sameNews(&r.Endpoint, &next)
+	r.Endpoint = next
 	if !same {
-		t.note(old)
+		t.note(r)
 	}
 	return !same
 }
@@ -219,67 +224,6 @@
 		eventlog.Str("why", "doesn't answer"), eventlog.Ms("age_ms", t.svc.Now().Sub(r.HeardAt)))
 }
 
-// Answered notes that an endpoint is there, though it told nothing of itself.
-func (t *Table) Answered(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r := t.rows[id]; r != nil && r.Silent && !r.Gone {
-		r.Silent = false
-		t.note(r)
-	}
-}
-
-// Recall takes endpoints that a disk told of, where nothing newer is known, and
-// returns how many. They count as silent until they answer, and are dropped by
-// DropRecalled unless a heartbeat comes.
-func (t *Table) Recall(list []fleet.Endpoint) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for _, e := range list {
-		if t.rows[e.ID] != nil {
-			continue
-		}
-		e.Recalled = true
-		e.Silent = true
-		e.Loading = false
-		e.HeardAt = time.Time{}
-		t.rows[e.ID] = &row{
-			Endpoint: e,
-		}
-		t.note(t.rows[e.ID])
-		n++
-	}
-	return n
-}
-
-// DropRecalled drops the endpoints that were recalled and sent no heartbeat
-// since, and returns how many: they may have ended, or said that they leave,
-// after the disk was written.
-func (t *Table) DropRecalled() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	n := 0
-	for id, r := range t.rows {
-		if r.Recalled {
-			delete(t.rows, id)
-			n++
-		}
-	}
-	return n
-}
-
-// Heard returns the rows of which a heartbeat came since this replica started.
-func (t *Table) Heard() []fleet.Endpoint {
-	var list []fleet.Endpoint
-	for _, e := range t.All() {
-		if !e.Recalled {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
 // Get returns the row of an incarnation.
 func (t *Table) Get(id string) (fleet.Endpoint, bool) {
 	t.mu.Lock()
@@ -336,79 +280,3 @@
 	}
 	return list
 }
-
-// Status is what an endpoint tells of itself when it is asked.
-type Status struct {
-	Layers fleet.Range
-	Orders uint64 // taken since its start
-	Busy   bool   // with an order
-	// Slow is how many times as slow as its kind the endpoint is.
-	Slow float64
-}
-
-// Reported takes what an endpoint answered when it was asked.
-func (t *Table) Reported(id string, report Status) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.rows[id]
-	if r == nil || r.Gone {
-		return
-	}
-	next := r.Endpoint
-	next.HeardAt = t.svc.Now()
-	next.Silent = false
-	next.Layers = report.Layers
-	next.Orders = report.Orders
-	next.Loading = report.Busy
-	next.Slow = roundSlow(report.Slow)
-	same := sameNews(&r.Endpoint, &next)
-	if next.Layers != r.Layers || next.Loading != r.Loading || next.Slow != r.Slow {
-		t.logLayers(&next)
-	}
-	r.Endpoint = next
-	if !same {
-		t.note(r)
-	}
-}
-
-// Ordered notes that an endpoint took an order to hold other layers: it has
-// given up those that it held, and loads. taken is how many orders it has taken.
-func (t *Table) Ordered(id string, taken uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.rows[id]
-	if r == nil || r.Gone {
-		return
-	}
-	next := r.Endpoint
-	next.Layers = fleet.Range{}
-	next.Loading = true
-	next.Orders = taken
-	same := sameNews(&r.Endpoint, &next)
-	r.Endpoint = next
-	if !same {
-		t.note(r)
-	}
-}
-
-// logLayers tells what an endpoint holds and how it does.
-func (t *Table) logLayers(e *fleet.Endpoint) {
-	loading := int64(0)
-	if e.Loading {
-		loading = 1
-	}
-	t.log.Event(eventlog.EndpointLayers, eventlog.Str("endpoint", e.ID), eventlog.Str("address", e.Address),
-		eventlog.Int("from", int64(e.Layers.From)), eventlog.Int("to", int64(e.Layers.To)),
-		eventlog.Int("loading", loading), eventlog.Int("slow_percent", int64(100*e.Slow)))
-}
-
-// slowStep is how finely slowness is told: a finer one is news all the time.
-const slowStep = 0.5
-
-// roundSlow rounds to slowStep; what is hardly slow counts as it should be.
-func roundSlow(slow float64) float64 {
-	if slow < 1+slowStep {
-		return 1
-	}
-	return math.Round(slow/slowStep) * slowStep
-}
