A host that stops takes no stream that would likely not end in time

Ruled out: the configuration itself (cuts fall on the end of the stay, whenever one is sent); the changes to paths (the host alone cut it, its endpoint served).

Change: a host that was told to stop refuses, at once and not run, a stream whose expected answer at the pace of late streams, times 1.6, takes longer than it works. Others have the time.

What is far longer than its caller's estimate may still be cut.

--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -86,6 +86,7 @@
 	hosts       []*rpc.FleetHost
 	replicas    []string
 	leaving     bool
+	stopsAt     time.Time // zero: it wasn't told to stop
 	settled     bool
 	target      int // which control host is asked
 	hint        string
@@ -222,10 +223,12 @@
 }
 
 // Leave makes this host unready for good, and tells the control hosts at once.
-func (f *Follower) Leave() {
+// It works until end at the latest.
+func (f *Follower) Leave(end time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.leaving = true
+	f.stopsAt = end
 	if f.interrupt != nil {
 		f.interrupted = true
 		f.interrupt()
--- a/pkg/fleetentry/follower_test.go
+++ b/pkg/fleetentry/follower_test.go
@@ -246,7 +246,7 @@
 			g := group.New(context.Background())
 			g.Go(f.Run)
 			Eventually(c.asked, "5s", "5ms").Should(Equal(2))
-			f.Leave()
+			f.Leave(f.cfg.Timer.Now().Add(time.Second))
 			Eventually(c.asked, "5s", "5ms").Should(BeNumerically(">", 2))
 			c.mu.Lock()
 			Expect(c.calls[2].GetHost().GetReady()).To(BeFalse())
--- a/pkg/fleetentry/host.go
+++ b/pkg/fleetentry/host.go
@@ -88,12 +88,13 @@
 // Drain makes the host unready and waits until no request is under way, or
 // the time for a stop is nearly over.
 func (h *Host) Drain(ctx context.Context) {
-	h.Leave()
+	now := h.svc.Now()
+	end := now.Add(h.grace - stayMargin)
+	h.Leave(end)
 	h.mu.Lock()
-	h.left = h.svc.Now()
+	h.left = now
 	h.mu.Unlock()
 	h.log.Event(eventlog.Stopping, eventlog.Int("active", int64(h.Active())))
-	end := h.left.Add(h.grace - stayMargin)
 	for ctx.Err() == nil {
 		now := h.svc.Now()
 		if now.After(end) || (h.Active() == 0 && now.Sub(h.left) >= leastStay) {
--- a/pkg/fleetentry/view.go
+++ b/pkg/fleetentry/view.go
@@ -110,6 +110,16 @@
 	return f.index != nil && !f.leaving && f.trusted(age) && len(f.byService) > 0
 }
 
+// StopsIn implements gateway.Source.
+func (f *Follower) StopsIn() (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.stopsAt.IsZero() {
+		return 0, false
+	}
+	return max(0, f.stopsAt.Sub(f.cfg.Timer.Now())), true
+}
+
 // Leaving reports whether Leave was called.
 func (f *Follower) Leaving() bool {
 	f.mu.Lock()
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -104,6 +104,7 @@
 	changed   chan struct{}
 	confirmed chan struct{}
 	unsettled bool
+	stopsIn   time.Duration // 0: it wasn't told to stop
 }
 
 func (s *fakeSource) View() View {
@@ -118,9 +119,10 @@
 	return s.endpoints[service]
 }
 
-func (s *fakeSource) OthersLoad(string) Load { return Load{} }
-func (s *fakeSource) Hosts() int             { return 1 }
-func (s *fakeSource) Settled() bool          { return !s.unsettled }
+func (s *fakeSource) StopsIn() (time.Duration, bool) { return s.stopsIn, s.stopsIn > 0 }
+func (s *fakeSource) OthersLoad(string) Load         { return Load{} }
+func (s *fakeSource) Hosts() int                     { return 1 }
+func (s *fakeSource) Settled() bool                  { return !s.unsettled }
 
 func (s *fakeSource) EndpointLeaving(id string) bool {
 	s.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -26,6 +26,7 @@
 	repeats *repeats
 	pipes   *pipes
 	labels  *accountLabels
+	paces   *paces
 }
 
 // New returns the gateway of a host in a failure domain.
@@ -41,6 +42,7 @@
 		repeats: newRepeats(budget, svc),
 		pipes:   newPipes(svc),
 		labels:  newAccountLabels(),
+		paces:   newPaces(),
 	}
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -78,6 +78,10 @@
 		avoid:    map[string]bool{},
 		refused:  map[string]bool{},
 	}
+	if e := s.mayStay(); e != nil {
+		s.giveUp(e)
+		return
+	}
 	g.repeats.earn(g.source.Hosts())
 	defer s.release()
 	for {
@@ -87,6 +91,7 @@
 		}
 		switch end, cause := s.send(ctx); end {
 		case finished:
+			g.paces.ended(s.demand().Answer, g.svc.Now().Sub(j.req.Received))
 			metrics.Observe(g.metrics.Histogram("longest_pause_us"), s.pulse.pause)
 			g.served(j, http.StatusOK, formatPath(s.path), s.sends, s.pulse.fields(j.req.Received)...)
 			return
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -377,6 +377,48 @@
 		})
 	})
 
+	It("isn't taken by a host that stops before it would end, and is told where to go at once", func() {
+		cases := []struct {
+			stopsIn time.Duration
+			hint    int
+			taken   bool
+		}{
+			{0, 10000, true},
+			{5 * time.Second, 100, true},
+			{5 * time.Second, 200, false},
+		}
+		for _, c := range cases {
+			withGateway(func(b *bench) {
+				b.source.stopsIn = c.stopsIn
+				b.backend.answer = func(int, *Call) (*Answer, error) { return whole(200, events(1, 2)), nil }
+				out := &fakeOutput{}
+				req := b.request("stream")
+				req.Received = time.Now()
+				req.AnswerHint = c.hint
+				b.gateway.Serve(context.Background(), req, out)
+				Expect(out.refusal == nil).To(Equal(c.taken))
+				if !c.taken {
+					Expect(out.refusal.Kind()).To(Equal(failure.Draining))
+					Expect(out.refusal.Ran()).To(Equal(failure.RanNo))
+					Expect(out.refusal.RetryAfter()).To(BeNumerically(">", 0))
+					Expect(b.backend.sent()).To(BeEmpty())
+				}
+			})
+		}
+	})
+
+	It("learns how long streams take for each token that was expected", func() {
+		p := newPaces()
+		before := p.expect(100)
+		for range 100 {
+			p.ended(100, time.Second)
+		}
+		Expect(p.expect(100)).To(BeNumerically("<", before))
+		Expect(p.expect(100)).To(BeNumerically("~", 1600*time.Millisecond, 10*time.Millisecond))
+		p.ended(0, time.Hour)
+		Expect(p.expect(100)).To(BeNumerically("<", 2*time.Second))
+	})
+
 	It("tells when its first event came, and of the longest pause", func() {
 		p := &pulse{}
 		start := time.Unix(1000, 0)
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -152,6 +152,8 @@
 	Confirmed() <-chan struct{}
 	// OthersLoad returns what the other entry hosts have under way.
 	OthersLoad(id string) Load
+	// StopsIn returns how long this host still works, once it was told to stop.
+	StopsIn() (left time.Duration, stops bool)
 	// Hosts returns how many entry hosts share the work.
 	Hosts() int
 }
