Hosts that stop don't send streams away because all is slow

Cause: the pace by which a host that stops judges streams followed that of slow times.

Change: the pace that counts is at most 20 ms a token.

Test: stream_test.go.

--- a/pkg/gateway/stay.go
+++ b/pkg/gateway/stay.go
@@ -10,9 +10,11 @@
 const (
 	// paceWeight is the newest stream's weight in the mean pace.
 	paceWeight = 0.1
-	// firstPace stands for the time of a token before any stream has ended:
-	// the slower half of the users' accelerators take as long.
-	firstPace = 20 * time.Millisecond
+	// mostPace is the longest time of a token that counts, and stands for it
+	// before any stream has ended: the slower half of the users' accelerators
+	// take as long. While all is slow, hosts that stop in turn would otherwise
+	// send nearly every stream away, some of them twice.
+	mostPace = 20 * time.Millisecond
 	// stayFactor is how much longer than expected a stream may take on a host
 	// that stops: a caller's estimate of its answer is often too low.
 	stayFactor = 1.6
@@ -30,7 +32,7 @@
 
 func newPaces() *paces {
 	return &paces{
-		mean: firstPace,
+		mean: mostPace,
 	}
 }
 
@@ -48,7 +50,7 @@
 func (p *paces) expect(tokens float64) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return time.Duration(stayFactor * tokens * float64(p.mean))
+	return time.Duration(stayFactor * tokens * float64(min(p.mean, mostPace)))
 }
 
 // mayStay refuses a stream that would likely be cut off by the end of this host,
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -417,6 +417,10 @@
 		Expect(p.expect(100)).To(BeNumerically("~", 1600*time.Millisecond, 10*time.Millisecond))
 		p.ended(0, time.Hour)
 		Expect(p.expect(100)).To(BeNumerically("<", 2*time.Second))
+		for range 100 {
+			p.ended(100, time.Minute)
+		}
+		Expect(p.expect(100)).To(Equal(before), "not all streams are sent away while all is slow")
 	})
 
 	It("tells when its first event came, and of the longest pause", func() {
