Placement waits until no endpoint came for a heartbeat before its first orders

Cause: where a service holds nothing, orders went out as endpoints announced themselves. Ruled out: the list from disk, since it was the first start. Change: the keeper holds back while nothing of the service holds layers and an endpoint came within the last beat; what came meanwhile isn't kept as a spare. Test: fails without the change.

--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -136,7 +136,7 @@
 		log:      cfg.Log,
 		heard:    map[uint64]time.Time{},
 	}
-	s.keeper = placement.NewKeeper(cfg.Orders, s.table, cfg.Timer, cfg.Log, g)
+	s.keeper = placement.NewKeeper(cfg.Orders, s.table, cfg.Heartbeat, cfg.Timer, cfg.Log, g)
 	return s
 }
 
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -71,6 +71,7 @@
 	svc    timer.Service
 	log    *eventlog.Log
 	group  *group.Group
+	beat   time.Duration
 
 	mu    sync.Mutex
 	known map[string]*standing // by incarnation
@@ -88,9 +89,11 @@
 	doubt  bool // its fate must be asked for before the next order
 }
 
-// NewKeeper returns a keeper whose calls run in g.
-func NewKeeper(orders Orderer, table *registry.Table, svc timer.Service, log *eventlog.Log, g *group.Group) *Keeper {
+// NewKeeper returns a keeper whose calls run in g. Endpoints announce themselves
+// once in a beat.
+func NewKeeper(orders Orderer, table *registry.Table, beat time.Duration, svc timer.Service, log *eventlog.Log, g *group.Group) *Keeper {
 	return &Keeper{
+		beat:   beat,
 		orders: orders,
 		table:  table,
 		svc:    svc,
@@ -128,6 +131,26 @@
 	return at.After(k.began) && now.Sub(at) < spareFor
 }
 
+// gathering reports whether a service that holds nothing yet still grows: an
+// endpoint came within the last beat. Orders that were given to the first that
+// come would put slow accelerators where fast ones are due.
+func (k *Keeper) gathering(servers []Server, now time.Time) bool {
+	newest := time.Time{}
+	for _, s := range servers {
+		if s.Layers.Len() > 0 || s.Moving {
+			return false
+		}
+		if at := k.seen[s.ID]; at.After(newest) {
+			newest = at
+		}
+	}
+	if now.Sub(newest) < k.beat {
+		return true
+	}
+	k.began = now // what came meanwhile replaces nothing
+	return false
+}
+
 // Tend gives the orders that are due. leads is asked right before each.
 func (k *Keeper) Tend(ctx context.Context, cfg *fleet.Configuration, leads func() bool) {
 	endpoints := k.table.All()
@@ -162,7 +185,11 @@
 			Moving: k.moving(e, now),
 		})
 	}
+	gathering := k.gathering(servers, now)
 	k.mu.Unlock()
+	if gathering {
+		return
+	}
 	for _, o := range Plan(svc.Engine, servers) {
 		if !leads() {
 			return
--- a/pkg/placement/keeper_test.go
+++ b/pkg/placement/keeper_test.go
@@ -44,6 +44,9 @@
 	return append([]placement.Order(nil), o.orders...)
 }
 
+// beat is how often endpoints announce themselves.
+const beat = time.Second
+
 // keeping is a keeper over a table and an orderer that takes everything.
 type keeping struct {
 	keeper  *placement.Keeper
@@ -60,22 +63,26 @@
 	defer g.Stop()
 	k := &keeping{
 		orderer: &fakeOrderer{},
-		table:   registry.New(clock, nil, time.Second),
+		table:   registry.New(clock, nil, beat),
 		clock:   clock,
 		group:   g,
 	}
-	k.keeper = placement.NewKeeper(k.orderer, k.table, clock, nil, g)
+	k.keeper = placement.NewKeeper(k.orderer, k.table, beat, clock, nil, g)
 	f(k)
 }
 
 // announce has an endpoint of kind small tell what it holds.
 func (k *keeping) announce(id, address string, layers fleet.Range) {
+	k.announceKind("small", id, address, layers)
+}
+
+func (k *keeping) announceKind(kind, id, address string, layers fleet.Range) {
 	k.table.Announce(fleet.Endpoint{
 		ID:       id,
 		Address:  address,
 		Service:  "llm",
 		Domain:   "a",
-		Kind:     "small",
+		Kind:     kind,
 		Sequence: 1,
 		Layers:   layers,
 	})
@@ -125,6 +132,27 @@
 		})
 	})
 
+	It("gives a service that holds nothing its first orders once no endpoint came for a beat", func() {
+		withKeeper(func(k *keeping) {
+			for i := range 10 {
+				k.announce(fmt.Sprintf("e%d", i), fmt.Sprintf("10.0.0.%d:80", i), fleet.Range{})
+			}
+			k.tend()
+			k.clock.Advance(beat / 2)
+			k.announceKind("big", "late", "10.0.0.70:80", fleet.Range{})
+			k.tend()
+			k.clock.Advance(beat / 2)
+			k.tend()
+			Expect(k.orderer.given()).To(BeEmpty())
+			k.clock.Advance(beat / 2)
+			k.tend()
+			Expect(k.orderer.given()).To(HaveLen(11))
+			Expect(k.orderer.given()).To(ContainElement(And(
+				HaveField("ID", "late"), HaveField("Layers.From", 0),
+			)), "the fastest begins, though it came last")
+		})
+	})
+
 	It("makes an order known at once, and counts on it for as long as the endpoint loads", func() {
 		withKeeper(func(k *keeping) {
 			k.cover()
