One question an endpoint at a time about what stands still, on kept connections

An endpoint tells of a stall only 0.2 to 0.3 s after it began, so the first question of each stream brought nothing. Ruled out: asking less than once a stream, since a stall is known to nobody else. Change: questions at an address are shared by whoever asks meanwhile or within 0.1 s; the first comes after 0.3 s; one without an answer is asked again at once; reports go over one kept connection an endpoint. Requests and orders keep a connection of their own.

--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -140,6 +140,24 @@
 	}
 }
 
+// reportIdle is how long a connection for reports is kept at rest: the leader
+// asks once a second, others only while something stands still.
+const reportIdle = 4 * time.Second
+
+// reportClient returns the client that asks endpoints for reports. It keeps one
+// connection to each: a new one costs the endpoint a millisecond.
+func reportClient(ip string) *http.Client {
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer(ip, endpointDial).DialContext,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     reportIdle,
+		},
+		CheckRedirect: noRedirect,
+	}
+}
+
 func dialer(ip string, timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
--- /dev/null
+++ b/pkg/gateway/asker.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	// stallAskTimeout bounds a question.
+	stallAskTimeout = 150 * time.Millisecond
+	// sharedFor is how long an answer serves whoever asks: endpoints tell what
+	// was 200 ms before, so an answer half as old misses little.
+	sharedFor = 100 * time.Millisecond
+	// deadAfter is how many questions in a row without an answer make an endpoint
+	// count as lost.
+	deadAfter = 2
+)
+
+// asker asks the first endpoints of paths which requests stand still. At each
+// one question is under way at a time, and its answer serves every stream that
+// asked meanwhile or shortly after: when an endpoint is slow or lost, all of its
+// streams ask at once. It is safe for use by several goroutines.
+type asker struct {
+	backend Backend
+	svc     timer.Service
+
+	mu   sync.Mutex
+	rows map[string]*question // by address
+}
+
+// question is the newest one to an address.
+type question struct {
+	done    chan struct{} // closed with the answer
+	at      time.Time     // of the answer; zero before it
+	stalled map[string]string
+	err     error
+	silent  int // questions in a row without an answer, with this one
+}
+
+// maxQuestions is how many addresses are remembered: more than a deployment has
+// endpoints that hold first layers.
+const maxQuestions = 1000
+
+func newAsker(backend Backend, svc timer.Service) *asker {
+	return &asker{
+		backend: backend,
+		svc:     svc,
+		rows:    map[string]*question{},
+	}
+}
+
+// ask returns the newest answer of the endpoint at address, and asks for one if
+// there is none. A question outlives the stream that asked it.
+func (a *asker) ask(ctx context.Context, address string) *question {
+	q, mine := a.join(address)
+	if mine {
+		askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stallAskTimeout)
+		stalled, err := a.backend.Stalled(askCtx, address)
+		cancel()
+		a.answer(q, stalled, err)
+		return q
+	}
+	select {
+	case <-q.done:
+	case <-ctx.Done():
+	}
+	return q
+}
+
+// join returns the question that serves now; mine says that the caller must ask it.
+func (a *asker) join(address string) (q *question, mine bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	old := a.rows[address]
+	if old != nil && a.serves(old) {
+		return old, false
+	}
+	q = &question{
+		done: make(chan struct{}),
+	}
+	if old != nil {
+		q.silent = old.silent
+	}
+	if len(a.rows) >= maxQuestions {
+		a.rows = map[string]*question{}
+	}
+	a.rows[address] = q
+	return q, true
+}
+
+// serves reports whether a question is under way, or its answer is new enough. One
+// that stayed without an answer serves once it tells that the endpoint is lost.
+func (a *asker) serves(q *question) bool {
+	if q.at.IsZero() {
+		return true
+	}
+	return (q.err == nil || q.lost()) && a.svc.Now().Sub(q.at) < sharedFor
+}
+
+func (a *asker) answer(q *question, stalled map[string]string, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	q.stalled = stalled
+	q.err = err
+	q.at = a.svc.Now()
+	q.silent++
+	if err == nil {
+		q.silent = 0
+	}
+	close(q.done)
+}
+
+// lost reports whether questions in a row stayed without an answer.
+func (q *question) lost() bool {
+	return q.err != nil && q.silent >= deadAfter
+}
--- /dev/null
+++ b/pkg/gateway/asker_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// askBackend counts questions, and answers each when release lets it.
+type askBackend struct {
+	Backend
+	asked   atomic.Int64
+	release chan error
+}
+
+func (b *askBackend) Stalled(context.Context, string) (map[string]string, error) {
+	b.asked.Add(1)
+	err := <-b.release
+	return map[string]string{"r1": "x:1"}, err
+}
+
+// withAsker runs f on an asker whose questions wait for release.
+func withAsker(f func(a *asker, b *askBackend, clock *timer.Manual)) {
+	b := &askBackend{
+		release: make(chan error, 10),
+	}
+	clock := timer.NewManual(time.Unix(1000, 0))
+	f(newAsker(b, clock), b, clock)
+}
+
+var _ = Describe("questions to endpoints", func() {
+	It("are one at a time for an endpoint, and serve all who ask meanwhile or shortly after", func() {
+		withAsker(func(a *asker, b *askBackend, clock *timer.Manual) {
+			g := group.New(context.Background())
+			answers := make(chan *question, 20)
+			for range 20 {
+				g.Go(func(ctx context.Context) {
+					answers <- a.ask(ctx, "x:1")
+				})
+			}
+			Eventually(b.asked.Load, "5s").Should(Equal(int64(1)))
+			b.release <- nil
+			g.Wait()
+			for range 20 {
+				Expect((<-answers).stalled).To(HaveKey("r1"))
+			}
+			Expect(b.asked.Load()).To(Equal(int64(1)))
+			clock.Advance(sharedFor)
+			b.release <- nil
+			a.ask(context.Background(), "x:1")
+			Expect(b.asked.Load()).To(Equal(int64(2)), "an old answer serves nobody")
+			b.release <- nil
+			a.ask(context.Background(), "y:1")
+			Expect(b.asked.Load()).To(Equal(int64(3)), "another endpoint is asked for itself")
+		})
+	})
+
+	It("count those in a row that stayed without an answer", func() {
+		withAsker(func(a *asker, b *askBackend, clock *timer.Manual) {
+			cases := []struct {
+				what string
+				err  error
+				lost bool
+			}{
+				{"one may be lost on its way", errors.New("timeout"), false},
+				{"an answer", nil, false},
+				{"one again", errors.New("timeout"), false},
+				{"two in a row", errors.New("timeout"), true},
+			}
+			for _, c := range cases {
+				b.release <- c.err
+				Expect(a.ask(context.Background(), "x:1").lost()).To(Equal(c.lost), c.what)
+				clock.Advance(sharedFor)
+			}
+		})
+	})
+})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -27,6 +27,7 @@
 	pipes   *pipes
 	labels  *accountLabels
 	paces   *paces
+	asker   *asker
 }
 
 // New returns the gateway of a host in a failure domain.
@@ -43,6 +44,7 @@
 		pipes:   newPipes(svc),
 		labels:  newAccountLabels(),
 		paces:   newPaces(),
+		asker:   newAsker(backend, svc),
 	}
 }
 
--- a/pkg/gateway/repath.go
+++ b/pkg/gateway/repath.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
@@ -40,6 +41,9 @@
 // endpoint that has no room or was lost with the first.
 const repathTries = 2
 
+// repathTimeout bounds the call that offers one.
+const repathTimeout = 200 * time.Millisecond
+
 // shunned reports whether a part failed this request.
 func (s *streamRun) shunned(p fleet.Part) bool {
 	return s.avoid[p.ID]
@@ -49,7 +53,7 @@
 // whether the first endpoint took it.
 func (s *streamRun) follow(ctx context.Context, path []fleet.Part, address string) bool {
 	first := s.path[0].Address
-	ctx, cancel := context.WithTimeout(ctx, stallAskTimeout)
+	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 	defer cancel()
 	err := s.g.backend.Repath(ctx, first, s.j.req.ID, path)
 	s.g.log.Event(eventlog.StreamRepathed, eventlog.Str("request", s.j.req.ID), eventlog.Str("around", address), eventlog.Err(err))
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -11,11 +11,10 @@
 // stallWatch asks, when a stream pauses, whether a part of its path stands
 // still, and puts another in its place.
 type stallWatch struct {
-	s      *streamRun
-	timer  <-chan time.Time
-	pause  time.Duration
-	asks   int
-	silent int // questions in a row without an answer
+	s     *streamRun
+	timer <-chan time.Time
+	pause time.Duration
+	asks  int
 }
 
 func newStallWatch(s *streamRun) *stallWatch {
@@ -23,7 +22,7 @@
 		s: s,
 	}
 	if s.j.service.Engine != nil {
-		w.wait(firstStall)
+		w.wait(stallWait)
 	}
 	return w
 }
@@ -38,8 +37,7 @@
 	if w.s.j.service.Engine == nil || w.asks >= maxAsks {
 		return
 	}
-	w.silent = 0
-	w.wait(gapStall)
+	w.wait(stallWait)
 }
 
 // ask finds what stands still. Its error says that the stream must be sent
@@ -52,22 +50,20 @@
 	w.asks++
 	s := w.s
 	first := s.path[0]
-	askCtx, cancel := context.WithTimeout(ctx, stallAskTimeout)
-	stalled, err := s.g.backend.Stalled(askCtx, first.Address)
-	cancel()
-	if err != nil {
-		w.silent++
-		if w.silent >= deadAfter {
-			s.avoid[first.ID] = true
-			s.g.tracker.Avoid(first.ID, "silent: "+err.Error())
-			s.g.attemptFailed(s.j, first.ID, "silent")
-			return errors.Wrap(err, "the first endpoint is silent")
-		}
-		w.wait(gapStall)
+	q := s.g.asker.ask(ctx, first.Address)
+	switch {
+	case ctx.Err() != nil:
+		return nil
+	case q.lost():
+		s.avoid[first.ID] = true
+		s.g.tracker.Avoid(first.ID, "silent: "+q.err.Error())
+		s.g.attemptFailed(s.j, first.ID, "silent")
+		return errors.Wrap(q.err, "the first endpoint is silent")
+	case q.err != nil:
+		w.wait(askAgain)
 		return nil
 	}
-	w.silent = 0
-	if at, ok := stalled[s.j.req.ID]; ok {
+	if at, ok := q.stalled[s.j.req.ID]; ok {
 		s.avoidAt(at, "stalled")
 		s.g.log.Event(eventlog.StreamStalled, eventlog.Str("request", s.j.req.ID), eventlog.Str("at", at), eventlog.Str("after", s.last))
 		if err := s.repath(ctx, at); err != nil {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -19,18 +19,15 @@
 	// maxStreamSends bounds the sends of one stream, with those that endpoints
 	// refused without running them.
 	maxStreamSends = 5
-	// firstStall and gapStall are how long nothing may come before the first
-	// endpoint of the path is asked what stands still: before the first event,
-	// and between events. The goals are 500 and 200 ms.
-	firstStall = 250 * time.Millisecond
-	gapStall   = 120 * time.Millisecond
-	// stallAskTimeout bounds that question.
-	stallAskTimeout = 200 * time.Millisecond
+	// stallWait is how long nothing may come before the first endpoint of the
+	// path is asked what stands still. Endpoints tell of a stall 0.2 to 0.3 s
+	// after it began: a question before that costs a connection and brings nothing.
+	stallWait = 300 * time.Millisecond
+	// askAgain is the pause before a question that stayed without an answer is
+	// asked again.
+	askAgain = 10 * time.Millisecond
 	// maxAsks bounds the questions of one stream.
 	maxAsks = 8
-	// deadAfter is how many questions without an answer make the first
-	// endpoint of a path count as lost.
-	deadAfter = 2
 	// eventQueue lets the reader run ahead of a caller that reads slowly.
 	eventQueue = 4
 	// jitterWidth is how far hosts that know the same differ in their choice.
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -145,7 +145,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			_, done := b.stream(ctx)
 			Eventually(func() int {
-				b.clock.Advance(gapStall)
+				b.clock.Advance(stallWait)
 				return b.backend.repathed()
 			}, "5s", "5ms").Should(BeNumerically(">", 0))
 			first := b.backend.sent()[0].Path
@@ -169,7 +169,7 @@
 			}
 			out, done := b.stream(context.Background())
 			Eventually(func() bool {
-				b.clock.Advance(gapStall)
+				b.clock.Advance(stallWait)
 				select {
 				case <-done:
 					return true
@@ -347,7 +347,7 @@
 			b.backend.refuse = full
 			b.backend.stall("r1", lost)
 			Eventually(func() int {
-				b.clock.Advance(gapStall)
+				b.clock.Advance(stallWait)
 				return b.backend.repathed()
 			}, "5s", "2ms").Should(BeNumerically(">=", 2))
 			Expect(b.backend.repaths[0][1].Address).To(Equal(full))
