A path's cost counts context, and what a request costs those under way

The cost left out the time that context takes, which is over half of what sequences share, and counted a stage as busy at the first few requests. Change: step time, plus twice what requests share. Test: a fast endpoint that is crowded against a slower idle one; fails before.

--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -19,9 +19,11 @@
 	// host's. Its events cross between domains, and hosts that all prefer the
 	// fastest domain fill it, while loads tell of that 0.4 s later.
 	awayMs = 1000
-	// loopMs is the time in which a token of a lightly loaded path comes round;
-	// a stage is busy for the part of it that its passes take.
-	loopMs = 10
+	// crowding is how often the time counts that requests share: once for the
+	// request, which waits for the others in each pass, and once for the others,
+	// which wait for it. Requests that pass the same endpoints gather, since those
+	// of one pass come to the next endpoint together: a pass holds about all.
+	crowding = 2
 	// fullPenalty multiplies the cost of a stage whose KV memory would be full.
 	fullPenalty = 8
 	// maxParts is the most endpoints that a path may name.
@@ -127,20 +129,17 @@
 }
 
 // layerCost is the expected time in ms that one layer of a stage adds to the
-// whole request.
+// whole request, and to those under way there.
 func (s *search) layerCost(st *Stage) float64 {
 	e := s.engine
 	k := e.Kinds[st.Kind]
 	held := float64(max(st.Held, st.Layers.Len()))
 	share := 1 / float64(e.Layers)
-	others := st.Requests
-	step := ms(e.StepTime) + others*ms(e.PerSequence) + st.Tokens/1000*ms(e.PerContext)
-	pass := k.Pace * share * held * step
-	busy := math.Min(1, others*pass/loopMs)
-	write := s.demand.Answer * k.Pace * share * (ms(e.StepTime)*(1+busy) + others*ms(e.PerSequence))
+	shared := st.Requests*ms(e.PerSequence) + st.Tokens/1000*ms(e.PerContext)
+	write := s.demand.Answer * k.Pace * share * (ms(e.StepTime) + crowding*shared)
 	read := 0.0
 	if e.ReadPerSecond > 0 {
-		read = s.demand.Prompt / e.ReadPerSecond * 1000 * k.ReadFactor * share * (1 + busy)
+		read = s.demand.Prompt / e.ReadPerSecond * 1000 * k.ReadFactor * share * crowding
 	}
 	cost := (write + read) * math.Max(1, st.Slow)
 	room := e.CacheTokens(st.Kind, int(held)) / math.Max(1, held)
--- a/pkg/pathing/pathing_test.go
+++ b/pkg/pathing/pathing_test.go
@@ -31,6 +31,7 @@
 		Kinds: map[string]fleet.Kind{
 			"fast": {MB: 2000, Pace: 1, ReadFactor: 1},
 			"slow": {MB: 2000, Pace: 10, ReadFactor: 8},
+			"mid":  {MB: 2000, Pace: 7, ReadFactor: 4},
 		},
 	}
 }
@@ -105,6 +106,17 @@
 		Expect(ids(path)).To(Equal([]string{"x=0-3", "y=3-10"}))
 	})
 
+	It("goes by what a crowd costs it and it costs the crowd", func() {
+		crowded := stage("f", "a", "fast", 0, 10)
+		crowded.Requests = 400
+		crowded.Tokens = 80e3
+		idle := stage("m", "a", "mid", 0, 10)
+		Expect(ids(Choose(engine(), []Stage{crowded, idle}, demand, even))).To(Equal([]string{"m=0-10"}))
+		crowded.Requests = 40
+		crowded.Tokens = 8e3
+		Expect(ids(Choose(engine(), []Stage{crowded, idle}, demand, even))).To(Equal([]string{"f=0-10"}))
+	})
+
 	It("goes around a slow endpoint and one whose memory is full", func() {
 		slow := stage("s", "a", "fast", 0, 10)
 		slow.Slow = 5
