Streams begin where less waits, by what the host's own streams see

Change: each host keeps the shortest wait of the last half second or two by first endpoint, or how old what still waits is; it counts twice in a path's cost. Tests: the estimate, and paths that go by it.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -51,6 +51,7 @@
 			Requests: float64(own.Requests + others.Requests),
 			Tokens:   float64(own.Tokens + others.Tokens),
 			Slow:     e.Slow,
+			Wait:     s.g.waits.expect(e.ID),
 		})
 	}
 	return out
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -28,6 +28,7 @@
 	labels  *accountLabels
 	paces   *paces
 	asker   *asker
+	waits   *waits
 }
 
 // New returns the gateway of a host in a failure domain.
@@ -45,6 +46,7 @@
 		labels:  newAccountLabels(),
 		paces:   newPaces(),
 		asker:   newAsker(backend, svc),
+		waits:   newWaits(svc),
 	}
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -52,8 +52,9 @@
 	// paid says that the next send has its repeat from the budget.
 	paid bool
 	// waited is how long it has waited for room.
-	waited time.Duration
-	pulse  pulse
+	waited  time.Duration
+	pulse   pulse
+	waiting *waiting // of the present send
 }
 
 // outcome is how one send of a stream ended.
@@ -166,6 +167,8 @@
 	if s.j.service.Engine != nil {
 		call.Path = s.path
 	}
+	s.waiting = s.g.waits.begin(s.path[0].ID)
+	defer s.g.waits.end(s.waiting)
 	grp := group.New(ctx)
 	defer grp.Stop()
 	f := newFeed()
@@ -210,6 +213,7 @@
 		return end, cause, true
 	}
 	w.moved()
+	s.g.waits.first(s.waiting)
 	if err := s.passOn(it.event); err != nil {
 		return left, err, true
 	}
--- /dev/null
+++ b/pkg/gateway/waits_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// withWaits runs f on a host that has sent nothing.
+func withWaits(f func(w *waits, clock *timer.Manual)) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	f(newWaits(clock), clock)
+}
+
+var _ = Describe("waits", func() {
+	It("are the shortest that was seen lately", func() {
+		withWaits(func(w *waits, clock *timer.Manual) {
+			long := w.begin("x")
+			clock.Advance(300 * time.Millisecond)
+			short := w.begin("x")
+			clock.Advance(100 * time.Millisecond)
+			w.first(long)
+			Expect(w.expect("x")).To(Equal(400 * time.Millisecond))
+			w.first(short)
+			Expect(w.expect("x")).To(Equal(100 * time.Millisecond))
+			Expect(w.expect("y")).To(BeZero())
+			w.first(long)
+			Expect(w.expect("x")).To(Equal(100*time.Millisecond), "only the first event tells")
+		})
+	})
+
+	It("grow with what still waits once nothing else tells", func() {
+		withWaits(func(w *waits, clock *timer.Manual) {
+			quick := w.begin("x")
+			w.first(quick)
+			w.begin("x")
+			clock.Advance(400 * time.Millisecond)
+			Expect(w.expect("x")).To(BeZero(), "another one passed meanwhile")
+			clock.Advance(2 * waitBucket)
+			Expect(w.expect("x")).To(Equal(400*time.Millisecond + 2*waitBucket))
+		})
+	})
+
+	It("shrink with time where nothing is sent, and are forgotten", func() {
+		withWaits(func(w *waits, clock *timer.Manual) {
+			s := w.begin("x")
+			clock.Advance(2 * time.Second)
+			w.first(s)
+			w.end(s)
+			clock.Advance(1500 * time.Millisecond)
+			Expect(w.expect("x")).To(BeNumerically("~", 500*time.Millisecond, waitBucket))
+			clock.Advance(time.Second)
+			Expect(w.expect("x")).To(BeZero())
+			w.end(w.begin("x"))
+			Expect(w.rows).To(BeEmpty())
+		})
+	})
+})
--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -24,6 +24,10 @@
 	// which wait for it. Requests that pass the same endpoints gather, since those
 	// of one pass come to the next endpoint together: a pass holds about all.
 	crowding = 2
+	// waitWeight is how much a wait before the first event counts against the same
+	// time later: a caller's goal is for the first event, and what waits brings
+	// nothing to anybody meanwhile.
+	waitWeight = 2
 	// fullPenalty multiplies the cost of a stage whose KV memory would be full.
 	fullPenalty = 8
 	// maxParts is the most endpoints that a path may name.
@@ -44,6 +48,9 @@
 	Tokens   float64 // in KV memory, of requests under way
 	// Slow multiplies its times; 1 is as expected.
 	Slow float64
+	// Wait is how long a request that begins there waits for its first event
+	// beyond what its reading takes, by what was seen.
+	Wait time.Duration
 }
 
 // Demand is what a request needs.
@@ -224,7 +231,7 @@
 		hop := s.hopCost(from.domain, s.domains[st.Domain])
 		for b := from.bound + 1; b < len(s.bounds) && s.bounds[b] <= st.Layers.To; b++ {
 			s.push(state{
-				cost:   from.cost + hop + float64(s.bounds[b]-layer)*s.unit[k],
+				cost:   from.cost + hop + s.waitCost(from, st) + float64(s.bounds[b]-layer)*s.unit[k],
 				prev:   i,
 				stage:  k,
 				domain: s.domains[st.Domain],
@@ -235,6 +242,15 @@
 	}
 }
 
+// waitCost is the cost of what waits at the first endpoint of a path: requests
+// that find a memory full anywhere on their path wait there.
+func (s *search) waitCost(from state, st *Stage) float64 {
+	if from.parts > 0 {
+		return 0
+	}
+	return ms(st.Wait) * waitWeight
+}
+
 // uses reports whether a stage is on the way to a state already.
 func (s *search) uses(i, stage int) bool {
 	for ; i >= 0; i = s.states[i].prev {
--- a/pkg/pathing/pathing_test.go
+++ b/pkg/pathing/pathing_test.go
@@ -106,6 +106,14 @@
 		Expect(ids(path)).To(Equal([]string{"x=0-3", "y=3-10"}))
 	})
 
+	It("begins where less waits, and doesn't mind what waits at later parts", func() {
+		x, y, z := stage("x", "a", "fast", 0, 5), stage("y", "a", "slow", 0, 5), stage("z", "a", "fast", 5, 10)
+		z.Wait = time.Minute
+		Expect(ids(Choose(engine(), []Stage{x, y, z}, demand, even))).To(Equal([]string{"x=0-5", "z=5-10"}))
+		x.Wait = time.Second
+		Expect(ids(Choose(engine(), []Stage{x, y, z}, demand, even))).To(Equal([]string{"y=0-5", "z=5-10"}))
+	})
+
 	It("goes by what a crowd costs it and it costs the crowd", func() {
 		crowded := stage("f", "a", "fast", 0, 10)
 		crowded.Requests = 400
