Orders that fill holes don't wait for streams

Change: orders that move an endpoint into a hole, or shift it for one, cut what passes; those to empty endpoints are as they were.

--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -62,7 +62,7 @@
 	report func(id string) (placement.Report, error)
 }
 
-func (fakeOrders) Place(context.Context, string, string, fleet.Range, uint64) (placement.Outcome, error) {
+func (fakeOrders) Place(context.Context, placement.Order, string, uint64) (placement.Outcome, error) {
 	return placement.Unknown, errors.New("no endpoint")
 }
 
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -44,9 +44,9 @@
 
 // Orderer reaches endpoints.
 type Orderer interface {
-	// Place orders layers of one incarnation, if it has taken as many orders
+	// Place carries out an order, if the incarnation has taken as many orders
 	// as given.
-	Place(ctx context.Context, id, address string, layers fleet.Range, orders uint64) (Outcome, error)
+	Place(ctx context.Context, o Order, address string, orders uint64) (Outcome, error)
 	// Report asks what an incarnation holds. It fails if another one answers,
 	// and with ErrNoReport if it is no engine.
 	Report(ctx context.Context, id, address string) (Report, error)
@@ -282,13 +282,22 @@
 	return false
 }
 
+// streamsOf says for the log what an order does with streams.
+func streamsOf(o Order) string {
+	if o.Cut {
+		return "cut"
+	}
+	return "waited for"
+}
+
 func (k *Keeper) send(ctx context.Context, s *standing, o Order, e *fleet.Endpoint, taken uint64, load time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	outcome, err := k.orders.Place(ctx, e.ID, e.Address, o.Layers, taken)
+	outcome, err := k.orders.Place(ctx, o, e.Address, taken)
 	fields := []eventlog.Field{
 		eventlog.Str("endpoint", o.ID), eventlog.Str("address", e.Address),
 		eventlog.Int("from", int64(o.Layers.From)), eventlog.Int("to", int64(o.Layers.To)),
+		eventlog.Str("streams", streamsOf(o)),
 		eventlog.Int("expected_orders", int64(taken)), eventlog.Str("outcome", outcome.String()),
 	}
 	k.mu.Lock()
--- a/pkg/placement/keeper_test.go
+++ b/pkg/placement/keeper_test.go
@@ -21,13 +21,10 @@
 	orders []placement.Order
 }
 
-func (o *fakeOrderer) Place(_ context.Context, id, _ string, layers fleet.Range, _ uint64) (placement.Outcome, error) {
+func (o *fakeOrderer) Place(_ context.Context, order placement.Order, _ string, _ uint64) (placement.Outcome, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.orders = append(o.orders, placement.Order{
-		ID:     id,
-		Layers: layers,
-	})
+	o.orders = append(o.orders, order)
 	return placement.Taken, nil
 }
 
@@ -129,6 +126,7 @@
 			k.tend()
 			Expect(k.orderer.given()).To(HaveLen(1))
 			Expect(k.orderer.given()[0].ID).To(Equal("extra-again"))
+			Expect(k.orderer.given()[0].Cut).To(BeFalse())
 		})
 	})
 
@@ -163,6 +161,7 @@
 			Expect(k.orderer.given()).To(HaveLen(1))
 			moved := k.orderer.given()[0]
 			Expect(moved.Layers).To(Equal(fleet.Range{From: 0, To: 8}))
+			Expect(moved.Cut).To(BeTrue(), "a hole can't wait for streams that stand still")
 			e, _ := k.table.Get(moved.ID)
 			Expect(e.Loading).To(BeTrue())
 			Expect(e.Layers.Len()).To(Equal(0))
--- a/pkg/placement/mend.go
+++ b/pkg/placement/mend.go
@@ -115,7 +115,10 @@
 	})
 }
 
-// moveTo orders a server to hold other layers, and counts it there.
+// moveTo orders a server to hold other layers, and counts it there. It doesn't
+// wait for streams: those of a path that lost a part stand still in the others
+// until the endpoints give them up, seconds later, and the hole stays as long for
+// all new ones.
 func (p *planner) moveTo(i int, layers fleet.Range) Order {
 	s := &p.servers[i]
 	p.add(*s, -1)
@@ -125,5 +128,6 @@
 	return Order{
 		ID:     s.ID,
 		Layers: layers,
+		Cut:    true,
 	}
 }
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -26,6 +26,9 @@
 type Order struct {
 	ID     string
 	Layers fleet.Range
+	// Cut says that streams which still pass the endpoint are broken off, and
+	// continue elsewhere.
+	Cut bool
 }
 
 // Server is an endpoint as the plan sees it.
