Streams that may be sent again go over kept connections

Ruled out: keeping them for requests that must not be repeated. A late surplus answer, or a connection that was forgotten, would leave it open whether they ran.

--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -128,31 +128,36 @@
 // takes connections answers in a few ms, and a caller's goal is half a second.
 const endpointDial = 400 * time.Millisecond
 
-// endpointClient returns the client for endpoints: a connection for each call.
-func endpointClient(ip string) *http.Client {
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:        dialer(ip, endpointDial).DialContext,
-			DisableCompression: true,
-			DisableKeepAlives:  true,
-		},
-		CheckRedirect: noRedirect,
+const (
+	// keptIdle is how long a connection to an endpoint is kept at rest. Endpoints
+	// close theirs after several seconds, and may forget one sooner.
+	keptIdle = 3 * time.Second
+	// keptStreams and keptReports bound the connections that rest for each
+	// endpoint: the streams that a host of nine begins there in a second, and one
+	// for the question that is under way.
+	keptStreams = 16
+	keptReports = 1
+)
+
+// endpointClients returns the clients for endpoints.
+func endpointClients(ip string) platform.Clients {
+	return platform.Clients{
+		Requests: endpointClient(ip, 0),
+		Streams:  endpointClient(ip, keptStreams),
+		Reports:  endpointClient(ip, keptReports),
 	}
 }
 
-// reportIdle is how long a connection for reports is kept at rest: the leader
-// asks once a second, others only while something stands still.
-const reportIdle = 4 * time.Second
-
-// reportClient returns the client that asks endpoints for reports. It keeps one
-// connection to each: a new one costs the endpoint a millisecond.
-func reportClient(ip string) *http.Client {
+// endpointClient returns a client that keeps so many connections at rest for each
+// endpoint. A new one costs the endpoint a millisecond.
+func endpointClient(ip string, kept int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer(ip, endpointDial).DialContext,
 			DisableCompression:  true,
-			MaxIdleConnsPerHost: 1,
-			IdleConnTimeout:     reportIdle,
+			DisableKeepAlives:   kept == 0,
+			MaxIdleConnsPerHost: kept,
+			IdleConnTimeout:     keptIdle,
 		},
 		CheckRedirect: noRedirect,
 	}
--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -49,7 +49,7 @@
 		Losses:    cfg.Bounds.Losses,
 		Heartbeat: cfg.Bounds.Heartbeat.Or(time.Second),
 		Decoder:   platform.Decoder{},
-		Orders:    platform.NewBackend(endpointClient(cfg.IP), reportClient(cfg.IP)),
+		Orders:    platform.NewBackend(endpointClients(cfg.IP)),
 		Client:    p.client,
 		Timer:     p.svc,
 		Log:       p.log,
@@ -85,7 +85,7 @@
 		Extra:  cfg.Bounds.RepeatExtra,
 		Window: cfg.Bounds.RepeatWindow.Or(time.Second),
 	}
-	g := gateway.New(cfg.Domain, platform.NewBackend(endpointClient(cfg.IP), reportClient(cfg.IP)), f, budget, p.svc, p.log, p.set)
+	g := gateway.New(cfg.Domain, platform.NewBackend(endpointClients(cfg.IP)), f, budget, p.svc, p.log, p.set)
 	f.Tell(g.Tracker())
 	grace := cfg.Bounds.Grace.Or(time.Second)
 	host := fleetentry.NewHost(f, grace, p.svc, p.log)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -156,13 +156,14 @@
 	s.sends++
 	s.started = s.g.svc.Now()
 	call := &Call{
-		Request:   s.j.req,
-		ID:        s.path[0].ID,
-		Address:   s.path[0].Address,
-		Account:   s.j.account,
-		Wait:      s.j.end.Sub(s.started),
-		LastEvent: s.resumeFrom(),
-		Priority:  s.j.priority,
+		Request:    s.j.req,
+		ID:         s.path[0].ID,
+		Address:    s.path[0].Address,
+		Account:    s.j.account,
+		Wait:       s.j.end.Sub(s.started),
+		LastEvent:  s.resumeFrom(),
+		Priority:   s.j.priority,
+		Repeatable: s.j.route.Resumable,
 	}
 	if s.j.service.Engine != nil {
 		call.Path = s.path
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -44,6 +44,8 @@
 	Path      []fleet.Part
 	LastEvent string
 	Priority  int
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
 }
 
 // Answer is an endpoint's.
