--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -48,8 +48,8 @@
 	Tokens   float64 // in KV memory in the mean, of requests under way
 	// Slow multiplies its times; 1 is as expected.
 	Slow float64
-	// Wait is how long a request that begins there waits for its first event
-	// beyond what its reading takes, by what was seen.
+	// Wait is how long a request that begins there waits for its first event, by
+	// what was seen.
 	Wait time.Duration
 }
 
