--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -21,8 +21,8 @@
 	awayMs = 1000
 	// crowding is how often the time counts that requests share: once for the
 	// request, which waits for the others in each pass, and once for the others,
-	// which wait for it. Requests that pass the same endpoints gather, since those
-	// of one pass come to the next endpoint together: a pass holds about all.
+	// which wait for it. It takes a pass to hold about all requests of an endpoint,
+	// which is inferred from the times of streams and was not measured.
 	crowding = 2
 	// waitWeight is how much a wait before the first event counts against the same
 	// time later: a caller's goal is for the first event, and what waits brings
