--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -89,7 +89,7 @@
 func newProcess(cfg *config.Fleet, file, role string) *process {
 	debug.SetGCPercent(gcPercent)
 	if cfg.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.MemoryMB) * memoryShare * (1 << 20)))
+		debug.SetMemoryLimit(int64(cfg.MemoryMB * memoryShare * (1 << 20)))
 	}
 	p := &process{
 		file:   file,
--- a/pkg/config/fleet.go
+++ b/pkg/config/fleet.go
@@ -25,7 +25,7 @@
 	Seeds []string `toml:"seeds"`
 	// InternalPort is the first of the ports for the system's own calls.
 	InternalPort int         `toml:"internal_port"`
-	MemoryMB     int         `toml:"memory_mb"`
+	MemoryMB     float64     `toml:"memory_mb"`
 	Listen       FleetListen `toml:"listen"`
 	Bounds       FleetBounds `toml:"bounds"`
 }
@@ -47,9 +47,11 @@
 	// DirectoryKeep is the longest that callers keep an answer.
 	DirectoryKeep Duration `toml:"directory_keep"`
 	// Losses is how many disks may be lost at once.
-	Losses       int      `toml:"losses"`
-	RepeatRatio  float64  `toml:"repeat_ratio"`
-	RepeatExtra  int      `toml:"repeat_extra"`
+	Losses      int     `toml:"losses"`
+	RepeatRatio float64 `toml:"repeat_ratio"`
+	// RepeatExtra is repeats in a window beyond the ratio; a deployment may give
+	// a fraction.
+	RepeatExtra  float64  `toml:"repeat_extra"`
 	RepeatWindow Duration `toml:"repeat_window"`
 }
 
@@ -78,6 +80,18 @@
 	}
 	p.Range("internal_port", c.InternalPort, 1, maxPort)
 	p.Range("bounds.losses", c.Bounds.Losses, 0, maxLosses)
+	for _, n := range []struct {
+		key   string
+		value float64
+	}{
+		{key: "memory_mb", value: c.MemoryMB},
+		{key: "bounds.repeat_ratio", value: c.Bounds.RepeatRatio},
+		{key: "bounds.repeat_extra", value: c.Bounds.RepeatExtra},
+	} {
+		if n.value < 0 {
+			p.Add(n.key, "0 or more", "%v is negative", n.value)
+		}
+	}
 	for i, s := range c.Seeds {
 		p.Address(key("seeds", i), s)
 	}
--- a/pkg/gateway/repeats.go
+++ b/pkg/gateway/repeats.go
@@ -64,7 +64,7 @@
 
 // share is this host's part of the budget's extra repeats in a window.
 func (r *repeats) share(hosts int) float64 {
-	return budgetShare * float64(r.budget.Extra) / float64(max(1, hosts))
+	return budgetShare * r.budget.Extra / float64(max(1, hosts))
 }
 
 func (r *repeats) refill(hosts int) {
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -170,6 +170,6 @@
 type Budget struct {
 	// Ratio is repeats for each request, Extra those beyond it in a Window.
 	Ratio  float64
-	Extra  int
+	Extra  float64
 	Window time.Duration
 }
