Configurations go out as patches, and large ones from every replica

Ruled out: sending less often (it must be in force everywhere within 3 s). A patch that isn't good is seen by its digest, and the whole is asked for.

--- /dev/null
+++ b/pkg/fleet/patch_test.go
@@ -0,0 +1,143 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// routes is a configuration of n routes, as large as one of an operator.
+func routes(n int, version int) []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
+	for i := range n {
+		fmt.Fprintf(&b, `{"Name":"r-%x","Host":"notes.example","Prefix":"/group%d/","Timeout":20000,"Goal":500,"Priority":1,"Split":[{"Service":"models","Weight":90},{"Service":"spare","Weight":10}]},`, uint32(i)*2654435761, i*7919%9973)
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
+var _ = Describe("a patch", func() {
+	It("gives the next configuration, and is small where little changed", func() {
+		base := routes(1640, 1)
+		next := bytes.Replace(routes(1640, 2), []byte(`"Weight":90`), []byte(`"Weight":80`), 1)
+		patch, err := Patch(base, next)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(patch)).To(BeNumerically("<", 1000))
+		got, err := Patched(base, patch)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bytes.Equal(got, next)).To(BeTrue())
+	})
+
+	It("gives what it was made of, whatever that is", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			base := rapid.SliceOf(rapid.Byte()).Draw(t, "base")
+			next := rapid.SliceOf(rapid.Byte()).Draw(t, "next")
+			if rapid.Bool().Draw(t, "like") {
+				next = append(append([]byte{}, base...), next...)
+			}
+			patch, err := Patch(base, next)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got, err := Patched(base, patch)
+			if err != nil || !bytes.Equal(got, next) {
+				t.Fatalf("%v: got %x, want %x", err, got, next)
+			}
+		})
+	})
+
+	It("of another base is no good, which the digest tells", func() {
+		base, next := routes(200, 1), routes(200, 2)
+		patch, err := Patch(base, next)
+		Expect(err).NotTo(HaveOccurred())
+		got, err := Patched(routes(190, 7), patch)
+		Expect(err != nil || ContentDigest(got) != ContentDigest(next)).To(BeTrue())
+		_, err = Patched(base, patch[:len(patch)/2])
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("the history of configurations", func() {
+	note := func(h *History, version int) {
+		packed, err := Pack(routes(20, version))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(h.Note(uint64(version), packed)).To(Succeed())
+	}
+
+	It("patches from the versions that it holds to the newest, and from no others", func() {
+		h := NewHistory()
+		for v := 1; v <= historySize+2; v++ {
+			note(h, 10*v)
+		}
+		newest := uint64(10 * (historySize + 2))
+		cases := []struct {
+			base    uint64
+			version uint64
+			held    bool
+		}{
+			{base: newest - 10, version: newest, held: true},
+			{base: 30, version: newest, held: true},
+			{base: 20, version: newest, held: false},
+			{base: 0, version: newest, held: false},
+			{base: 35, version: newest, held: false},
+			{base: newest, version: newest, held: false},
+			{base: 30, version: newest - 10, held: false},
+			{base: newest, version: newest + 10, held: false},
+		}
+		for _, c := range cases {
+			patch, digest, err := h.Since(c.base, c.version)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(patch != nil).To(Equal(c.held), fmt.Sprint(c))
+			if c.held {
+				got, err := Patched(routes(20, int(c.base)), patch)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(got).To(Equal(routes(20, int(c.version))))
+				Expect(ContentDigest(got)).To(Equal(digest))
+			}
+		}
+	})
+
+	It("keeps nothing that is older than what it holds", func() {
+		h := NewHistory()
+		note(h, 5)
+		note(h, 4)
+		patch, _, err := h.Since(4, 5)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(patch).To(BeNil())
+		Expect(h.Note(6, []byte("not packed"))).NotTo(Succeed())
+		Expect(h.newest()).To(BeEquivalentTo(5))
+	})
+})
+
+func BenchmarkPatch(b *testing.B) {
+	base, next := routes(1640, 1), routes(1640, 2)
+	patch, err := Patch(base, next)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("make", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			_, _ = Patch(base, next)
+		}
+	})
+	b.Run("apply", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			_, _ = Patched(base, patch)
+		}
+	})
+	b.Run("whole", func(b *testing.B) {
+		packed, _ := Pack(next)
+		b.ReportMetric(float64(len(packed)), "packed")
+		b.ReportMetric(float64(len(patch)), "patch")
+		for range b.N {
+			_, _ = Unpack(packed)
+		}
+	})
+}
--- a/pkg/fleetcontrol/announce_test.go
+++ b/pkg/fleetcontrol/announce_test.go
@@ -102,6 +102,11 @@
 					brought++
 					q.DocumentVersion = d.GetVersion()
 				}
+				if p := reply.GetPatch(); p != nil {
+					brought++
+					Expect(p.GetBase()).To(Equal(q.GetDocumentVersion()))
+					q.DocumentVersion = p.GetVersion()
+				}
 				return q.GetDocumentVersion() == reply.GetNewest()
 			}
 			began := time.Now()
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -63,6 +63,7 @@
 	table   *registry.Table
 	hosts   *hosts
 	listing listing
+	history *fleet.History
 	keeper  *placement.Keeper
 	group   *group.Group
 
@@ -119,9 +120,10 @@
 // New returns a control host; its goroutines run in g.
 func New(cfg Config, g *group.Group) *Server {
 	s := &Server{
-		cfg:   cfg,
-		table: registry.New(cfg.Timer, cfg.Log, cfg.Heartbeat),
-		hosts: newHosts(),
+		cfg:     cfg,
+		table:   registry.New(cfg.Timer, cfg.Log, cfg.Heartbeat),
+		hosts:   newHosts(),
+		history: fleet.NewHistory(),
 		listing: listing{
 			log: cfg.Log,
 		},
@@ -194,6 +196,7 @@
 // lead does what only the leader does.
 func (s *Server) lead(ctx context.Context) {
 	timer.Loop(ctx, s.cfg.Timer, judgeInterval, func(now time.Time) {
+		s.noteStanding()
 		machine, term, _ := s.replica.Leads(ctx)
 		if machine == nil {
 			s.noteLeading(0, now)
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -115,7 +115,7 @@
 	doc := machine.Document()
 	reply.Newest = doc.GetVersion()
 	if doc.GetVersion() > q.GetDocumentVersion() && s.hosts.mayHaveDocument(now, name) {
-		reply.Document = doc
+		s.tellDocument(q, reply, doc)
 	}
 	return reply
 }
--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -72,6 +72,14 @@
 	cfg   FollowerConfig
 	loads Loads
 
+	// content is the configuration in force as the operator sent it, which
+	// patches are applied to. whole says that a patch was no good, askOthers that
+	// another replica may be asked for a large configuration. Only Run's
+	// goroutine touches the three.
+	content   []byte
+	whole     bool
+	askOthers bool
+
 	mu          sync.Mutex
 	index       *fleet.Index
 	confirmedAt time.Time // zero: never
@@ -103,6 +111,7 @@
 func NewFollower(cfg FollowerConfig) *Follower {
 	return &Follower{
 		cfg:       cfg,
+		askOthers: true,
 		endpoints: map[string]fleet.Endpoint{},
 		byService: map[string][]fleet.Endpoint{},
 		others:    map[uint32]gateway.Load{},
@@ -147,7 +156,13 @@
 		f.missed(address, reply.GetLeader(), err)
 		return false
 	}
-	return f.take(address, reply, sent)
+	if !f.take(address, reply, sent) {
+		return false
+	}
+	if reply.GetNewest() > f.heldVersion() && f.askOthers {
+		f.fetch(ctx, reply.GetNewest())
+	}
+	return true
 }
 
 // choose returns the control host to ask: the one that was named as leader, or
@@ -198,9 +213,11 @@
 		Loads:            &rpc.LoadTable{},
 		WaitMs:           uint32(syncWait.Milliseconds()),
 	}
-	if f.index != nil {
+	if f.index != nil && !f.whole {
 		q.DocumentVersion = f.index.Version()
 	}
+	q.AskOthers = f.askOthers
+	f.askOthers = true // one whole configuration from the leader is enough
 	if !q.GetHost().GetReady() {
 		q.WaitMs /= 2
 	}
--- a/pkg/fleetentry/follower_test.go
+++ b/pkg/fleetentry/follower_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
@@ -60,6 +61,9 @@
 	mu        sync.Mutex
 	answer    func(n int, q *rpc.SyncRequest) *rpc.SyncReply
 	calls     []*rpc.SyncRequest
+	standing  []*rpc.StandingRequest
+	// noStanding says that no configuration is handed out.
+	noStanding bool
 }
 
 func (c *fakeControl) Sync(_ context.Context, q *rpc.SyncRequest) (*rpc.SyncReply, error) {
@@ -70,6 +74,19 @@
 	return c.answer(n, q), nil
 }
 
+// Standing hands out version 8, as every replica that has applied it does.
+func (c *fakeControl) Standing(_ context.Context, q *rpc.StandingRequest) (*rpc.StandingReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.standing = append(c.standing, q)
+	if c.noStanding {
+		return nil, errors.New("the replica's storage is being opened again")
+	}
+	return &rpc.StandingReply{
+		Document: document(8),
+	}, nil
+}
+
 func (c *fakeControl) asked() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -247,6 +264,89 @@
 		})
 	})
 
+	It("takes a large configuration from a replica, and from the leader if none hands it out", func() {
+		cases := []struct {
+			none bool
+			asks int // replicas asked
+		}{
+			{none: false, asks: 1},
+			{none: true, asks: standingTries},
+		}
+		for _, k := range cases {
+			var address string
+			withControl(func(n int, q *rpc.SyncRequest) *rpc.SyncReply {
+				reply := confirmed(3)
+				reply.Newest = 8
+				reply.Replicas = []string{address, address, address}
+				if n > 1 {
+					reply.Document = nil
+				}
+				if n > 1 && !q.GetAskOthers() {
+					reply.Document = document(8)
+				}
+				return reply
+			}, func(c *fakeControl, at string) {
+				address = at
+				c.noStanding = k.none
+				f := newFollower(timer.NewSystem(), at)
+				g := group.New(context.Background())
+				g.Go(f.Run)
+				Eventually(f.heldVersion, "5s", "5ms").Should(BeEquivalentTo(8))
+				Eventually(func() bool { return f.View().Fresh }, "5s", "5ms").Should(BeTrue())
+				g.Stop()
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				Expect(c.standing).To(HaveLen(k.asks))
+			})
+		}
+	})
+
+	It("asks for the whole once a patch was no good, and patches again after that", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f := newFollower(clock)
+		f.take("c", confirmed(3), clock.Now())
+		Expect(f.request().GetDocumentVersion()).To(BeEquivalentTo(3))
+		next, err := json.Marshal(&fleet.Configuration{Version: 4})
+		Expect(err).NotTo(HaveOccurred())
+		good, err := fleet.Patch(f.content, next)
+		Expect(err).NotTo(HaveOccurred())
+		patched := func(base uint64, patch []byte, digest uint64) *rpc.SyncReply {
+			reply := confirmed(3)
+			reply.Document = nil
+			reply.Newest = 4
+			reply.Patch = &rpc.DocumentPatch{Version: 4, Base: base, Patch: patch, Digest: digest}
+			return reply
+		}
+		cases := []*rpc.SyncReply{
+			patched(2, good, fleet.ContentDigest(next)),
+			patched(3, good, 1),
+			patched(3, good[:len(good)-1], fleet.ContentDigest(next)),
+		}
+		for _, reply := range cases {
+			Expect(f.take("c", reply, clock.Now())).To(BeFalse())
+			Expect(f.heldVersion()).To(BeEquivalentTo(3))
+			Expect(f.request().GetDocumentVersion()).To(BeZero())
+			Expect(f.take("c", confirmed(3), clock.Now())).To(BeTrue())
+			Expect(f.request().GetDocumentVersion()).To(BeEquivalentTo(3))
+		}
+		Expect(f.take("c", patched(3, good, fleet.ContentDigest(next)), clock.Now())).To(BeTrue())
+		Expect(f.heldVersion()).To(BeEquivalentTo(4))
+	})
+
+	It("keeps its endpoints where a new leader holds the same, and names their digest to it", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		f := newFollower(clock)
+		f.take("c", confirmed(3), clock.Now())
+		held := f.request()
+		Expect(held.GetEndpointsDigest()).To(Equal(fleet.EndpointsDigest(f.Endpoints("s"))))
+		Expect(f.take("d", &rpc.SyncReply{Confirmed: true, Epoch: 9, EndpointsVersion: 77, Settled: true, Newest: 3}, clock.Now())).To(BeTrue())
+		Expect(f.Endpoints("s")).To(HaveLen(1))
+		next := f.request()
+		Expect(next.GetEpoch()).To(BeEquivalentTo(9))
+		Expect(next.GetEndpointsVersion()).To(BeEquivalentTo(77))
+		Expect(next.GetEndpointsDigest()).To(Equal(held.GetEndpointsDigest()))
+	})
+
 	It("tells at once that it leaves, though a call is held", func() {
 		held := make(chan struct{})
 		withControl(func(n int, q *rpc.SyncRequest) *rpc.SyncReply {
--- a/pkg/fleetentry/take.go
+++ b/pkg/fleetentry/take.go
@@ -16,11 +16,13 @@
 // if that is the one that stands. The reply was true after the call had
 // waited for as long as it says, so after sent plus that time.
 func (f *Follower) take(address string, reply *rpc.SyncReply, sent time.Time) bool {
-	index, err := f.decode(reply.GetDocument())
+	doc, err := f.open(reply.GetDocument(), reply.GetPatch())
 	if err != nil {
-		f.cfg.Log.Event(eventlog.Unexpected, eventlog.Str("what", "the configuration can't be read"), eventlog.Err(err))
+		f.cfg.Log.Event(eventlog.Unexpected, eventlog.Str("what", "the configuration can't be read; it is asked for whole"), eventlog.Err(err))
+		f.whole = true
 		return false
 	}
+	f.whole = false
 	now := f.cfg.Timer.Now()
 	list, err := endpointsOf(reply, now)
 	if err != nil {
@@ -29,10 +31,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if index != nil && (f.index == nil || index.Version() > f.index.Version()) {
-		f.index = index
-		f.cfg.Log.Event(eventlog.ConfigInForce, eventlog.Int("version", int64(index.Version())), eventlog.Str("from", address))
-	}
+	f.install(doc, address)
 	at := sent.Add(time.Duration(reply.GetHeldMs()) * time.Millisecond)
 	if at.After(f.confirmedAt) && f.index != nil && f.index.Version() >= reply.GetNewest() {
 		f.confirmedAt = at
@@ -54,21 +53,6 @@
 	return true
 }
 
-func (f *Follower) decode(d *rpc.Document) (*fleet.Index, error) {
-	if d == nil {
-		return nil, nil
-	}
-	content, err := fleet.Unpack(d.GetContent())
-	if err != nil {
-		return nil, err
-	}
-	cfg, err := f.cfg.Decoder.Decode(content)
-	if err != nil {
-		return nil, err
-	}
-	return fleet.NewIndex(cfg), nil
-}
-
 // takeEndpoints merges a list; only one that is whole and settled takes rows
 // away that it doesn't hold.
 func (f *Follower) takeEndpoints(reply *rpc.SyncReply, list []fleet.Endpoint, now time.Time) {
