Requests that reached no endpoint are said not to have run, even when their time ran out

Change: what is under way is ended first, and if nothing was sent the answer is a 503 with a time to come back. A table of tests over all phases failed first.

--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 )
@@ -19,6 +20,8 @@
 // feed reads one answer.
 type feed struct {
 	items chan item
+	// unsent says that the request never reached the endpoint.
+	unsent atomic.Bool
 }
 
 func newFeed() *feed {
@@ -47,6 +50,7 @@
 func (f *feed) read(ctx context.Context, b Backend, call *Call) {
 	a, err := b.Send(ctx, call)
 	if err != nil {
+		f.unsent.Store(notSent(err))
 		f.end(ctx, err)
 		return
 	}
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -27,10 +27,12 @@
 
 // fakeBackend answers calls by a script and remembers them.
 type fakeBackend struct {
-	mu       sync.Mutex
-	calls    []*Call
-	repaths  [][]fleet.Part
-	answer   func(n int, c *Call) (*Answer, error)
+	mu      sync.Mutex
+	calls   []*Call
+	repaths [][]fleet.Part
+	answer  func(n int, c *Call) (*Answer, error)
+	// until, if set, answers in place of answer, and may wait for ctx.
+	until    func(ctx context.Context, n int) (*Answer, error)
 	stalled  map[string]string
 	stallErr error
 	refuse   string // repaths that name this address are refused for it
@@ -41,7 +43,7 @@
 	b.calls = append(b.calls, c)
 	n := len(b.calls)
 	b.mu.Unlock()
-	a, err := b.answer(n, c)
+	a, err := b.script(ctx, n, c)
 	if a != nil && a.Header == nil {
 		a.Header = http.Header{}
 	}
@@ -54,6 +56,13 @@
 	return a, err
 }
 
+func (b *fakeBackend) script(ctx context.Context, n int, c *Call) (*Answer, error) {
+	if b.until != nil {
+		return b.until(ctx, n)
+	}
+	return b.answer(n, c)
+}
+
 func (b *fakeBackend) Stalled(context.Context, string) (map[string]string, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -348,6 +357,16 @@
 	return out
 }
 
+// serveFor answers one request that may take wait.
+func (b *bench) serveFor(route string, wait time.Duration) *fakeOutput {
+	out := &fakeOutput{}
+	req := b.request(route)
+	req.Received = time.Now()
+	req.Wait = wait
+	b.gateway.Serve(context.Background(), req, out)
+	return out
+}
+
 // stream starts a stream that ends with ctx at the latest; done tells its end.
 func (b *bench) stream(ctx context.Context) (out *fakeOutput, done chan bool) {
 	out = &fakeOutput{}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -49,6 +49,8 @@
 	refused  map[string]bool // had no room for it just now
 	path     []fleet.Part
 	ends     []func()
+	// unsent says that the present send reached no endpoint.
+	unsent bool
 	// paid says that the next send has its repeat from the budget.
 	paid bool
 	// waited is how long it has waited for room.
@@ -176,7 +178,16 @@
 	grp.Go(func(ctx context.Context) {
 		f.read(ctx, s.g.backend, call)
 	})
-	return s.pass(ctx, f)
+	end, cause := s.pass(ctx, f)
+	grp.Stop()
+	s.unsent = f.unsent.Load()
+	if end == broken && s.unsent { // given up while the connection was made
+		s.ran--
+		return notRun, &SendError{
+			Cause: cause,
+		}
+	}
+	return end, cause
 }
 
 // pass moves what a feed brings to the caller, and watches for stalls.
@@ -309,9 +320,14 @@
 		s.j.out.Abort()
 		return
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		s.g.refuse(s.j.req, s.j, s.j.out, failure.New(failure.DeadlineExceeded, "no event in time"))
+	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return
+	}
+	if s.ran == 0 && s.unsent {
+		s.g.refuse(s.j.req, s.j, s.j.out, failure.New(failure.NoEndpoint, "no endpoint was reached in time").WithRetryAfter(comeBack))
+		return
 	}
+	s.g.refuse(s.j.req, s.j, s.j.out, failure.New(failure.DeadlineExceeded, "no event in time"))
 }
 
 // formatPath writes a path for the log: endpoint and layers of each part.
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -200,11 +200,28 @@
 	}
 }
 
-// expired answers when time ran out or the caller left.
+// expired answers when time ran out or the caller left. Attempts that reached no
+// endpoint by then surely didn't run, and their caller is told so: one whose
+// request must not be repeated may come back only after that.
 func (w *wholeRun) expired(ctx context.Context) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return // nobody is there to be answered
 	}
+	w.group.Stop()
+	for ; w.running > 0; w.running-- {
+		v := <-w.results
+		if v.good() {
+			w.answer(v)
+			return
+		}
+		if v.notRun || notSent(v.err) {
+			w.ran--
+		}
+	}
+	if w.ran == 0 {
+		w.refuse(failure.New(failure.NoEndpoint, "no endpoint was reached in time").WithRetryAfter(comeBack))
+		return
+	}
 	w.refuse(failure.New(failure.DeadlineExceeded, "no answer in time from %d endpoints", w.sends))
 }
 
--- a/pkg/gateway/whole_test.go
+++ b/pkg/gateway/whole_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/failure"
@@ -79,6 +81,71 @@
 		})
 	})
 
+	It("is said not to have run where no endpoint was reached, even if its time ran out over that", func() {
+		cases := []struct {
+			name   string
+			answer func(ctx context.Context, n int) (*Answer, error)
+			ran    failure.Ran
+		}{
+			{
+				name:   "every connection is refused",
+				answer: func(context.Context, int) (*Answer, error) { return nil, &SendError{Cause: errReset} },
+				ran:    failure.RanNo,
+			},
+			{
+				name: "the time runs out while connections are made",
+				answer: func(ctx context.Context, _ int) (*Answer, error) {
+					<-ctx.Done()
+					return nil, &SendError{Cause: errReset}
+				},
+				ran: failure.RanNo,
+			},
+			{
+				name: "one refuses, and the time runs out while the next is asked",
+				answer: func(ctx context.Context, n int) (*Answer, error) {
+					if n == 1 {
+						return refusedBy(""), nil
+					}
+					<-ctx.Done()
+					return nil, &SendError{Cause: errReset}
+				},
+				ran: failure.RanNo,
+			},
+			{
+				name: "the time runs out after the request was sent",
+				answer: func(ctx context.Context, _ int) (*Answer, error) {
+					<-ctx.Done()
+					return nil, &SendError{Sent: true, Cause: errReset}
+				},
+				ran: failure.RanUnknown,
+			},
+			{
+				name: "the time runs out at the second endpoint, after the first has failed",
+				answer: func(ctx context.Context, n int) (*Answer, error) {
+					if n == 1 {
+						return nil, &SendError{Sent: true, Cause: errReset}
+					}
+					<-ctx.Done()
+					return nil, &SendError{Cause: errReset}
+				},
+				ran: failure.RanUnknown,
+			},
+		}
+		for _, c := range cases {
+			for _, kind := range []string{"safe", "unsafe", "stream"} {
+				withGateway(func(b *bench) {
+					b.backend.until = c.answer
+					out := b.serveFor(kind, 50*time.Millisecond)
+					Expect(out.refusal).NotTo(BeNil(), c.name+" "+kind)
+					Expect(out.refusal.Ran()).To(Equal(c.ran), c.name+" "+kind)
+					if c.ran == failure.RanNo {
+						Expect(out.refusal.RetryAfter()).To(BeNumerically(">", 0))
+					}
+				})
+			}
+		}
+	})
+
 	It("is repeated after a failure if it may be, but at most as often as its route allows", func() {
 		withGateway(func(b *bench) {
 			b.backend.answer = func(int, *Call) (*Answer, error) { return whole(500, "no"), nil }
