Tests at the size of 300 hosts and 216 endpoints: what each answer of the leader holds

Real replicas, 300 hosts' calls, bytes counted: a join costs one packed list and one sample, a change of endpoints its own rows, a host that comes or goes a sample now and then, a new leader nothing where the host holds the same.

--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -79,6 +79,7 @@
 	port   string
 	ips    []string // of the founders
 	losses int
+	beat   time.Duration // between an endpoint's heartbeats
 	// diskless is a host that has no data folder.
 	diskless string
 	// seeds, if set, stand in the settings in place of the founders.
@@ -96,6 +97,11 @@
 
 // withCluster runs f on three control hosts that found a system.
 func withCluster(f func(c *cluster)) {
+	withBeat(200*time.Millisecond, f)
+}
+
+// withBeat is withCluster with another interval between heartbeats.
+func withBeat(beat time.Duration, f func(c *cluster)) {
 	folder, err := os.MkdirTemp("", "fleetcontrol")
 	Expect(err).NotTo(HaveOccurred())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -108,6 +114,7 @@
 		port:   port,
 		ips:    []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"},
 		losses: 1,
+		beat:   beat,
 		hosts:  map[string]*host{},
 	}
 	defer func() {
@@ -146,7 +153,7 @@
 		},
 		SeedIPs:   c.seedIPs,
 		Losses:    c.losses,
-		Heartbeat: 200 * time.Millisecond,
+		Heartbeat: c.beat,
 		Decoder:   plainDecoder{},
 		Orders:    c.orders,
 		Client:    client,
--- /dev/null
+++ b/pkg/fleetcontrol/size_test.go
@@ -0,0 +1,202 @@
+package fleetcontrol
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	manyHosts     = 300
+	manyEndpoints = 216
+)
+
+// entryHosts are hosts that hold what the answers brought, as followers do, and
+// count the bytes of the answers, but for the loads: these come by the clock.
+type entryHosts struct {
+	list  []*entryHost
+	bytes int
+}
+
+type entryHost struct {
+	q         *rpc.SyncRequest
+	endpoints map[string]fleet.Endpoint
+}
+
+func newEntryHosts(n int) *entryHosts {
+	e := &entryHosts{}
+	for i := range n {
+		host := &entryHost{
+			q:         call(i, true),
+			endpoints: map[string]fleet.Endpoint{},
+		}
+		host.q.DocumentVersion = 0
+		host.q.AskOthers = true
+		for k := range 68 { // endpoints with work of one host
+			host.q.Loads.Endpoints = append(host.q.Loads.Endpoints, fleet.LoadKey(engineName((i+k)%manyEndpoints)))
+			host.q.Loads.Requests = append(host.q.Loads.Requests, 3)
+			host.q.Loads.Tokens = append(host.q.Loads.Tokens, 2100)
+		}
+		e.list = append(e.list, host)
+	}
+	return e
+}
+
+// call lets some hosts make one call each to a leader.
+func (e *entryHosts) call(s *Server, hosts ...*entryHost) {
+	for _, h := range hosts {
+		reply, err := s.Sync(context.Background(), h.q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.GetConfirmed()).To(BeTrue())
+		e.bytes += proto.Size(reply) - proto.Size(reply.GetLoads())
+		Expect(proto.Size(reply.GetLoads())).To(BeNumerically("<", 2<<10))
+		h.take(reply)
+	}
+}
+
+func (h *entryHost) take(reply *rpc.SyncReply) {
+	list := fleet.EndpointsFromWire(reply.GetEndpoints(), start)
+	if reply.GetWhole() {
+		text, err := fleet.Unpack(reply.GetPackedEndpoints())
+		Expect(err).NotTo(HaveOccurred())
+		all := &rpc.SpreadRequest{}
+		Expect(proto.Unmarshal(text, all)).To(Succeed())
+		list = fleet.EndpointsFromWire(all.GetEndpoints(), start)
+		h.endpoints = map[string]fleet.Endpoint{}
+	}
+	for _, one := range list {
+		h.endpoints[one.ID] = one
+	}
+	h.q.EndpointsDigest = h.digest()
+	h.q.Epoch = reply.GetEpoch()
+	h.q.EndpointsVersion = reply.GetEndpointsVersion()
+	h.q.AddressesDigest = reply.GetAddressesDigest()
+	h.q.DocumentVersion = max(h.q.GetDocumentVersion(), reply.GetDocument().GetVersion(), reply.GetPatch().GetVersion())
+}
+
+func (h *entryHost) digest() uint64 {
+	var list []fleet.Endpoint
+	for _, one := range h.endpoints {
+		list = append(list, one)
+	}
+	return fleet.EndpointsDigest(list)
+}
+
+// each returns the bytes of the answers since the last call, for each host.
+func (e *entryHosts) each() int {
+	n := e.bytes / len(e.list)
+	e.bytes = 0
+	return n
+}
+
+// settledNow reports whether the server leads and every endpoint had time to
+// announce itself.
+func (s *Server) settledNow() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leading.settled
+}
+
+func engineName(i int) string {
+	return fmt.Sprintf("i-%08x", uint32(i)*2654435761)
+}
+
+func engine(i int, sequence uint64, layers fleet.Range) fleet.Endpoint {
+	return fleet.Endpoint{
+		ID:       engineName(i),
+		Service:  "models",
+		Address:  fmt.Sprintf("10.%d.64.%d:8709", i%5, i),
+		Domain:   fmt.Sprintf("d%d", i%5),
+		Model:    "m0",
+		Slots:    192,
+		Sequence: sequence,
+		Layers:   layers,
+	}
+}
+
+var _ = Describe("300 entry hosts and 216 endpoints", func() {
+	It("cost the leader what changed, and not what there is", func() {
+		withBeat(time.Second, func(c *cluster) { // none is late, however slow the machine
+			ip := c.leader()
+			lead := c.hosts[ip].server
+			Eventually(func() bool { return lead.settledNow() }, "20s", "10ms").Should(BeTrue())
+			announce := func(s *Server, i int, sequence uint64) {
+				s.table.Announce(engine(i, sequence, fleet.Range{From: int(sequence) % 70, To: int(sequence)%70 + 8}))
+			}
+			told := make([]uint64, manyEndpoints) // sequences
+			beat := func(s *Server) {             // a heartbeat of each endpoint, so that none is late
+				for i := range manyEndpoints {
+					announce(s, i, max(1, told[i]))
+				}
+			}
+			beat(lead)
+			all := newEntryHosts(manyHosts)
+			round := func(s *Server) { // every endpoint's heartbeat, and every host's call
+				beat(s)
+				all.call(s, all.list...)
+			}
+
+			By("joining: one whole list and one sample each, however many come after")
+			for i, h := range all.list {
+				beat(lead)
+				all.call(lead, h)
+				all.call(lead, all.list[max(0, i-3):i]...)
+			}
+			Expect(all.each()).To(BeNumerically("<", 20<<10))
+
+			round(lead)
+			all.each()
+			round(lead)
+			Expect(all.each()).To(BeNumerically("<", 600), "a confirmation, and a sample now and then")
+
+			By("endpoints that change: their own rows")
+			const changes = 20
+			for n := range changes {
+				told[n] = uint64(n + 2)
+				round(lead)
+			}
+			Expect(all.each() / changes).To(BeNumerically("<", 700))
+			for _, h := range all.list {
+				Expect(h.endpoints).To(HaveLen(manyEndpoints))
+				Expect(h.digest()).To(Equal(all.list[0].digest()))
+			}
+
+			By("hosts that come and go: a sample now and then")
+			for n := range changes {
+				all.list[n].q.Host.Ready = false
+				round(lead)
+			}
+			Expect(all.each() / changes).To(BeNumerically("<", 700))
+
+			By("a new leader that holds the same: nothing")
+			for _, one := range c.ips {
+				if one == ip {
+					continue
+				}
+				beat(c.hosts[one].server)
+			}
+			c.stop(ip)
+			next := c.hosts[c.leader()].server
+			Eventually(func() bool { return next.settledNow() }, "20s", "10ms").Should(BeTrue())
+			before := all.list[0].q.GetEpoch()
+			round(next)
+			Expect(all.list[0].q.GetEpoch()).NotTo(Equal(before))
+			Expect(all.each()).To(BeNumerically("<", 1500))
+
+			By("a new leader that holds another set: one list each")
+			told[3] = 99
+			for _, h := range all.list {
+				h.q.Epoch = before
+			}
+			round(next)
+			Expect(all.each()).To(BeNumerically("<", 12<<10))
+			Expect(all.list[7].endpoints[engineName(3)].Sequence).To(BeEquivalentTo(99))
+		})
+	})
+})
