Refused callers are told to return by how long streams have been refused

Cause: every refusal for want of layers or room said 0.3 s. Change: what has lasted is expected to last as long again; 0.3 to 4 s, spread by a quarter; ends once fewer than a tenth of streams are refused.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -29,6 +29,7 @@
 	paces   *paces
 	asker   *asker
 	waits   *waits
+	returns *comebacks
 }
 
 // New returns the gateway of a host in a failure domain.
@@ -47,6 +48,7 @@
 		paces:   newPaces(),
 		asker:   newAsker(backend, svc),
 		waits:   newWaits(svc),
+		returns: newComebacks(svc),
 	}
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -244,6 +244,7 @@
 	}
 	if !s.begun {
 		s.begun = true
+		s.g.returns.note(s.j.service.Name, false)
 		s.j.out.Begin(a.Status, a.Header)
 	}
 	return finished, nil, false
@@ -302,7 +303,7 @@
 		e = failure.Wrap(e, failure.EndpointFailed, "the stream broke and couldn't be continued")
 	}
 	if !s.begun {
-		s.g.refuse(s.j.req, s.j, s.j.out, e)
+		s.g.refuse(s.j.req, s.j, s.j.out, s.returning(e))
 		return
 	}
 	s.g.log.Event(eventlog.RequestFailed, eventlog.Str("request", s.j.req.ID), eventlog.Str("kind", e.Kind().String()),
@@ -312,6 +313,17 @@
 	s.j.out.Abort()
 }
 
+// returning tells a caller that is refused for want of room or layers when to
+// come back.
+func (s *streamRun) returning(e *failure.Error) *failure.Error {
+	if e.Kind() != failure.Overloaded && e.Kind() != failure.NoChain {
+		return e
+	}
+	service := s.j.service.Name
+	s.g.returns.note(service, true)
+	return e.WithRetryAfter(s.g.returns.after(service, e.RetryAfter()))
+}
+
 // expire ends a request whose time is up or whose caller left.
 func (s *streamRun) expire(ctx context.Context) {
 	s.g.log.Event(eventlog.RequestLeft, eventlog.Str("request", s.j.req.ID), eventlog.Str("path", formatPath(s.path)),
