Layers that nothing serves come first, and nothing is taken from service for a copy

Ruled out: control (one leader, orders 0.3 s after the loss was seen). Change: layers that nothing serves or loads are filled first, by any domain's server that others stand in for; until they are served nothing else is ordered; a domain's mend may take nothing that is served nowhere else; 1.5 times as many loads as the store serves are under way at most, but not before anything is served.

--- a/pkg/fleet/configuration.go
+++ b/pkg/fleet/configuration.go
@@ -89,10 +89,13 @@
 	ActivationB   float64 // bytes passed on for a token
 	PipeMbps      float64 // between failure domains, shared
 	LoadTime      time.Duration
-	Prompt        int                          // mean tokens
-	Answer        int                          // mean tokens
-	Delays        map[DomainPair]time.Duration `json:"-"`
-	Kinds         map[string]Kind
+	// LoadsAtOnce is how many loads the weights' store serves at full speed; more
+	// take longer, each of them. 0 if that isn't known.
+	LoadsAtOnce int
+	Prompt      int                          // mean tokens
+	Answer      int                          // mean tokens
+	Delays      map[DomainPair]time.Duration `json:"-"`
+	Kinds       map[string]Kind
 }
 
 // DomainPair names two failure domains, in either order.
--- /dev/null
+++ b/pkg/placement/bridge_test.go
@@ -0,0 +1,168 @@
+package placement_test
+
+import (
+	"fmt"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/placement"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+// placed returns three domains of 13 servers each, with all layers loaded.
+func placed(e *fleet.Engine) []placement.Server {
+	var list []placement.Server
+	for d := range 3 {
+		list = append(list, servers(fmt.Sprint("d", d), "mid", 2)...)
+		list = append(list, servers(fmt.Sprint("d", d), "small", 6)...)
+		list = append(list, servers(fmt.Sprint("d", d), "tiny", 5)...)
+	}
+	return apply(list, placement.Plan(e, list))
+}
+
+// without returns the servers that a function doesn't take away.
+func without(list []placement.Server, gone func(s placement.Server) bool) []placement.Server {
+	var out []placement.Server
+	for _, s := range list {
+		if !gone(s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// serving counts by layer the servers that hold it and stand still.
+func serving(list []placement.Server, orders []placement.Order, layers int) []int {
+	moved := map[string]bool{}
+	for _, o := range orders {
+		moved[o.ID] = true
+	}
+	n := make([]int, layers)
+	for _, s := range list {
+		if s.Moving || moved[s.ID] {
+			continue
+		}
+		for l := s.Layers.From; l < s.Layers.To; l++ {
+			n[l]++
+		}
+	}
+	return n
+}
+
+// unserved returns how many layers have a count of 0.
+func unserved(counts []int) int {
+	n := 0
+	for _, c := range counts {
+		if c == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// begin returns the servers with orders under way.
+func begin(list []placement.Server, orders []placement.Order) []placement.Server {
+	out := apply(list, orders)
+	for _, o := range orders {
+		for i := range out {
+			if out[i].ID == o.ID {
+				out[i].Moving = true
+			}
+		}
+	}
+	return out
+}
+
+var _ = Describe("a layer that nothing serves any more", func() {
+	const lost = 30
+
+	holdsLost := func(s placement.Server) bool { return s.Layers.From <= lost && s.Layers.To > lost }
+
+	It("is loaded first, from whatever domain, and nothing else is ordered until it is served", func() {
+		e := engine()
+		e.LoadsAtOnce = 6
+		list := without(placed(e), holdsLost)
+		empty := servers("d0", "tiny", 3)
+		for i := range empty {
+			empty[i].ID += "-new"
+		}
+		list = append(list, empty...)
+		orders := placement.Plan(e, list)
+		Expect(orders).NotTo(BeEmpty())
+		Expect(len(orders)).To(BeNumerically("<=", 3))
+		for _, o := range orders {
+			Expect(serving(list, nil, e.Layers)[o.Layers.From:o.Layers.To]).To(ContainElement(0), "each brings a layer that is missing")
+		}
+		Expect(unserved(serving(apply(list, orders), nil, e.Layers))).To(BeZero())
+		Expect(placement.Plan(e, begin(list, orders))).To(BeEmpty(), "others would lengthen the loads that are waited for")
+		Expect(placement.Plan(e, apply(list, orders))).NotTo(BeEmpty(), "then the domains' own copies are mended")
+	})
+
+	It("takes nothing from service, whatever was lost, as long as a layer is served", func() {
+		e := engine()
+		e.LoadsAtOnce = 6
+		all := placed(e)
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			gone := rapid.SliceOfNDistinct(rapid.IntRange(0, len(all)-1), 0, 20, rapid.ID[int]).Draw(t, "lost")
+			moving := rapid.SliceOfN(rapid.IntRange(0, len(all)-1), 0, 4).Draw(t, "moving")
+			list := append([]placement.Server(nil), all...)
+			for _, i := range moving {
+				list[i].Moving = true
+			}
+			taken := map[string]bool{}
+			for _, i := range gone {
+				taken[all[i].ID] = true
+			}
+			list = without(list, func(s placement.Server) bool { return taken[s.ID] })
+			before := serving(list, nil, e.Layers)
+			if unserved(before) > 0 {
+				return // what is shifted then serves nobody anyway
+			}
+			if n := unserved(serving(list, placement.Plan(e, list), e.Layers)); n > 0 {
+				t.Fatalf("%d layers are served no longer", n)
+			}
+		})
+	})
+
+	It("is served again after a few rounds of loads, whatever was lost, if what is left can hold the model", func() {
+		e := engine()
+		e.LoadsAtOnce = 6
+		all := placed(e)
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			gone := rapid.SliceOfNDistinct(rapid.IntRange(0, len(all)-1), 0, 24, rapid.ID[int]).Draw(t, "lost")
+			taken := map[string]bool{}
+			for _, i := range gone {
+				taken[all[i].ID] = true
+			}
+			list := without(all, func(s placement.Server) bool { return taken[s.ID] })
+			for range 4 {
+				list = apply(list, placement.Plan(e, list))
+			}
+			if n := unserved(serving(list, nil, e.Layers)); n > 0 {
+				t.Fatalf("%d layers are still missing with %d servers", n, len(list))
+			}
+		})
+	})
+})
+
+var _ = Describe("loads", func() {
+	It("are bounded by what the store serves at once, but not before anything is served", func() {
+		e := engine()
+		e.LoadsAtOnce = 2
+		fresh := append(servers("d0", "small", 12), servers("d1", "small", 12)...)
+		Expect(placement.Plan(e, fresh)).To(HaveLen(24))
+		list := placed(e)
+		empty := servers("d0", "small", 9)
+		for i := range empty {
+			empty[i].ID += "-new"
+		}
+		list = append(list, empty...)
+		first := placement.Plan(e, list)
+		Expect(first).To(HaveLen(3))
+		Expect(placement.Plan(e, begin(list, first))).To(BeEmpty())
+		Expect(placement.Plan(e, apply(list, first))).To(HaveLen(3))
+		e.LoadsAtOnce = 0
+		Expect(placement.Plan(e, list)).To(HaveLen(9))
+	})
+})
--- a/pkg/placement/mend.go
+++ b/pkg/placement/mend.go
@@ -4,7 +4,7 @@
 
 // mend moves servers that aren't needed where they are into holes. Where there
 // are none, it packs the group anew, unless a slow server holds the layers.
-func (p *planner) mend() []Order {
+func (p *planner) mend(loads *budget) []Order {
 	var orders []Order
 	for g := range p.cover {
 		bare := false
@@ -15,14 +15,19 @@
 				break
 			}
 			if i := p.donor(g, hole); i >= 0 {
+				if !loads.take(1) {
+					return orders
+				}
 				orders = append(orders, p.move(i, hole))
 				continue
 			}
 			bare = bare || p.bare(g, hole)
 			from = hole.To
 		}
-		if bare {
-			orders = append(orders, p.repack(g)...)
+		if bare && loads.left != 0 {
+			shifts := p.repack(g)
+			loads.take(len(shifts))
+			orders = append(orders, shifts...)
 		}
 	}
 	return orders
@@ -95,14 +100,15 @@
 	return p.room(a) < p.room(b)
 }
 
-// spare reports whether every layer of a server is held by another in its group.
+// spare reports whether every layer of a server is held by another in its group,
+// and served by another one now.
 func (p *planner) spare(g int, s Server) bool {
 	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
 		if p.cover[g][l] < 2 {
 			return false
 		}
 	}
-	return true
+	return p.servedWithout(s)
 }
 
 // move orders a server into a hole.
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -47,23 +47,33 @@
 	Fresh bool
 }
 
-// Plan returns the orders that are due. Each empty server takes the layers that
-// are covered least, counted first among the domains that hold a copy together.
-// A hole that no empty server fills takes a server all of whose layers others
-// hold too, or else servers shift until their overlaps fill it; nothing else is
-// moved.
+// Plan returns the orders that are due. Layers that nothing serves come before
+// all else, and nothing else is ordered until they are served. Then each empty
+// server takes the layers that are covered least, counted first among the domains
+// that hold a copy together. A hole that no empty server fills takes a server all
+// of whose layers others hold too, or else servers shift until their overlaps fill
+// it, if others serve their layers meanwhile; nothing else is moved. No more is
+// loaded at once than the store serves.
 func Plan(e *fleet.Engine, servers []Server) []Order {
 	if e.Layers <= 0 || e.LayerMB <= 0 {
 		return nil
 	}
 	p := newPlanner(e, servers)
-	var orders []Order
+	budget := p.loads()
+	orders := p.bridge()
+	budget.take(len(orders))
+	if len(orders) > 0 || p.broken() {
+		return orders
+	}
 	for _, s := range p.empty() {
-		if o, ok := p.place(s); ok {
+		if budget.left == 0 {
+			return orders
+		}
+		if o, ok := p.place(s); ok && budget.take(1) {
 			orders = append(orders, o)
 		}
 	}
-	return append(orders, p.mend()...)
+	return append(orders, p.mend(budget)...)
 }
 
 type planner struct {
@@ -73,7 +83,13 @@
 	cover   [][]int        // by group, then layer
 	held    [][]int        // the same, with servers that are slow
 	total   []int          // by layer
-	chance  [][]float64    // by group, then layer: sum of 1/layers of its holders
+	// serving, limping and coming count the servers of all groups by layer: those
+	// that serve it as they should, those that serve it slowly, and those that
+	// are loading it.
+	serving []int
+	limping []int
+	coming  []int
+	chance  [][]float64 // by group, then layer: sum of 1/layers of its holders
 }
 
 func newPlanner(e *fleet.Engine, servers []Server) *planner {
@@ -81,6 +97,9 @@
 		engine:  e,
 		servers: append([]Server(nil), servers...),
 		total:   make([]int, e.Layers),
+		serving: make([]int, e.Layers),
+		limping: make([]int, e.Layers),
+		coming:  make([]int, e.Layers),
 	}
 	p.findGroups()
 	for _, s := range p.servers {
@@ -104,6 +123,7 @@
 	g := p.group[s.Domain]
 	for l := max(0, s.Layers.From); l < min(s.Layers.To, p.engine.Layers); l++ {
 		p.held[g][l] += n
+		p.standing(s)[l] += n
 		if s.Slow >= slowLimit {
 			continue
 		}
@@ -113,6 +133,18 @@
 	}
 }
 
+// standing returns the counts that a server's layers belong to.
+func (p *planner) standing(s Server) []int {
+	switch {
+	case s.Moving:
+		return p.coming
+	case s.Slow >= slowLimit:
+		return p.limping
+	default:
+		return p.serving
+	}
+}
+
 // room is how many layers a server should hold.
 func (p *planner) room(s Server) int {
 	return p.roomAt(s, weightShare)
@@ -211,6 +243,7 @@
 		From: from,
 		To:   from + n,
 	}
+	s.Moving = true
 	p.count(s)
 	return Order{
 		ID:     s.ID,
--- a/pkg/placement/repack.go
+++ b/pkg/placement/repack.go
@@ -24,18 +24,43 @@
 // repack fills a group's holes where no single server can be spared: servers
 // shift along the layers, each next to the one before, until the overlaps are
 // used up. The moves that load least are chosen. Nothing is shifted while a
-// server of the group still carries out an order.
+// server of the group still carries out an order, or if some layer would be served
+// nowhere meanwhile.
 func (p *planner) repack(g int) []Order {
-	var list []int
+	list, still := p.holders(func(s Server) bool { return p.group[s.Domain] == g })
+	if !still {
+		return nil
+	}
+	return p.repackRow(list, p.servedBeside)
+}
+
+// repackAll does the same over all groups, for layers that nothing serves: what
+// is shifted serves no request meanwhile, but no request could be served anyway.
+func (p *planner) repackAll() []Order {
+	list, still := p.holders(func(Server) bool { return true })
+	if !still {
+		return nil
+	}
+	return p.repackRow(list, func([]int) bool { return true })
+}
+
+// holders returns the servers of a kind that hold layers, and whether all of them
+// stand still: one that carries out an order may change the picture.
+func (p *planner) holders(of func(s Server) bool) (list []int, still bool) {
 	for i, s := range p.servers {
-		if p.group[s.Domain] != g || s.Layers.Len() == 0 {
+		if !of(s) || s.Layers.Len() == 0 {
 			continue
 		}
 		if s.Moving {
-			return nil
+			return nil, false
 		}
 		list = append(list, i)
 	}
+	return list, true
+}
+
+// repackRow shifts the servers of a list, if the ones that are shifted may be.
+func (p *planner) repackRow(list []int, may func(shifted []int) bool) []Order {
 	sort.Slice(list, func(a, b int) bool {
 		x, y := p.servers[list[a]], p.servers[list[b]]
 		if x.Layers != y.Layers {
@@ -44,9 +69,14 @@
 		return x.ID < y.ID
 	})
 	for _, share := range repackShares {
-		if r := p.newRow(list, share); r.solve() {
-			return p.shift(r)
+		r := p.newRow(list, share)
+		if !r.solve() {
+			continue
 		}
+		if !may(r.shifted()) {
+			return nil
+		}
+		return p.shift(r)
 	}
 	return nil
 }
@@ -162,6 +192,20 @@
 	return max(0, min(a.To, b.To)-max(a.From, b.From))
 }
 
+// shifted returns the servers that a solved row shifts.
+func (r *row) shifted() []int {
+	var list []int
+	c := r.layers
+	for i := len(r.items) - 1; i >= 0; i-- {
+		s := r.best[i+1][c]
+		if s.shifted {
+			list = append(list, r.items[i].server)
+		}
+		c = s.from
+	}
+	return list
+}
+
 // shift returns the orders of a solved row, and counts them.
 func (p *planner) shift(r *row) []Order {
 	var orders []Order
