--- a/pkg/placement/bridge_test.go
+++ b/pkg/placement/bridge_test.go
@@ -125,6 +125,62 @@
 		})
 	})
 
+	// holder returns a server of a domain that holds layers.
+	holder := func(domain, kind string, from, to int) placement.Server {
+		return placement.Server{
+			ID:     fmt.Sprintf("%s-%d-%d-%s", domain, from, to, kind),
+			Domain: domain,
+			Kind:   kind,
+			Layers: fleet.Range{From: from, To: to},
+		}
+	}
+
+	It("isn't made by moving the only server that serves it, though another loads it", func() {
+		loading := holder("a", "small", 0, 8)
+		loading.Moving = true
+		cases := []struct {
+			name  string
+			other bool // whether domain b serves the layers too
+			moved bool
+		}{
+			{name: "served in another domain", other: true, moved: true},
+			{name: "served nowhere else", other: false, moved: false},
+		}
+		for _, c := range cases {
+			list := []placement.Server{holder("a", "small", 0, 8), loading, holder("a", "big", 8, 35), holder("a", "big", 35, 62), holder("a", "small", 62, 70)}
+			list = append(list, holder("b", "big", 8, 35), holder("b", "big", 35, 62), holder("b", "big", 53, 80))
+			if c.other {
+				list = append(list, holder("b", "small", 0, 8))
+			}
+			moved := false
+			for _, o := range placement.Plan(engine(), list) {
+				moved = moved || o.ID == "a-0-8-small"
+			}
+			Expect(moved).To(Equal(c.moved), c.name)
+		}
+	})
+
+	It("isn't made by shifting a domain's servers along", func() {
+		cases := []struct {
+			name    string
+			other   bool // whether domain b serves what would be shifted
+			shifted bool
+		}{
+			{name: "served in another domain", other: true, shifted: true},
+			{name: "served nowhere else", other: false, shifted: false},
+		}
+		for _, c := range cases {
+			// In a, layers 27 to 30 are missing, and none of its servers is spare;
+			// shifted along, they cover all.
+			list := []placement.Server{holder("a", "big", 0, 27), holder("a", "big", 30, 57), holder("a", "big", 53, 80)}
+			list = append(list, holder("b", "small", 24, 32))
+			if c.other {
+				list = append(list, holder("b", "big", 0, 27), holder("b", "big", 30, 57), holder("b", "big", 53, 80))
+			}
+			Expect(len(placement.Plan(engine(), list)) > 0).To(Equal(c.shifted), c.name)
+		}
+	})
+
 	It("is served again after a few rounds of loads, whatever was lost, if what is left can hold the model", func() {
 		e := engine()
 		e.LoadsAtOnce = 6
