Connections that go silent end by themselves, and cost one time-out

Cause: connections between our hosts, and those kept to endpoints, may carry nothing any more without a reset. A call over one ended by its own time-out, and the next took another connection at rest, silent too: 4.8 s with five at rest. A proxy whose open connections go silent one way, the other or both stands in for it (pkg/fake/fakelink).

--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	"github.com/larchwinch/larchwinch/pkg/version"
 	"github.com/larchwinch/larchwinch/platform"
@@ -115,7 +116,7 @@
 func ownClient(ip string) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer(ip, ownDial).DialContext,
+			DialContext:         netutil.Dialer(ip, ownDial).DialContext,
 			MaxIdleConnsPerHost: ownConns,
 			IdleConnTimeout:     ownIdle,
 			DisableCompression:  true,
@@ -153,7 +154,7 @@
 func endpointClient(ip string, kept int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer(ip, endpointDial).DialContext,
+			DialContext:         netutil.Dialer(ip, endpointDial).DialContext,
 			DisableCompression:  true,
 			DisableKeepAlives:   kept == 0,
 			MaxIdleConnsPerHost: kept,
@@ -163,15 +164,6 @@
 	}
 }
 
-func dialer(ip string, timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
-		Timeout: timeout,
-		LocalAddr: &net.TCPAddr{
-			IP: net.ParseIP(ip),
-		},
-	}
-}
-
 func noRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
 }
--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -181,6 +181,11 @@
 }
 
 func (f *Follower) missed(address, leader string, err error) {
+	if err != nil {
+		// Connections at rest may have gone silent with this one: each would cost a
+		// time-out more.
+		f.cfg.Client.CloseIdleConnections()
+	}
 	f.mu.Lock()
 	f.target++
 	f.hint = ""
--- /dev/null
+++ b/pkg/fleetentry/silent_test.go
@@ -0,0 +1,59 @@
+package fleetentry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fake/fakelink"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("connections to a control host that go silent", func() {
+	It("cost one time-out, however many were at rest, and whichever way is silent", func() {
+		for _, way := range []fakelink.Way{fakelink.Forth, fakelink.Back, fakelink.Both} {
+			gate := make(chan struct{})
+			withControl(func(int, *rpc.SyncRequest) *rpc.SyncReply {
+				<-gate
+				return confirmed(3)
+			}, func(_ *fakeControl, address string) {
+				p, err := fakelink.New(address)
+				Expect(err).NotTo(HaveOccurred())
+				defer p.Close()
+				f := newFollower(timer.NewSystem(), p.Address())
+				f.cfg.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+				const atRest = 5
+				calls := sync.WaitGroup{}
+				for range atRest {
+					calls.Add(1)
+					background(func() {
+						defer calls.Done()
+						_, _ = rpc.NewFleetProtobufClient("http://"+p.Address(), f.cfg.Client).Sync(context.Background(), &rpc.SyncRequest{})
+					})
+				}
+				Eventually(p.Opened, "5s", "5ms").Should(Equal(atRest))
+				close(gate)
+				calls.Wait()
+				p.Silence(way)
+				g := group.New(context.Background())
+				defer g.Stop()
+				began := time.Now()
+				g.Go(f.Run)
+				Eventually(f.Ready, "10s", "10ms").Should(BeTrue())
+				Expect(time.Since(began)).To(BeNumerically("<", 2*syncTimeout))
+			})
+		}
+	})
+})
+
+// background runs f beside the test, which sees to its end.
+func background(f func()) {
+	group.New(context.Background()).Go(func(context.Context) {
+		f()
+	})
+}
--- a/pkg/gateway/comeback.go
+++ b/pkg/gateway/comeback.go
@@ -16,7 +16,7 @@
 	// host begins a few streams a second.
 	refusalWeight = 0.25
 	// troubleBegins and troubleEnds are the shares of streams refused at which a
-	// service counts as short of room or layers, and as served again.
+	// service counts as short of layers, and as served again.
 	troubleBegins = 0.4
 	troubleEnds   = 0.1
 	// comeBackSpread spreads returns by this part of the time either way: callers
@@ -24,10 +24,10 @@
 	comeBackSpread = 0.25
 )
 
-// comebacks tells when a caller that must be refused should return, by service.
-// What has lasted some time is expected to last as long again: nothing tells a
-// host when memory frees or layers are loaded, and a caller that returns too soon
-// is refused once more and has no try left.
+// comebacks tells when a caller should return that is refused for want of layers, by
+// service. What has lasted some time is expected to last as long again: nothing tells
+// a host when layers are loaded, and a caller that returns too soon is refused once
+// more and has no try left.
 type comebacks struct {
 	svc timer.Service
 
--- a/pkg/replica/transport.go
+++ b/pkg/replica/transport.go
@@ -74,7 +74,7 @@
 	}
 	client := rpc.NewReplicaProtobufClient("http://"+address, t.client)
 	t.group.Go(func(context.Context) {
-		p.work(ctx, client)
+		p.work(ctx, client, t.client)
 	})
 	return p
 }
@@ -95,15 +95,20 @@
 	}
 }
 
-func (p *peer) work(ctx context.Context, client rpc.Replica) {
+func (p *peer) work(ctx context.Context, client rpc.Replica, idle *http.Client) {
 	for {
 		batch := p.next(ctx)
 		if batch == nil {
 			return
 		}
 		callCtx, cancel := context.WithTimeout(ctx, sendTimeout)
-		_, _ = client.Deliver(callCtx, batch) // a lost batch is mended by heartbeats
+		_, err := client.Deliver(callCtx, batch)
 		cancel()
+		if err != nil {
+			// Heartbeats mend a lost batch. Other connections at rest may have gone
+			// silent with this one: each would cost a time-out more.
+			idle.CloseIdleConnections()
+		}
 	}
 }
 
