A heartbeat held back by a cut brings no earlier incarnation back

Cause: a replica that doesn't know an incarnation took any heartbeat of it for a new start at its address, and ended the one that runs there. Change: numbers of heartbeats begin anew with each incarnation; one with a higher number than that of an incarnation heard of within two intervals is left out. A real new start has a low number, or is taken two intervals later at most. Test first: a table over late, new and gone; failed before.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -96,6 +96,11 @@
 
 func (t *Table) merge(e fleet.Endpoint) bool {
 	old := t.rows[e.ID]
+	if old == nil && t.heldBack(&e) {
+		t.log.Event(eventlog.EndpointGone, eventlog.Str("endpoint", e.ID), eventlog.Str("address", e.Address),
+			eventlog.Str("why", "a late heartbeat"), eventlog.Int("sequence", int64(e.Sequence)))
+		return false
+	}
 	if old == nil {
 		e.Silent = false
 		t.rows[e.ID] = &row{
@@ -141,6 +146,24 @@
 	return !same
 }
 
+// heldBack reports whether a heartbeat of an incarnation that isn't known is of an
+// earlier one than that at its address: a cut may hold one back until its sender
+// has crashed and another has announced itself. Numbers begin anew with each
+// incarnation, so that the earlier one's is the higher. If the other is gone itself,
+// the next heartbeat is taken, two intervals later at most.
+func (t *Table) heldBack(e *fleet.Endpoint) bool {
+	if e.Gone || e.Address == "" {
+		return false
+	}
+	now := t.svc.Now()
+	for _, r := range t.rows {
+		if r.Address == e.Address && !r.Gone && !r.Recalled && e.Sequence > r.Sequence && now.Sub(r.HeardAt) < 2*t.interval {
+			return true
+		}
+	}
+	return false
+}
+
 // supersede ends the earlier incarnations at a new one's address: each start
 // of an endpoint is a new one, and an address has one endpoint at a time.
 func (t *Table) supersede(e *fleet.Endpoint) {
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -65,6 +65,45 @@
 		})
 	})
 
+	It("takes no heartbeat of an earlier incarnation that was held back until another came at its address", func() {
+		cases := []struct {
+			name     string
+			late     uint64        // sequence of the one that comes late
+			silent   time.Duration // since the other's last heartbeat
+			takes    bool
+			replaced bool
+		}{
+			{name: "held back by a cut", late: 40, silent: interval, takes: false},
+			{name: "a new incarnation after a crash", late: 1, silent: interval, takes: true, replaced: true},
+			{name: "the other is gone itself", late: 40, silent: 2 * interval, takes: true, replaced: true},
+		}
+		for _, c := range cases {
+			withTable(func(t *Table, clock *timer.Manual) {
+				t.Announce(endpoint("new", 3))
+				clock.Advance(c.silent)
+				Expect(t.Announce(endpoint("old", c.late))).To(Equal(c.takes), c.name)
+				byID := map[string]fleet.Endpoint{}
+				for _, e := range t.All() {
+					byID[e.ID] = e
+				}
+				old := byID["old"]
+				Expect(old.Address != "" && old.Usable()).To(Equal(c.takes), c.name)
+				another := byID["new"]
+				Expect(another.Usable()).To(Equal(!c.replaced), c.name)
+			})
+		}
+	})
+
+	It("takes what is known to have ended, whoever is at its address", func() {
+		withTable(func(t *Table, _ *timer.Manual) {
+			t.Announce(endpoint("new", 3))
+			gone := endpoint("old", 40)
+			gone.Gone = true
+			t.Merge([]fleet.Endpoint{gone})
+			Expect(t.All()).To(HaveLen(2))
+		})
+	})
+
 	It("names the endpoints whose heartbeats are late, without judging them", func() {
 		withTable(func(t *Table, clock *timer.Manual) {
 			t.Announce(endpoint("a", 1))
