--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -17,7 +17,9 @@
 var ErrAlone = errors.New("no other control replica could be told")
 
 // Announce takes an endpoint's heartbeat. That an endpoint leaves is
-// acknowledged only if this replica leads or another one knows it too.
+// acknowledged only if another replica knows it too. That this one leads isn't
+// enough: it may be cut off, and its lease end, before it has told anybody; then a
+// new leader's hosts would send to the endpoint for as long as the cut lasts.
 func (s *Server) Announce(ctx context.Context, e fleet.Endpoint) error {
 	fresh := s.table.Announce(e)
 	if e.Leaving {
@@ -39,14 +41,14 @@
 }
 
 // spreadNow tells the other replicas of one endpoint at once, and waits for
-// the answers, but not for long.
+// the answers, but not for long. It fails if there are others and none was told.
 func (s *Server) spreadNow(ctx context.Context, e fleet.Endpoint) error {
 	e.HeardAt = s.cfg.Timer.Now()
-	told := s.spread(ctx, s.others(), []fleet.Endpoint{e})
-	if told > 0 {
+	others := s.others()
+	if s.spread(ctx, others, []fleet.Endpoint{e}) > 0 {
 		return nil
 	}
-	if machine, _, _ := s.replica.Leads(ctx); machine != nil {
+	if machine, _, _ := s.replica.Leads(ctx); machine != nil && len(others) == 0 {
 		return nil
 	}
 	return ErrAlone
--- a/pkg/fleetcontrol/announce_test.go
+++ b/pkg/fleetcontrol/announce_test.go
@@ -54,6 +54,23 @@
 		})
 	})
 
+	It("of a leave isn't acknowledged by a leader that can tell nobody, though its lease still holds", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			s := c.hosts[lead].server
+			Expect(s.Announce(context.Background(), announcement(true, 2))).To(Succeed())
+			for _, ip := range c.ips {
+				if ip != lead {
+					c.stop(ip)
+				}
+			}
+			machine, _, _ := s.replica.Leads(context.Background())
+			Expect(machine).NotTo(BeNil(), "the lease holds for 0.27 s")
+			Expect(s.Announce(context.Background(), announcement(true, 3))).To(MatchError(ErrAlone))
+			Expect(s.Deregister(context.Background(), "e1")).To(MatchError(ErrAlone))
+		})
+	})
+
 	It("is passed on to entry hosts by the leader's held call, with a confirmation", func() {
 		withCluster(func(c *cluster) {
 			lead := c.hosts[c.leader()].server
