A leave is acknowledged only once a majority of the control replicas knows it

Change: the endpoint is acknowledged once a majority knows, as a configuration is. Test first: two of five replicas, one leading; failed before.

--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -13,13 +13,14 @@
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
-// ErrAlone says that a leave is known here only.
-var ErrAlone = errors.New("no other control replica could be told")
+// ErrAlone says that a leave is known to too few control replicas.
+var ErrAlone = errors.New("no majority of the control replicas could be told")
 
 // Announce takes an endpoint's heartbeat. That an endpoint leaves is
-// acknowledged only if another replica knows it too. That this one leads isn't
-// enough: it may be cut off, and its lease end, before it has told anybody; then a
-// new leader's hosts would send to the endpoint for as long as the cut lasts.
+// acknowledged only once a majority of the replicas knows it: whichever leads next
+// was elected by one that does, and is told within spreadInterval. To lead isn't
+// enough, nor to have told one: a minority may be cut off, and the hosts that follow
+// the others' leader would send to the endpoint for as long as that lasts.
 func (s *Server) Announce(ctx context.Context, e fleet.Endpoint) error {
 	fresh := s.table.Announce(e)
 	if e.Leaving {
@@ -41,17 +42,14 @@
 }
 
 // spreadNow tells the other replicas of one endpoint at once, and waits for
-// the answers, but not for long. It fails if there are others and none was told.
+// the answers, but not for long. It fails if no majority knows it then.
 func (s *Server) spreadNow(ctx context.Context, e fleet.Endpoint) error {
 	e.HeardAt = s.cfg.Timer.Now()
 	others, told := s.spreadSoon(ctx, e)
-	if told > 0 {
-		return nil
+	if ctx.Err() != nil || 2*(int(told)+1) <= others+1 {
+		return ErrAlone
 	}
-	if machine, _, _ := s.replica.Leads(ctx); machine != nil && others == 0 && ctx.Err() == nil {
-		return nil
-	}
-	return ErrAlone
+	return nil
 }
 
 // others returns the addresses of the other replicas; those of the settings
--- a/pkg/fleetcontrol/announce_test.go
+++ b/pkg/fleetcontrol/announce_test.go
@@ -54,6 +54,29 @@
 		})
 	})
 
+	It("of a leave isn't acknowledged by two of five replicas, though one leads: the others may elect another", func() {
+		withCluster(func(c *cluster) {
+			c.losses = 2
+			more := []string{"127.0.1.4", "127.0.1.5"}
+			for _, ip := range more {
+				c.start(ip, true)
+			}
+			lead := c.leader()
+			Eventually(func() int { return len(c.hosts[lead].server.replica.Members()) }, "15s", "50ms").Should(Equal(5))
+			s := c.hosts[lead].server
+			Expect(s.Announce(context.Background(), announcement(true, 2))).To(Succeed())
+			left := 5
+			for _, ip := range append(append([]string{}, c.ips...), more...) {
+				if ip != lead && left > 2 {
+					c.stop(ip)
+					left--
+				}
+			}
+			Expect(s.Announce(context.Background(), announcement(true, 3))).To(MatchError(ErrAlone))
+			Expect(s.Deregister(context.Background(), "e1")).To(MatchError(ErrAlone))
+		})
+	})
+
 	It("of a leave isn't acknowledged by a leader that can tell nobody, though its lease still holds", func() {
 		withCluster(func(c *cluster) {
 			lead := c.leader()
