--- a/pkg/fleetcontrol/loads.go
+++ b/pkg/fleetcontrol/loads.go
@@ -20,8 +20,8 @@
 
 // totals is the sum of what all entry hosts have under way at each endpoint. It
 // follows every call by what changed in it, and every host is sent the same list,
-// from which it takes its own share: a sum for each host and answer took hosts
-// times endpoints steps, 0.5 core for 300 hosts and 216 endpoints.
+// from which it takes its own share: a sum for each host and answer would take hosts
+// times endpoints steps.
 type totals struct {
 	sums   map[uint32]load
 	table  *rpc.LoadTable
