--- a/pkg/placement/keeper_test.go
+++ b/pkg/placement/keeper_test.go
@@ -19,15 +19,42 @@
 type fakeOrderer struct {
 	mu     sync.Mutex
 	orders []placement.Order
+	// gate, if set, holds every answer until it is closed; waiting is how many
+	// are held, most how many were at once.
+	gate    chan struct{}
+	waiting int
+	most    int
 }
 
 func (o *fakeOrderer) Place(_ context.Context, order placement.Order, _ string, _ uint64) (placement.Outcome, error) {
+	o.hold()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.orders = append(o.orders, order)
 	return placement.Taken, nil
 }
 
+func (o *fakeOrderer) hold() {
+	if o.gate == nil {
+		return
+	}
+	o.mu.Lock()
+	o.waiting++
+	o.most = max(o.most, o.waiting)
+	o.mu.Unlock()
+	<-o.gate
+	o.mu.Lock()
+	o.waiting--
+	o.mu.Unlock()
+}
+
+// held returns how many answers are held, and how many were at once at most.
+func (o *fakeOrderer) held() (now, most int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.waiting, o.most
+}
+
 func (o *fakeOrderer) Report(context.Context, string, string) (placement.Report, error) {
 	return placement.Report{
 		Busy: true,
@@ -109,6 +136,31 @@
 	}
 }
 
+var _ = Describe("the first placement of many endpoints", func() {
+	It("waits for a bounded number of answers at once, and orders all", func() {
+		withKeeper(func(k *keeping) {
+			const many = 300
+			k.orderer.gate = make(chan struct{})
+			for i := range many {
+				k.announce(fmt.Sprint("e", i), fmt.Sprint("10.0.0.1:", i), fleet.Range{})
+			}
+			k.clock.Advance(2 * beat)
+			done := make(chan bool, 1)
+			group.New(context.Background()).Go(func(context.Context) {
+				k.tend()
+				k.clock.Advance(2 * beat)
+				k.tend()
+				done <- true
+			})
+			Eventually(func() int { now, _ := k.orderer.held(); return now }, "5s", "5ms").Should(Equal(64))
+			Consistently(func() int { _, most := k.orderer.held(); return most }, "50ms", "5ms").Should(Equal(64))
+			close(k.orderer.gate)
+			Eventually(done, "5s").Should(Receive())
+			Expect(k.orderer.given()).To(HaveLen(many))
+		})
+	})
+})
+
 var _ = Describe("a keeper", func() {
 	It("keeps a new endpoint for a hole, but places one that came back to its address at once", func() {
 		withKeeper(func(k *keeping) {
