A replica that was restarted keeps the endpoints that others hear of

Cause: a restarted replica takes the list on its disk as recalled, and dropped after three heartbeats' time whatever no heartbeat had told it of. It asked one other replica what that one had heard, and took the first answer, also from one that had itself just started and had heard of nothing.

Ruled out: torn files (the lists read well), endpoints that had left (88 stood at the one replica that was never restarted).

The test of Recall looks at which rows were taken, and not only at how many.

Tests: three in learn_test.go, seen to fail before.

--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -98,6 +98,7 @@
 	reply := &rpc.SpreadReply{}
 	if q.GetWhole() {
 		reply.Endpoints = fleet.EndpointsToWire(s.table.Heard(), now)
+		reply.Recalled = fleet.EndpointsToWire(s.table.RecalledRows(), now)
 	}
 	return reply, nil
 }
@@ -113,23 +114,32 @@
 	return out
 }
 
-// spreadHeard tells the leader regularly whom this replica heard of.
+// spreadHeard tells the leader regularly whom this replica heard of; a new one, of
+// all that it ever did: what was spread while that one was away is told by nobody else.
 func (s *Server) spreadHeard(ctx context.Context) {
+	told := ""
 	timer.Loop(ctx, s.cfg.Timer, spreadInterval, func(time.Time) {
 		_, _, leader := s.replica.Leads(ctx)
 		if leader == "" || leader == s.replica.address() {
+			told = leader
 			return
 		}
-		if list := s.table.HeardSince(spreadInterval + spreadInterval/2); len(list) > 0 {
-			s.spread(ctx, []string{leader}, list)
+		list := s.table.HeardSince(spreadInterval + spreadInterval/2)
+		if leader != told {
+			list = s.table.Heard()
+		}
+		if len(list) == 0 || s.spread(ctx, []string{leader}, list) > 0 {
+			told = leader
 		}
 	})
 }
 
-// learn asks the other replicas for all they know until one has answered, so
-// that a replica that was restarted doesn't begin without a list.
+// learn asks the other replicas for all they know, so that one that was restarted
+// doesn't begin without a list. One that has just started itself has heard of nothing,
+// and doesn't end the asking.
 func (s *Server) learn(ctx context.Context) {
-	for ctx.Err() == nil {
+	end := s.cfg.Timer.Now().Add(recallBeats * s.cfg.Heartbeat)
+	for ctx.Err() == nil && s.cfg.Timer.Now().Before(end) {
 		for _, address := range append(s.others(), s.seedAddresses()...) {
 			if address != s.replica.address() && s.learnFrom(ctx, address) {
 				return
@@ -141,6 +151,8 @@
 	}
 }
 
+// learnFrom takes what another replica knows, and reports whether that one had heard
+// of endpoints. Those of which only its disk told are asked whether they are there.
 func (s *Server) learnFrom(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
@@ -150,7 +162,22 @@
 	if err != nil {
 		return false
 	}
-	n := s.table.Merge(known(reply.GetEndpoints(), s.cfg.Timer.Now()))
-	s.cfg.Log.Event(eventlog.Reloaded, eventlog.Str("what", "endpoints"), eventlog.Str("from", address), eventlog.Int("count", int64(n)))
-	return true
+	now := s.cfg.Timer.Now()
+	n := s.table.Merge(known(reply.GetEndpoints(), now))
+	n += s.recallAll(known(reply.GetRecalled(), now))
+	if n > 0 {
+		s.cfg.Log.Event(eventlog.Reloaded, eventlog.Str("what", "endpoints"), eventlog.Str("from", address), eventlog.Int("count", int64(n)))
+	}
+	return len(reply.GetEndpoints()) > 0
+}
+
+// learnAll takes what every other replica knows.
+func (s *Server) learnAll(ctx context.Context) {
+	g := group.New(ctx)
+	for _, address := range s.others() {
+		g.Go(func(ctx context.Context) {
+			s.learnFrom(ctx, address)
+		})
+	}
+	g.Wait()
 }
--- /dev/null
+++ b/pkg/fleetcontrol/learn_test.go
@@ -0,0 +1,126 @@
+package fleetcontrol
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/placement"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// otherReplica answers what a replica asks of the endpoints that others know.
+type otherReplica struct {
+	rpc.Fleet
+	heard    []fleet.Endpoint
+	recalled []fleet.Endpoint
+}
+
+// Spread implements rpc.Fleet.
+func (o *otherReplica) Spread(context.Context, *rpc.SpreadRequest) (*rpc.SpreadReply, error) {
+	return &rpc.SpreadReply{
+		Endpoints: fleet.EndpointsToWire(o.heard, time.Now()),
+		Recalled:  fleet.EndpointsToWire(o.recalled, time.Now()),
+	}, nil
+}
+
+// withLearner runs f on a replica that was restarted with a list on its disk, beside
+// others that answer its questions; none leads.
+func withLearner(disk []fleet.Endpoint, others []*otherReplica, f func(ctx context.Context, s *Server)) {
+	folder, err := os.MkdirTemp("", "learn")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { Expect(os.RemoveAll(folder)).To(Succeed()) }()
+	Expect(writeEndpoints(folder, disk, time.Now())).To(Succeed())
+	g := group.New(context.Background())
+	defer g.Stop()
+	var ips []string
+	port := "0"
+	for i, o := range others {
+		ip := net.IPv4(127, 0, 3, byte(i+1)).String()
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, port))
+		Expect(err).NotTo(HaveOccurred())
+		_, port, err = net.SplitHostPort(l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		server := rpc.NewFleetServer(o)
+		srv := &http.Server{
+			Handler: server,
+		}
+		defer func() { _ = srv.Close() }() // the test is over
+		g.Go(func(context.Context) {
+			_ = srv.Serve(l) // ends with Close
+		})
+		ips = append(ips, ip)
+	}
+	s := New(Config{
+		Folder:    folder,
+		IP:        "127.0.3.100",
+		Port:      port,
+		SeedIPs:   func() []string { return ips },
+		Heartbeat: time.Second,
+		Orders: fakeOrders{report: func(string) (placement.Report, error) {
+			return placement.Report{}, nil
+		}},
+		Client:  &http.Client{},
+		Timer:   timer.NewSystem(),
+		Metrics: metrics.New(),
+	}, g)
+	f(context.Background(), s)
+}
+
+func named(id string) fleet.Endpoint {
+	e := announcement(false, 1)
+	e.ID = id
+	e.Address = id + ":80"
+	return e
+}
+
+var _ = Describe("a replica that was restarted", func() {
+	ids := func(s *Server) []string {
+		var list []string
+		for _, e := range s.table.All() {
+			list = append(list, e.ID)
+		}
+		return list
+	}
+
+	It("goes on asking where the first that answers has itself just started", func() {
+		list := []fleet.Endpoint{named("a"), named("b")}
+		others := []*otherReplica{{recalled: list}, {heard: list}}
+		withLearner(list, others, func(ctx context.Context, s *Server) {
+			s.recall()
+			s.learn(ctx)
+			s.dropRecalled(ctx)
+			Expect(ids(s)).To(Equal([]string{"a", "b"}))
+		})
+	})
+
+	It("keeps what another has heard of meanwhile, when it drops what its disk told of", func() {
+		list := []fleet.Endpoint{named("a"), named("b"), named("c")}
+		other := &otherReplica{heard: list[:1]}
+		withLearner(list, []*otherReplica{other}, func(ctx context.Context, s *Server) {
+			s.recall()
+			s.learn(ctx)
+			other.heard = list[:2]
+			s.dropRecalled(ctx)
+			Expect(ids(s)).To(Equal([]string{"a", "b"}))
+		})
+	})
+
+	It("whose disk was lost begins with what another's disk tells of", func() {
+		list := []fleet.Endpoint{named("a"), named("b")}
+		withLearner(nil, []*otherReplica{{recalled: list}}, func(ctx context.Context, s *Server) {
+			s.recall()
+			s.learnFrom(ctx, s.seedAddresses()[0])
+			Expect(ids(s)).To(Equal([]string{"a", "b"}))
+			Eventually(func() int { return len(s.survey.asked) }, "2s", "5ms").Should(Equal(2), "each is asked whether it is there")
+		})
+	})
+})
--- a/pkg/fleetcontrol/recall.go
+++ b/pkg/fleetcontrol/recall.go
@@ -81,15 +81,29 @@
 		s.cfg.Log.Event(eventlog.Unexpected, eventlog.Str("what", "the list of endpoints can't be read; heartbeats will tell"), eventlog.Err(err))
 		return
 	}
-	n := s.table.Recall(list)
+	n := s.recallAll(list)
 	s.cfg.Log.Event(eventlog.Reloaded, eventlog.Str("what", "endpoints"), eventlog.Str("from", "disk"), eventlog.Int("count", int64(n)))
-	for _, e := range list {
+}
+
+// recallAll takes endpoints that a disk tells of, where nothing newer is known, asks
+// each whether it is still there, and returns how many these are.
+func (s *Server) recallAll(list []fleet.Endpoint) int {
+	fresh := s.table.Recall(list)
+	for _, e := range fresh {
 		s.ask(e, 0)
 	}
+	return len(fresh)
+}
+
+// dropRecalled forgets what no heartbeat has borne out, here or at another replica:
+// an endpoint sends its heartbeats to one of them, and that one spreads only news.
+func (s *Server) dropRecalled(ctx context.Context) {
+	s.learnAll(ctx)
+	s.forgetRecalled()
 }
 
-// dropRecalled forgets what no heartbeat has borne out.
-func (s *Server) dropRecalled() {
+// forgetRecalled forgets what no heartbeat that this replica knows of has borne out.
+func (s *Server) forgetRecalled() {
 	if n := s.table.DropRecalled(); n > 0 {
 		s.cfg.Log.Event(eventlog.Reloaded, eventlog.Str("what", "endpoints without a heartbeat dropped"), eventlog.Int("count", int64(n)))
 	}
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -110,7 +110,7 @@
 	if s.settled(term) {
 		return
 	}
-	s.dropRecalled()
+	s.forgetRecalled()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leading.term == term {
@@ -161,7 +161,7 @@
 	g.Go(s.keepEndpoints)
 	g.Go(func(ctx context.Context) {
 		if timer.Sleep(ctx, s.cfg.Timer, recallBeats*s.cfg.Heartbeat) == nil {
-			s.dropRecalled()
+			s.dropRecalled(ctx)
 		}
 	})
 	g.Go(s.learn)
--- a/pkg/registry/recall.go
+++ b/pkg/registry/recall.go
@@ -7,12 +7,12 @@
 )
 
 // Recall takes endpoints that a disk told of, where nothing newer is known, and
-// returns how many. They count as silent until they answer, and are dropped by
+// returns these. They count as silent until they answer, and are dropped by
 // DropRecalled unless a heartbeat comes.
-func (t *Table) Recall(list []fleet.Endpoint) int {
+func (t *Table) Recall(list []fleet.Endpoint) []fleet.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
+	var fresh []fleet.Endpoint
 	for _, e := range list {
 		if t.rows[e.ID] != nil {
 			continue
@@ -25,9 +25,9 @@
 			Endpoint: e,
 		}
 		t.note(t.rows[e.ID])
-		n++
+		fresh = append(fresh, e)
 	}
-	return n
+	return fresh
 }
 
 // DropRecalled drops the endpoints that were recalled and sent no heartbeat
@@ -49,9 +49,18 @@
 
 // Heard returns the rows of which a heartbeat came since this replica started.
 func (t *Table) Heard() []fleet.Endpoint {
+	return t.recalled(false)
+}
+
+// RecalledRows returns the rows of which only a disk told.
+func (t *Table) RecalledRows() []fleet.Endpoint {
+	return t.recalled(true)
+}
+
+func (t *Table) recalled(is bool) []fleet.Endpoint {
 	var list []fleet.Endpoint
 	for _, e := range t.All() {
-		if !e.Recalled {
+		if e.Recalled == is {
 			list = append(list, e)
 		}
 	}
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -165,7 +165,12 @@
 			t.Announce(known)
 			other := endpoint("b", 7)
 			other.Address = "10.0.0.2:80"
-			Expect(t.Recall([]fleet.Endpoint{known, endpoint("a", 5), other})).To(Equal(2))
+			var taken []string
+			for _, e := range t.Recall([]fleet.Endpoint{known, endpoint("a", 5), other}) {
+				taken = append(taken, e.ID)
+			}
+			Expect(taken).To(Equal([]string{"a", "b"}))
+			Expect(t.RecalledRows()).To(HaveLen(2))
 			e, _ := t.Get("a")
 			Expect(e.Silent).To(BeTrue())
 			Expect(t.Heard()).To(HaveLen(1), "nothing is passed on that no heartbeat told of")
