--- /dev/null
+++ b/pkg/pathing/bench_test.go
@@ -0,0 +1,36 @@
+package pathing
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkChoose chooses among endpoints of three kinds in three failure domains, as
+// many as the users' deployments have, ten times as many, and as letter sizes ask.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{86, 860, 3200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e := engine()
+			e.Layers = 80
+			var stages []Stage
+			for i := range n {
+				kind, held := "slow", 8
+				switch {
+				case i%10 == 0:
+					kind, held = "fast", 27
+				case i%10 < 4:
+					kind, held = "mid", 16
+				}
+				from := i * held % (80 - held + 1)
+				st := stage(fmt.Sprintf("e%d", i), string(rune('a'+i%3)), kind, from, from+held)
+				st.Requests = float64(i % 40)
+				st.Tokens = 800 * st.Requests
+				stages = append(stages, st)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				Choose(e, stages, demand, even)
+			}
+		})
+	}
+}
--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -110,12 +110,16 @@
 	demand  Demand
 	unit    []float64 // expected ms for one layer, by stage
 	turn    []float64 // expected ms that its tokens wait for passes, by stage
+	domain  []int     // of each stage
+	fit     []int     // stages that may be on the cheapest path
 	bounds  []int
 	domains map[string]int
 	names   []string
+	home    int         // domain of the host that asks; -1 if any will do
+	hop     [][]float64 // ms from domain to domain
 	states  []state
 	at      [][]int // states by boundary
-	best    map[[2]int]int
+	best    [][]int // state by boundary and domain+1; -1 if none
 	first   *fleet.Part
 }
 
@@ -126,10 +130,10 @@
 		demand:  d,
 		unit:    make([]float64, len(stages)),
 		turn:    make([]float64, len(stages)),
+		domain:  make([]int, len(stages)),
 		domains: map[string]int{},
-		best:    map[[2]int]int{},
 	}
-	seen := map[int]bool{}
+	seen := make([]bool, e.Layers+1)
 	for i := range stages {
 		st := &stages[i]
 		s.unit[i] = s.layerCost(st) * jitter()
@@ -138,17 +142,100 @@
 			s.domains[st.Domain] = len(s.names)
 			s.names = append(s.names, st.Domain)
 		}
-		seen[st.Layers.From] = true
-		seen[min(st.Layers.To, e.Layers)] = true
+		s.domain[i] = s.domains[st.Domain]
+		seen[max(0, min(st.Layers.From, e.Layers))] = true
+		seen[max(0, min(st.Layers.To, e.Layers))] = true
 	}
-	for b := range seen {
-		s.bounds = append(s.bounds, b)
+	if d.First != nil {
+		seen[max(0, min(d.First.Layers.To, e.Layers))] = true
+	}
+	for b, is := range seen {
+		if is {
+			s.bounds = append(s.bounds, b)
+		}
 	}
-	sort.Ints(s.bounds)
+	s.findHops()
+	s.findFit()
 	s.at = make([][]int, len(s.bounds))
+	s.best = make([][]int, len(s.bounds))
+	for b := range s.best {
+		s.best[b] = make([]int, len(s.names)+1)
+		for d := range s.best[b] {
+			s.best[b][d] = -1
+		}
+	}
 	return s
 }
 
+// alike is what stages have in common that stand for each other on a path.
+type alike struct {
+	domain int
+	layers fleet.Range
+}
+
+// findFit keeps of stages that are alike the cheapest one, and the cheapest to begin
+// with: a path has use for no other, but for the first part that stands. The search
+// takes as long as there are ranges then, and not endpoints.
+func (s *search) findFit() {
+	best := map[alike][2]int{}
+	for k := range s.stages {
+		if s.demand.First != nil && s.demand.First.ID == s.stages[k].ID {
+			continue
+		}
+		key := alike{
+			domain: s.domain[k],
+			layers: s.stages[k].Layers,
+		}
+		kept, ok := best[key]
+		if !ok {
+			best[key] = [2]int{k, k}
+			continue
+		}
+		if s.wholeCost(k) < s.wholeCost(kept[0]) {
+			kept[0] = k
+		}
+		if s.wholeCost(k)+s.beginCost(k) < s.wholeCost(kept[1])+s.beginCost(kept[1]) {
+			kept[1] = k
+		}
+		best[key] = kept
+	}
+	for k := range s.stages {
+		key := alike{
+			domain: s.domain[k],
+			layers: s.stages[k].Layers,
+		}
+		if kept, ok := best[key]; ok && (kept[0] == k || kept[1] == k) {
+			s.fit = append(s.fit, k)
+		}
+	}
+}
+
+// wholeCost is the cost of all layers of a stage.
+func (s *search) wholeCost(k int) float64 {
+	return s.turn[k] + s.unit[k]*float64(s.stages[k].Layers.Len())
+}
+
+// beginCost is the cost of what waits at a stage that a path begins with: requests
+// that find a memory full anywhere on their path wait there.
+func (s *search) beginCost(k int) float64 {
+	return ms(s.stages[k].Wait) * waitWeight
+}
+
+// findHops works out what each change of failure domain costs, and none.
+func (s *search) findHops() {
+	s.home = -1
+	s.hop = make([][]float64, len(s.names))
+	for a := range s.names {
+		if s.names[a] == s.demand.Home {
+			s.home = a
+		}
+		s.hop[a] = make([]float64, len(s.names))
+		for b := range s.names {
+			s.hop[a][b] = s.hopCost(a, b)
+		}
+	}
+}
+
 // layerCost is the expected time in ms that one layer of a stage adds to the
 // whole request, and to those under way there.
 func (s *search) layerCost(st *Stage) float64 {
@@ -199,11 +286,8 @@
 // startAfter begins behind a part that is fixed.
 func (s *search) startAfter(first *fleet.Part) {
 	i := sort.SearchInts(s.bounds, first.Layers.To)
-	if i == len(s.bounds) || s.bounds[i] != first.Layers.To {
-		s.bounds = append(s.bounds, 0)
-		copy(s.bounds[i+1:], s.bounds[i:])
-		s.bounds[i] = first.Layers.To
-		s.at = make([][]int, len(s.bounds))
+	if i == len(s.bounds) {
+		return // it ends behind the last layer
 	}
 	s.first = first
 	d, ok := s.domains[first.Domain]
@@ -220,15 +304,14 @@
 }
 
 func (s *search) push(n state) {
-	key := [2]int{n.bound, n.domain}
-	if i, ok := s.best[key]; ok {
-		if s.states[i].cost <= n.cost {
-			return
+	best := &s.best[n.bound][n.domain+1]
+	if *best >= 0 {
+		if s.states[*best].cost > n.cost {
+			s.states[*best] = n
 		}
-		s.states[i] = n
 		return
 	}
-	s.best[key] = len(s.states)
+	*best = len(s.states)
 	s.at[n.bound] = append(s.at[n.bound], len(s.states))
 	s.states = append(s.states, n)
 }
@@ -248,21 +331,24 @@
 func (s *search) extend(i int) {
 	from := s.states[i]
 	layer := s.bounds[from.bound]
-	for k := range s.stages {
+	for _, k := range s.fit {
 		st := &s.stages[k]
 		if st.Layers.From > layer || st.Layers.To <= layer || s.uses(i, k) {
 			continue
 		}
-		if s.demand.Stay && from.domain >= 0 && from.domain != s.domains[st.Domain] {
+		if s.demand.Stay && from.domain >= 0 && from.domain != s.domain[k] {
 			continue
 		}
-		hop := s.hopCost(from.domain, s.domains[st.Domain])
+		base := from.cost + s.enter(from.domain, s.domain[k]) + s.turn[k]
+		if from.parts == 0 {
+			base += s.beginCost(k)
+		}
 		for b := from.bound + 1; b < len(s.bounds) && s.bounds[b] <= st.Layers.To; b++ {
 			s.push(state{
-				cost:   from.cost + hop + s.turn[k] + s.waitCost(from, st) + float64(s.bounds[b]-layer)*s.unit[k],
+				cost:   base + float64(s.bounds[b]-layer)*s.unit[k],
 				prev:   i,
 				stage:  k,
-				domain: s.domains[st.Domain],
+				domain: s.domain[k],
 				bound:  b,
 				parts:  from.parts + 1,
 			})
@@ -270,15 +356,6 @@
 	}
 }
 
-// waitCost is the cost of what waits at the first endpoint of a path: requests
-// that find a memory full anywhere on their path wait there.
-func (s *search) waitCost(from state, st *Stage) float64 {
-	if from.parts > 0 {
-		return 0
-	}
-	return ms(st.Wait) * waitWeight
-}
-
 // uses reports whether a stage is on the way to a state already.
 func (s *search) uses(i, stage int) bool {
 	for ; i >= 0; i = s.states[i].prev {
@@ -286,19 +363,25 @@
 			return true
 		}
 	}
-	return s.first != nil && s.first.ID == s.stages[stage].ID
+	return false
 }
 
 // hopMs is what a hop inside a failure domain costs each token.
 const hopMs = 0.2
 
-func (s *search) hopCost(a, b int) float64 {
-	if a < 0 && s.demand.Home != "" && s.names[b] != s.demand.Home {
-		return awayMs
+// enter is the cost of going on in domain b from domain a; negative if the path
+// begins there.
+func (s *search) enter(a, b int) float64 {
+	if a >= 0 {
+		return s.hop[a][b]
 	}
-	if a < 0 {
-		return 0
+	if s.demand.Home != "" && b != s.home {
+		return awayMs
 	}
+	return 0
+}
+
+func (s *search) hopCost(a, b int) float64 {
 	if a == b {
 		return hopMs * s.demand.Answer
 	}
