--- a/pkg/fleetentry/follower_test.go
+++ b/pkg/fleetentry/follower_test.go
@@ -404,4 +404,28 @@
 		}, "5s", "5ms").Should(BeTrue())
 		g.Stop()
 	})
+
+	It("leaves its streams nearly all the time that there is, also where that is short", func() {
+		cases := []struct {
+			grace time.Duration
+			least time.Duration
+		}{
+			{2 * time.Second, 1900 * time.Millisecond},
+			{8 * time.Second, 7800 * time.Millisecond},
+			{30 * time.Second, 29800 * time.Millisecond},
+		}
+		for _, c := range cases {
+			clock := timer.NewManual(time.Unix(1000, 0))
+			h := NewHost(newFollower(clock), c.grace, clock, nil)
+			h.Begin()
+			g := group.New(context.Background())
+			g.Go(h.Drain)
+			Eventually(h.Leaving, "5s").Should(BeTrue())
+			left, stops := h.StopsIn()
+			Expect(stops).To(BeTrue())
+			Expect(left).To(BeNumerically(">=", c.least))
+			Expect(left).To(BeNumerically("<", c.grace))
+			g.Stop()
+		}
+	})
 })
--- a/pkg/fleetentry/host.go
+++ b/pkg/fleetentry/host.go
@@ -17,8 +17,11 @@
 	refuseAfter = 2500 * time.Millisecond
 	// leastStay is how long it listens at least.
 	leastStay = 3 * time.Second
-	// stayMargin is taken off the time that a stop may take.
-	stayMargin = 500 * time.Millisecond
+	// stayMargin is taken off the time that a stop may take, or stayShare of it where
+	// that is less: a process ends in a few milliseconds once it stops to wait, and
+	// every stream that still runs then is cut.
+	stayMargin = 200 * time.Millisecond
+	stayShare  = 0.05
 	// elsewhere is when a caller that was sent away should come back, to
 	// another host.
 	elsewhere = 100 * time.Millisecond
@@ -89,7 +92,7 @@
 // the time for a stop is nearly over.
 func (h *Host) Drain(ctx context.Context) {
 	now := h.svc.Now()
-	end := now.Add(h.grace - stayMargin)
+	end := now.Add(h.grace - min(stayMargin, time.Duration(stayShare*float64(h.grace))))
 	h.Leave(end)
 	h.mu.Lock()
 	h.left = now
