--- a/pkg/fleetcontrol/hosts.go
+++ b/pkg/fleetcontrol/hosts.go
@@ -53,13 +53,15 @@
 	}
 }
 
-// hear takes what an entry host tells of itself.
-func (h *hosts) hear(now time.Time, q *rpc.SyncRequest) {
+// hear takes what an entry host tells of itself, and reports whether it is the first
+// that this leader hears of it.
+func (h *hosts) hear(now time.Time, q *rpc.SyncRequest) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	name := q.GetHost().GetName()
 	row := h.rows[name]
-	if row == nil {
+	first := row == nil
+	if first {
 		row = &hostRow{
 			info: &rpc.FleetHost{},
 		}
@@ -73,6 +75,7 @@
 	row.info = q.GetHost()
 	row.loads = q.GetLoads()
 	row.at = now
+	return first
 }
 
 // touch keeps a host whose call is still held from being forgotten.
--- a/pkg/fleetcontrol/size_test.go
+++ b/pkg/fleetcontrol/size_test.go
@@ -162,6 +162,33 @@
 	}
 }
 
+var _ = Describe("a host that knows nothing yet", func() {
+	It("is answered at once, and waits for news to gather where it comes again", func() {
+		withLeaders(func(leader func(term uint64) *Server, clock *timer.Manual) {
+			lead := leader(1)
+			for i := range manyHosts {
+				lead.hosts.hear(clock.Now(), call(i+1, true))
+			}
+			ask := func(name string) chan bool {
+				q := call(0, false)
+				q.Host.Name = name
+				q.WaitMs = 400
+				done := make(chan bool, 1)
+				background(func() {
+					reply, err := lead.Sync(context.Background(), q)
+					done <- err == nil && reply.GetConfirmed()
+				})
+				return done
+			}
+			Eventually(ask("new"), "5s").Should(Receive(BeTrue()))
+			again := ask("new")
+			Consistently(again, "50ms").ShouldNot(Receive())
+			clock.Advance(heldCall)
+			Eventually(again, "5s").Should(Receive(BeTrue()))
+		})
+	})
+})
+
 var _ = Describe("300 entry hosts and 216 endpoints", func() {
 	It("cost the leader what changed, and not what there is", func() {
 		withLeaders(func(leader func(term uint64) *Server, clock *timer.Manual) {
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -36,9 +36,12 @@
 			Leader: leader,
 		}, nil
 	}
-	s.hosts.hear(began, q)
+	first := s.hosts.hear(began, q)
 	s.doubt(q.GetSuspects())
 	wait := min(maxHold, time.Duration(q.GetWaitMs())*time.Millisecond)
+	if first && q.GetEpoch() == 0 {
+		wait = 0 // it serves nobody yet
+	}
 	if s.awaitNews(ctx, q, term, machine, wait) != nil {
 		return nil, ctx.Err()
 	}
