Hosts learn of endpoints that leave ahead of the list of all

Cause: where more than 64 endpoints change between two calls of a host it is sent the list of all, for which the leader has 4 MB/s; 42 KB to 300 hosts take 3 s, and a leave among the changes waits as long.

Change: an answer that finds no room for the list holds the rows of endpoints that leave or have ended, and were heard of in the last 10 s: 60 bytes each. They never go back, so a host may take them at any time; its version stays, and the list comes later.

Test failed before.

--- a/pkg/fleetcontrol/many_test.go
+++ b/pkg/fleetcontrol/many_test.go
@@ -123,4 +123,41 @@
 			})
 		}
 	})
+
+	It("that leave are told ahead of the list where no link has room for it", func() {
+		cases := []struct {
+			epoch uint64
+			ago   time.Duration
+			told  int
+		}{
+			{epoch: 7, ago: 0, told: 1},
+			{epoch: 5, ago: 0, told: 1},
+			{epoch: 7, ago: 2 * leaveKeep, told: 0},
+		}
+		for _, k := range cases {
+			withServer(nil, func(s *Server, _ *group.Group) {
+				for i := range 2 * manyRows {
+					s.table.Announce(engine(i, 1, fleet.Range{}))
+				}
+				held := s.table.Version()
+				for i := range 2 * manyRows {
+					s.table.Announce(engine(i, 2, fleet.Range{To: 8}))
+				}
+				leaves := engine(3, 3, fleet.Range{To: 8})
+				leaves.Leaving = true
+				s.table.Announce(leaves)
+				s.listing.rate = rate.NewLimiter(0, 0)
+				q := &rpc.SyncRequest{Epoch: k.epoch, EndpointsVersion: held, EndpointsDigest: 1}
+				reply := &rpc.SyncReply{Epoch: 7}
+				s.tellEndpoints(q, reply, s.cfg.Timer.Now().Add(k.ago))
+				Expect(reply.GetEndpoints()).To(HaveLen(k.told), fmt.Sprint(k))
+				if k.told > 0 {
+					Expect(reply.GetEndpoints()[0].GetId()).To(Equal(engineName(3)))
+					Expect(reply.GetEndpoints()[0].GetLeaving()).To(BeTrue())
+				}
+				Expect(reply.GetWhole()).To(BeFalse())
+				Expect(reply.GetEndpointsVersion()).To(Equal(held), "the rest must still be told")
+			})
+		}
+	})
 })
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -132,9 +132,15 @@
 	return reply
 }
 
+// leaveKeep is how long ago an endpoint may have said that it leaves of which hosts
+// are told ahead of the list: these come to every host in less.
+const leaveKeep = 10 * time.Second
+
 // tellEndpoints adds the endpoints that a host lacks: those that changed since
 // its last call, or all of them if it holds another set and followed another
-// epoch until now. Of the same set it is only told the version.
+// epoch until now. Of the same set it is only told the version. Where there is no room
+// for all of them it is told of those that leave: to send nothing there is due within
+// seconds, and lists of 3,000 endpoints to 300 hosts take three.
 func (s *Server) tellEndpoints(q *rpc.SyncRequest, reply *rpc.SyncReply, now time.Time) {
 	least := uint64(0)
 	if q.GetEpoch() == reply.GetEpoch() {
@@ -154,6 +160,7 @@
 	if !s.listing.room(now, all) {
 		reply.Epoch = q.GetEpoch()
 		reply.EndpointsVersion = q.GetEndpointsVersion()
+		reply.Endpoints = fleet.EndpointsToWire(s.table.Leaving(now.Add(-leaveKeep), least), now)
 		return
 	}
 	reply.EndpointsVersion = all.version
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -294,6 +294,19 @@
 	return list, t.version
 }
 
+// Leaving returns the rows that changed after version known of endpoints that leave or
+// have ended, and were heard of since a time.
+func (t *Table) Leaving(since time.Time, known uint64) []fleet.Endpoint {
+	list, _ := t.Since(known)
+	var out []fleet.Endpoint
+	for _, e := range list {
+		if e.Leaving && e.HeardAt.After(since) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // All returns every row, sorted by incarnation.
 func (t *Table) All() []fleet.Endpoint {
 	list, _ := t.Since(0)
