A restarted replica asks others for lists only while it has something to ask for

Change: nobody is asked where nothing was recalled; the asking at the start ends once all others have answered that they heard of nothing; the leader is asked first; a new leader isn't told whole lists any more, heartbeats tell it within 1.2 s as before.

--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -114,36 +114,26 @@
 	return out
 }
 
-// spreadHeard tells the leader regularly whom this replica heard of; a new one, of
-// all that it ever did: what was spread while that one was away is told by nobody else.
+// spreadHeard tells the leader regularly whom this replica heard of.
 func (s *Server) spreadHeard(ctx context.Context) {
-	told := ""
 	timer.Loop(ctx, s.cfg.Timer, spreadInterval, func(time.Time) {
 		_, _, leader := s.replica.Leads(ctx)
 		if leader == "" || leader == s.replica.address() {
-			told = leader
 			return
 		}
-		list := s.table.HeardSince(spreadInterval + spreadInterval/2)
-		if leader != told {
-			list = s.table.Heard()
-		}
-		if len(list) == 0 || s.spread(ctx, []string{leader}, list) > 0 {
-			told = leader
+		if list := s.table.HeardSince(spreadInterval + spreadInterval/2); len(list) > 0 {
+			s.spread(ctx, []string{leader}, list)
 		}
 	})
 }
 
 // learn asks the other replicas for all they know, so that one that was restarted
 // doesn't begin without a list. One that has just started itself has heard of nothing,
-// and doesn't end the asking.
+// and doesn't end the asking, unless all are so.
 func (s *Server) learn(ctx context.Context) {
-	end := s.cfg.Timer.Now().Add(recallBeats * s.cfg.Heartbeat)
-	for ctx.Err() == nil && s.cfg.Timer.Now().Before(end) {
-		for _, address := range append(s.others(), s.seedAddresses()...) {
-			if address != s.replica.address() && s.learnFrom(ctx, address) {
-				return
-			}
+	for ctx.Err() == nil {
+		if s.learnRound(ctx) {
+			return
 		}
 		if timer.Sleep(ctx, s.cfg.Timer, spreadInterval) != nil {
 			return
@@ -151,16 +141,37 @@
 	}
 }
 
-// learnFrom takes what another replica knows, and reports whether that one had heard
-// of endpoints. Those of which only its disk told are asked whether they are there.
-func (s *Server) learnFrom(ctx context.Context, address string) bool {
+// learnRound asks one replica after the other, and reports whether one had heard of
+// endpoints, or all have answered that they haven't.
+func (s *Server) learnRound(ctx context.Context) bool {
+	asked := map[string]bool{
+		s.replica.address(): true,
+	}
+	all := true
+	for _, address := range append(s.others(), s.seedAddresses()...) {
+		if asked[address] {
+			continue
+		}
+		asked[address] = true
+		heard, err := s.learnFrom(ctx, address)
+		if heard > 0 {
+			return true
+		}
+		all = all && err == nil
+	}
+	return all
+}
+
+// learnFrom takes what another replica knows, and returns of how many endpoints that
+// one had heard. Those of which only its disk told are asked whether they are there.
+func (s *Server) learnFrom(ctx context.Context, address string) (heard int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	reply, err := rpc.NewFleetProtobufClient("http://"+address, s.cfg.Client).Spread(ctx, &rpc.SpreadRequest{
 		Whole: true,
 	})
 	if err != nil {
-		return false
+		return 0, errors.Wrap(err, "learn endpoints")
 	}
 	now := s.cfg.Timer.Now()
 	n := s.table.Merge(known(reply.GetEndpoints(), now))
@@ -168,16 +179,5 @@
 	if n > 0 {
 		s.cfg.Log.Event(eventlog.Reloaded, eventlog.Str("what", "endpoints"), eventlog.Str("from", address), eventlog.Int("count", int64(n)))
 	}
-	return len(reply.GetEndpoints()) > 0
-}
-
-// learnAll takes what every other replica knows.
-func (s *Server) learnAll(ctx context.Context) {
-	g := group.New(ctx)
-	for _, address := range s.others() {
-		g.Go(func(ctx context.Context) {
-			s.learnFrom(ctx, address)
-		})
-	}
-	g.Wait()
+	return len(reply.GetEndpoints()), nil
 }
--- a/pkg/fleetcontrol/learn_test.go
+++ b/pkg/fleetcontrol/learn_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/fleet"
@@ -22,10 +23,12 @@
 	rpc.Fleet
 	heard    []fleet.Endpoint
 	recalled []fleet.Endpoint
+	asked    atomic.Int64
 }
 
 // Spread implements rpc.Fleet.
 func (o *otherReplica) Spread(context.Context, *rpc.SpreadRequest) (*rpc.SpreadReply, error) {
+	o.asked.Add(1)
 	return &rpc.SpreadReply{
 		Endpoints: fleet.EndpointsToWire(o.heard, time.Now()),
 		Recalled:  fleet.EndpointsToWire(o.recalled, time.Now()),
@@ -119,9 +122,29 @@
 		list := []fleet.Endpoint{named("a"), named("b")}
 		withLearner(nil, []*otherReplica{{recalled: list}}, func(ctx context.Context, s *Server) {
 			s.recall()
-			s.learnFrom(ctx, s.seedAddresses()[0])
+			heard, err := s.learnFrom(ctx, s.seedAddresses()[0])
+			Expect(err).NotTo(HaveOccurred())
+			Expect(heard).To(BeZero())
 			Expect(ids(s)).To(Equal([]string{"a", "b"}))
 			Eventually(func() int { return len(s.survey.asked) }, "2s", "5ms").Should(Equal(2), "each is asked whether it is there")
 		})
 	})
+
+	It("asks nobody for what it hasn't recalled", func() {
+		other := &otherReplica{heard: []fleet.Endpoint{named("a")}}
+		withLearner(nil, []*otherReplica{other}, func(ctx context.Context, s *Server) {
+			s.dropRecalled(ctx)
+			Expect(other.asked.Load()).To(BeZero())
+		})
+	})
+
+	It("ends its asking once all others have answered that they know nothing", func() {
+		others := []*otherReplica{{}, {}}
+		withLearner(nil, others, func(ctx context.Context, s *Server) {
+			s.learn(ctx)
+			for _, o := range others {
+				Expect(o.asked.Load()).To(BeEquivalentTo(1))
+			}
+		})
+	})
 })
--- a/pkg/fleetcontrol/recall.go
+++ b/pkg/fleetcontrol/recall.go
@@ -96,9 +96,22 @@
 }
 
 // dropRecalled forgets what no heartbeat has borne out, here or at another replica:
-// an endpoint sends its heartbeats to one of them, and that one spreads only news.
+// an endpoint sends its heartbeats to one of them, and that one spreads only news. The
+// leader is told of all, and is asked first. Who recalled nothing asks nobody: at a
+// first start of 3,000 endpoints six replicas would ask each other for some 0.4 MB each.
 func (s *Server) dropRecalled(ctx context.Context) {
-	s.learnAll(ctx)
+	_, _, leader := s.replica.Leads(ctx)
+	for _, address := range append([]string{leader}, s.others()...) {
+		if len(s.table.RecalledRows()) == 0 {
+			return
+		}
+		if address == "" || address == s.replica.address() {
+			continue
+		}
+		if _, err := s.learnFrom(ctx, address); err != nil {
+			s.cfg.Metrics.Counter("spread_failures").Inc(1) // the next is asked
+		}
+	}
 	s.forgetRecalled()
 }
 
