What leaves is told at the cost of what leaves

Cause: rows that leave were looked for among all endpoints, for every call that finds no room for the list: at 3,000 endpoints and 300 hosts some thousand calls a second copied every row. Changes since a version were copied whole too, to find that they are too many.

Change: the table keeps when what left; changes are counted up to what is sent row by row. Tests in registry_test.go.

--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -144,8 +144,8 @@
 func (s *Server) tellEndpoints(q *rpc.SyncRequest, reply *rpc.SyncReply, now time.Time) {
 	least := uint64(0)
 	if q.GetEpoch() == reply.GetEpoch() {
-		list, version := s.table.Since(q.GetEndpointsVersion())
-		if len(list) <= manyRows {
+		list, version, few := s.table.Changes(q.GetEndpointsVersion(), manyRows)
+		if few {
 			reply.Endpoints = fleet.EndpointsToWire(list, now)
 			reply.EndpointsVersion = version
 			return
@@ -160,7 +160,7 @@
 	if !s.listing.room(now, all) {
 		reply.Epoch = q.GetEpoch()
 		reply.EndpointsVersion = q.GetEndpointsVersion()
-		reply.Endpoints = fleet.EndpointsToWire(s.table.Leaving(now.Add(-leaveKeep), least), now)
+		reply.Endpoints = fleet.EndpointsToWire(s.table.Leaving(now.Add(-leaveKeep)), now)
 		return
 	}
 	reply.EndpointsVersion = all.version
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -35,6 +35,15 @@
 	rows    map[string]*row
 	version uint64
 	changed chan struct{}
+	// leaves are the endpoints that last were told to leave or to have ended, the
+	// newest last.
+	leaves []leave
+}
+
+// leave is when it became known here that an endpoint leaves or has ended.
+type leave struct {
+	id string
+	at time.Time
 }
 
 type row struct {
@@ -107,7 +116,7 @@
 			Endpoint: e,
 		}
 		t.note(t.rows[e.ID])
-		t.logChange(&e)
+		t.noteChange(&e)
 		t.supersede(&e)
 		return true
 	}
@@ -130,7 +139,7 @@
 		t.logLayers(&next)
 	}
 	if next.Leaving != old.Leaving || next.Gone != old.Gone {
-		t.logChange(&next)
+		t.noteChange(&next)
 	}
 	return t.replace(old, next)
 }
@@ -177,7 +186,7 @@
 		r.Gone = true
 		r.Leaving = true
 		t.note(r)
-		t.logChange(&r.Endpoint)
+		t.noteChange(&r.Endpoint)
 	}
 }
 
@@ -190,13 +199,16 @@
 		a.Recalled == b.Recalled
 }
 
-func (t *Table) logChange(e *fleet.Endpoint) {
+// noteChange logs that an endpoint came, leaves or has ended, and remembers the latter.
+func (t *Table) noteChange(e *fleet.Endpoint) {
 	event := eventlog.EndpointJoined
 	switch {
 	case e.Gone:
 		event = eventlog.EndpointGone
+		t.noteLeave(e.ID)
 	case e.Leaving:
 		event = eventlog.EndpointLeaving
+		t.noteLeave(e.ID)
 	}
 	t.log.Event(event, eventlog.Str("endpoint", e.ID), eventlog.Str("address", e.Address),
 		eventlog.Str("service", e.Service), eventlog.Int("sequence", int64(e.Sequence)))
@@ -294,19 +306,53 @@
 	return list, t.version
 }
 
-// Leaving returns the rows that changed after version known of endpoints that leave or
-// have ended, and were heard of since a time.
-func (t *Table) Leaving(since time.Time, known uint64) []fleet.Endpoint {
-	list, _ := t.Since(known)
+// Leaving returns the rows of endpoints of which it became known since a time that they
+// leave or have ended. Its cost goes with these, and not with all that there are.
+func (t *Table) Leaving(since time.Time) []fleet.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var out []fleet.Endpoint
-	for _, e := range list {
-		if e.Leaving && e.HeardAt.After(since) {
-			out = append(out, e)
+	for i := len(t.leaves) - 1; i >= 0 && t.leaves[i].at.After(since); i-- {
+		if r := t.rows[t.leaves[i].id]; r != nil {
+			out = append(out, r.Endpoint)
 		}
 	}
 	return out
 }
 
+// noteLeave remembers that an endpoint leaves, and forgets what is old.
+func (t *Table) noteLeave(id string) {
+	now := t.svc.Now()
+	old := 0
+	for old < len(t.leaves) && now.Sub(t.leaves[old].at) > forgetAfter {
+		old++
+	}
+	t.leaves = append(t.leaves[old:], leave{
+		id: id,
+		at: now,
+	})
+}
+
+// Changes returns the rows that changed after version known, if they are no more than
+// most, and the newest version; few says whether they are.
+func (t *Table) Changes(known uint64, most int) (list []fleet.Endpoint, version uint64, few bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known == t.version {
+		return nil, t.version, true
+	}
+	for _, r := range t.rows {
+		if r.version <= known {
+			continue
+		}
+		if len(list) == most {
+			return nil, t.version, false
+		}
+		list = append(list, r.Endpoint)
+	}
+	return list, t.version, true
+}
+
 // All returns every row, sorted by incarnation.
 func (t *Table) All() []fleet.Endpoint {
 	list, _ := t.Since(0)
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -158,6 +158,63 @@
 		})
 	})
 
+	It("tells which endpoints it learnt of lately that they leave, the newest first", func() {
+		withTable(func(t *Table, clock *timer.Manual) {
+			for _, id := range []string{"a", "b", "c"} {
+				e := endpoint(id, 1)
+				e.Address = id + ":80"
+				t.Announce(e)
+			}
+			leaving := func(age time.Duration) []string {
+				list := []string{}
+				for _, e := range t.Leaving(clock.Now().Add(-age)) {
+					list = append(list, e.ID)
+				}
+				return list
+			}
+			Expect(leaving(time.Hour)).To(BeEmpty())
+			e := endpoint("a", 2)
+			e.Leaving = true
+			t.Announce(e)
+			clock.Advance(5 * time.Second)
+			e.Sequence = 3
+			t.Announce(e) // a heartbeat of one that leaves is no news
+			t.Gone("b")
+			Expect(leaving(time.Second)).To(Equal([]string{"b"}))
+			Expect(leaving(10 * time.Second)).To(Equal([]string{"b", "a"}))
+			clock.Advance(forgetAfter)
+			t.Gone("c")
+			Expect(leaving(time.Hour)).To(Equal([]string{"c", "b"}), "the older one is forgotten")
+		})
+	})
+
+	It("tells what changed only where that is little", func() {
+		withTable(func(t *Table, _ *timer.Manual) {
+			for _, id := range []string{"a", "b", "c"} {
+				e := endpoint(id, 1)
+				e.Address = id + ":80"
+				t.Announce(e)
+			}
+			cases := []struct {
+				known uint64
+				most  int
+				rows  int
+				few   bool
+			}{
+				{known: 0, most: 3, rows: 3, few: true},
+				{known: 0, most: 2, rows: 0, few: false},
+				{known: 2, most: 1, rows: 1, few: true},
+				{known: 3, most: 0, rows: 0, few: true},
+			}
+			for _, k := range cases {
+				list, version, few := t.Changes(k.known, k.most)
+				Expect(list).To(HaveLen(k.rows))
+				Expect(few).To(Equal(k.few))
+				Expect(version).To(BeEquivalentTo(3))
+			}
+		})
+	})
+
 	It("takes recalled endpoints for silent until they answer, and drops those without a heartbeat", func() {
 		withTable(func(t *Table, clock *timer.Manual) {
 			known := endpoint("known", 1)
