Replicas don't send each other what only their disks tell

Cause: after a stop of all, six replicas asked each other twice a second, and each answered with all rows that its disk told of: some 0.4 MB at 3,000 endpoints, 30 answers a round over links of 100 Mbit/s that the election needs too.

Replicas ask before they drop at times that differ by 1.5 heartbeats.

--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -98,7 +98,6 @@
 	reply := &rpc.SpreadReply{}
 	if q.GetWhole() {
 		reply.Endpoints = fleet.EndpointsToWire(s.table.Heard(), now)
-		reply.Recalled = fleet.EndpointsToWire(s.table.RecalledRows(), now)
 	}
 	return reply, nil
 }
@@ -162,8 +161,8 @@
 	return all
 }
 
-// learnFrom takes what another replica knows, and returns of how many endpoints that
-// one had heard. Those of which only its disk told are asked whether they are there.
+// learnFrom takes what another replica has heard of, and returns how many endpoints
+// these are.
 func (s *Server) learnFrom(ctx context.Context, address string) (heard int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
@@ -173,10 +172,7 @@
 	if err != nil {
 		return 0, errors.Wrap(err, "learn endpoints")
 	}
-	now := s.cfg.Timer.Now()
-	n := s.table.Merge(known(reply.GetEndpoints(), now))
-	n += s.recallAll(known(reply.GetRecalled(), now))
-	if n > 0 {
+	if n := s.table.Merge(known(reply.GetEndpoints(), s.cfg.Timer.Now())); n > 0 {
 		s.cfg.Log.Event(eventlog.Reloaded, eventlog.Str("what", "endpoints"), eventlog.Str("from", address), eventlog.Int("count", int64(n)))
 	}
 	return len(reply.GetEndpoints()), nil
--- a/pkg/fleetcontrol/recall.go
+++ b/pkg/fleetcontrol/recall.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"hash/crc32"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -31,7 +32,9 @@
 	// recallBeats is how many heartbeat intervals after the start a recalled
 	// endpoint may take for its first heartbeat.
 	recallBeats = 3
-	sumBytes    = 4
+	// recallSpread is by how many intervals that differs between replicas.
+	recallSpread = 1.5
+	sumBytes     = 4
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -81,28 +84,27 @@
 		s.cfg.Log.Event(eventlog.Unexpected, eventlog.Str("what", "the list of endpoints can't be read; heartbeats will tell"), eventlog.Err(err))
 		return
 	}
-	n := s.recallAll(list)
+	n := s.table.Recall(list)
 	s.cfg.Log.Event(eventlog.Reloaded, eventlog.Str("what", "endpoints"), eventlog.Str("from", "disk"), eventlog.Int("count", int64(n)))
-}
-
-// recallAll takes endpoints that a disk tells of, where nothing newer is known, asks
-// each whether it is still there, and returns how many these are.
-func (s *Server) recallAll(list []fleet.Endpoint) int {
-	fresh := s.table.Recall(list)
-	for _, e := range fresh {
+	for _, e := range list {
 		s.ask(e, 0)
 	}
-	return len(fresh)
+}
+
+// recallTime is how long recalled endpoints may take for their first heartbeats. It
+// differs from replica to replica, so that they don't all ask the leader for whole
+// lists at once: 0.4 MB or so at 3,000 endpoints.
+func (s *Server) recallTime() time.Duration {
+	return time.Duration((recallBeats + recallSpread*rand.Float64()) * float64(s.cfg.Heartbeat))
 }
 
 // dropRecalled forgets what no heartbeat has borne out, here or at another replica:
 // an endpoint sends its heartbeats to one of them, and that one spreads only news. The
-// leader is told of all, and is asked first. Who recalled nothing asks nobody: at a
-// first start of 3,000 endpoints six replicas would ask each other for some 0.4 MB each.
+// leader is told of all, and is asked first. Who recalled nothing asks nobody.
 func (s *Server) dropRecalled(ctx context.Context) {
 	_, _, leader := s.replica.Leads(ctx)
 	for _, address := range append([]string{leader}, s.others()...) {
-		if len(s.table.RecalledRows()) == 0 {
+		if !s.table.HasRecalled() {
 			return
 		}
 		if address == "" || address == s.replica.address() {
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -163,7 +163,7 @@
 	s.recall()
 	g.Go(s.keepEndpoints)
 	g.Go(func(ctx context.Context) {
-		if timer.Sleep(ctx, s.cfg.Timer, recallBeats*s.cfg.Heartbeat) == nil {
+		if timer.Sleep(ctx, s.cfg.Timer, s.recallTime()) == nil {
 			s.dropRecalled(ctx)
 		}
 	})
--- a/pkg/registry/recall.go
+++ b/pkg/registry/recall.go
@@ -7,12 +7,12 @@
 )
 
 // Recall takes endpoints that a disk told of, where nothing newer is known, and
-// returns these. They count as silent until they answer, and are dropped by
+// returns how many. They count as silent until they answer, and are dropped by
 // DropRecalled unless a heartbeat comes.
-func (t *Table) Recall(list []fleet.Endpoint) []fleet.Endpoint {
+func (t *Table) Recall(list []fleet.Endpoint) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var fresh []fleet.Endpoint
+	n := 0
 	for _, e := range list {
 		if t.rows[e.ID] != nil {
 			continue
@@ -25,9 +25,9 @@
 			Endpoint: e,
 		}
 		t.note(t.rows[e.ID])
-		fresh = append(fresh, e)
+		n++
 	}
-	return fresh
+	return n
 }
 
 // DropRecalled drops the endpoints that were recalled and sent no heartbeat
@@ -49,20 +49,23 @@
 
 // Heard returns the rows of which a heartbeat came since this replica started.
 func (t *Table) Heard() []fleet.Endpoint {
-	return t.recalled(false)
-}
-
-// RecalledRows returns the rows of which only a disk told.
-func (t *Table) RecalledRows() []fleet.Endpoint {
-	return t.recalled(true)
-}
-
-func (t *Table) recalled(is bool) []fleet.Endpoint {
 	var list []fleet.Endpoint
 	for _, e := range t.All() {
-		if e.Recalled == is {
+		if !e.Recalled {
 			list = append(list, e)
 		}
 	}
 	return list
 }
+
+// HasRecalled reports whether there are rows of which only the disk told.
+func (t *Table) HasRecalled() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.rows {
+		if r.Recalled {
+			return true
+		}
+	}
+	return false
+}
