Log lines name what the tries of one request share

Cause: a line of a failed attempt names the try's id, which is new with each try; where the head of an answer had come it names no target either, so the logs couldn't tell which endpoints ended under the same request. Change: attempt_failed and request_failed hold a fingerprint of account, method, target and body. No change of logic.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
@@ -69,6 +70,19 @@
 	account  string
 	priority int
 	end      time.Time // when it must be answered
+
+	printed     bool
+	fingerprint quarantine.Fingerprint // once printed is set
+}
+
+// print returns the request's fingerprint. It is worked out only for requests that
+// failed, or while any is watched or held. Only the goroutine that serves calls it.
+func (j *job) print() quarantine.Fingerprint {
+	if !j.printed {
+		j.fingerprint = quarantine.FingerprintOf(j.account, j.req.Method, j.req.Target, j.req.Body)
+		j.printed = true
+	}
+	return j.fingerprint
 }
 
 // Serve answers one request.
@@ -214,6 +228,9 @@
 	if j != nil {
 		fields = append(fields, eventlog.Str("route", j.route.Name), eventlog.Str("account", j.account))
 	}
+	if j != nil && event == eventlog.RequestFailed {
+		fields = append(fields, eventlog.Str("fingerprint", j.print().String()))
+	}
 	g.log.Event(event, fields...)
 	g.metrics.Counter("requests_failed", metrics.Label{Name: "kind", Value: e.Kind().String()}).Inc(1)
 	out.Refuse(e)
@@ -236,8 +253,8 @@
 // attemptFailed logs one.
 func (g *Gateway) attemptFailed(j *job, endpoint, why string) {
 	g.metrics.Counter("attempts_failed").Inc(1)
-	g.log.Event(eventlog.AttemptFailed, eventlog.Str("request", j.req.ID), eventlog.Str("endpoint", endpoint),
-		eventlog.Str("why", why), eventlog.Ms("after_ms", g.svc.Now().Sub(j.req.Received)))
+	g.log.Event(eventlog.AttemptFailed, eventlog.Str("request", j.req.ID), eventlog.Str("fingerprint", j.print().String()),
+		eventlog.Str("endpoint", endpoint), eventlog.Str("why", why), eventlog.Ms("after_ms", g.svc.Now().Sub(j.req.Received)))
 }
 
 // Refuse answers a request that isn't even begun.
