Requests that end the endpoints which run them are kept from endpoints

Cause: what was learnt of a request lived for one try on one host, and blame went to the endpoint only. A caller's next try has a new id and may come to any host, so attempts and budget of repeats bounded nothing. Change: hosts tell the leader under which requests, by fingerprint, endpoints ended. Three ends before any event, or five later ones, of different incarnations and with no answer between, and the request is held: by an entry of the replicated log, told to all hosts with the next call. An end is blamed on one request only, the worst; what is served after all is cleared.

--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -51,6 +51,8 @@
 	ReplicaJoining   Event = "replica_joining"
 	StorageFailed    Event = "storage_failed"
 	StorageRecovered Event = "storage_recovered"
+	RequestHeld      Event = "request_held"
+	RequestReleased  Event = "request_released"
 	OrderSent        Event = "order_sent"
 	OrderFailed      Event = "order_failed"
 	Unexpected       Event = "unexpected"
@@ -63,7 +65,7 @@
 	EndpointAvoided, EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
 	ConfigInForce, ConfigAccepted, ConfigRefused, ConfigFailed,
 	ControlLost, ControlRegained, ReadyChanged, RoleChanged, ReplicasChanged, ReplicaJoining,
-	StorageFailed, StorageRecovered, OrderSent, OrderFailed, Unexpected,
+	StorageFailed, StorageRecovered, RequestHeld, RequestReleased, OrderSent, OrderFailed, Unexpected,
 }
 
 const (
--- a/pkg/fleetcontrol/documents.go
+++ b/pkg/fleetcontrol/documents.go
@@ -109,20 +109,12 @@
 			Version: held,
 		}, nil
 	}
-	data, err := proto.Marshal(&rpc.Command{
+	answer, err := s.propose(ctx, &rpc.Command{
 		UnixMs: s.cfg.Timer.Now().UnixMilli(),
 		Kind: &rpc.Command_Document{
 			Document: d,
 		},
 	})
-	if err != nil {
-		return nil, errors.Wrap(err, "encode command")
-	}
-	node, _ := s.replica.current()
-	if node == nil {
-		return nil, errNoNode
-	}
-	answer, err := node.Propose(ctx, data)
 	if err != nil {
 		return nil, err
 	}
@@ -133,6 +125,19 @@
 	return reply.GetDocument(), nil
 }
 
+// propose puts a command into the log, and returns its encoded answer.
+func (s *Server) propose(ctx context.Context, c *rpc.Command) ([]byte, error) {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	node, _ := s.replica.current()
+	if node == nil {
+		return nil, errNoNode
+	}
+	return node.Propose(ctx, data)
+}
+
 func (s *Server) forwardSubmit(ctx context.Context, d *rpc.Document, leader string) (*rpc.DocumentReply, error) {
 	ctx, err := s.forward(ctx, leader)
 	if err != nil {
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -71,6 +71,7 @@
 	group      *group.Group
 
 	survey *survey
+	court  *court
 	// standing is the configuration that lead read last.
 	standing *fleet.Configuration
 
@@ -130,6 +131,7 @@
 		listing: newListing(cfg.Log),
 		group:   g,
 		survey:  newSurvey(),
+		court:   newCourt(cfg.Timer),
 	}
 	s.replica = &Replica{
 		folder:   cfg.Folder,
@@ -170,6 +172,7 @@
 	g.Go(s.learn)
 	g.Go(s.spreadHeard)
 	g.Go(s.lead)
+	g.Go(s.judge)
 	s.replica.Run(ctx)
 	return nil
 }
--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -69,16 +69,18 @@
 // falls, and the configuration was the newest acknowledged one at that time or
 // later.
 type Follower struct {
-	cfg   FollowerConfig
-	loads Loads
+	cfg        FollowerConfig
+	loads      Loads
+	suspicions Suspicions
 
 	// content is the configuration in force as the operator sent it, which
 	// patches are applied to. whole says that a patch was no good, askOthers that
 	// another replica may be asked for a large configuration. Only Run's
-	// goroutine touches the three.
+	// goroutine touches these and telling.
 	content   []byte
 	whole     bool
 	askOthers bool
+	telling   telling // with the call under way
 
 	mu          sync.Mutex
 	index       *fleet.Index
@@ -120,10 +122,11 @@
 	}
 }
 
-// Tell sets where the follower learns of this host's load. It must be called
-// before Run.
-func (f *Follower) Tell(loads Loads) {
+// Tell sets where the follower learns of this host's load, and of requests under
+// which endpoints ended. It must be called before Run.
+func (f *Follower) Tell(loads Loads, suspicions Suspicions) {
 	f.loads = loads
+	f.suspicions = suspicions
 }
 
 // Run follows the control hosts until ctx ends.
@@ -227,6 +230,7 @@
 		q.WaitMs /= 2
 	}
 	q.Suspects = f.loads.Suspects()
+	f.tellSuspects(q)
 	f.told = f.loads.Loads()
 	for id, l := range f.told {
 		q.Loads.Endpoints = append(q.Loads.Endpoints, fleet.LoadKey(id))
--- a/pkg/fleetentry/follower_test.go
+++ b/pkg/fleetentry/follower_test.go
@@ -16,6 +16,7 @@
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
 	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	. "github.com/onsi/ginkgo/v2"
@@ -112,7 +113,7 @@
 		Client:        &http.Client{},
 		Timer:         clock,
 	})
-	f.Tell(&fakeLoads{})
+	f.Tell(&fakeLoads{}, quarantine.NewHost(clock))
 	return f
 }
 
@@ -196,7 +197,7 @@
 		clock := timer.NewManual(time.Unix(1000, 0))
 		f := newFollower(clock)
 		own := &fakeLoads{requests: 2}
-		f.Tell(own)
+		f.Tell(own, quarantine.NewHost(clock))
 		f.request()
 		reply := confirmed(1)
 		reply.Hosts = 3
--- /dev/null
+++ b/pkg/fleetentry/suspects.go
@@ -0,0 +1,69 @@
+package fleetentry
+
+import (
+	"math"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/quarantine"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+)
+
+// Suspicions is what this host knows of requests under which endpoints ended.
+type Suspicions interface {
+	// Untold returns what the leader of a term must be told.
+	Untold(term uint64) (ends []quarantine.End, served []quarantine.Fingerprint)
+	// Told notes that the leader of a term took that.
+	Told(term uint64, ends []quarantine.End, served int)
+	// Take installs what the control hosts say, and Digest returns its digest.
+	Take(list []quarantine.Verdict, digest uint64)
+	Digest() uint64
+}
+
+// telling is what one call tells of suspicions.
+type telling struct {
+	ends   []quarantine.End
+	served int
+}
+
+// tellSuspects adds to a call what the leader that answered last wasn't told.
+func (f *Follower) tellSuspects(q *rpc.SyncRequest) {
+	ends, served := f.suspicions.Untold(termOf(f.epoch))
+	for _, e := range ends {
+		q.Ended = append(q.Ended, &rpc.EndedSend{
+			Fingerprint: uint64(e.Fingerprint),
+			Endpoint:    e.Endpoint,
+			Early:       e.Early,
+			AfterMs:     uint32(min(e.After.Milliseconds(), math.MaxUint32)),
+		})
+	}
+	for _, s := range served {
+		q.Served = append(q.Served, uint64(s))
+	}
+	q.SuspectsDigest = f.suspicions.Digest()
+	f.telling = telling{
+		ends:   ends,
+		served: len(served),
+	}
+}
+
+// takeSuspects notes that a call was taken, and installs what it brings.
+func (f *Follower) takeSuspects(reply *rpc.SyncReply) {
+	f.suspicions.Told(termOf(reply.GetEpoch()), f.telling.ends, f.telling.served)
+	f.telling = telling{}
+	if reply.GetSuspectsDigest() == f.suspicions.Digest() {
+		return
+	}
+	list := make([]quarantine.Verdict, 0, len(reply.GetSuspects()))
+	for _, s := range reply.GetSuspects() {
+		list = append(list, quarantine.Verdict{
+			Fingerprint: quarantine.Fingerprint(s.GetFingerprint()),
+			Held:        time.Duration(s.GetHeldMs()) * time.Millisecond,
+		})
+	}
+	f.suspicions.Take(list, reply.GetSuspectsDigest())
+}
+
+// termOf returns the leader's term of an epoch (fleetcontrol.epochOf).
+func termOf(epoch uint64) uint64 {
+	return epoch / 2
+}
--- a/pkg/fleetentry/take.go
+++ b/pkg/fleetentry/take.go
@@ -47,6 +47,7 @@
 	f.takeEndpoints(reply, list, now)
 	f.takeLoads(reply.GetLoads())
 	f.takeHosts(reply)
+	f.takeSuspects(reply)
 	if list := reply.GetReplicas(); len(list) > 0 {
 		f.replicas = list
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -33,6 +33,7 @@
 	waits   *waits
 	returns *comebacks
 	crowd   *crowd.Crowd
+	held    *quarantine.Host
 }
 
 // New returns the gateway of a host in a failure domain.
@@ -53,6 +54,7 @@
 		waits:   newWaits(svc),
 		returns: newComebacks(svc),
 		crowd:   crowd.New(svc),
+		held:    quarantine.NewHost(svc),
 	}
 }
 
@@ -92,6 +94,10 @@
 		g.refuse(req, nil, out, refusal)
 		return
 	}
+	if e := g.keep(j); e != nil {
+		g.refuse(req, j, out, e)
+		return
+	}
 	ctx, cancel := context.WithDeadline(ctx, j.end)
 	defer cancel()
 	if j.route.Kind == fleet.Stream {
@@ -228,7 +234,7 @@
 	if j != nil {
 		fields = append(fields, eventlog.Str("route", j.route.Name), eventlog.Str("account", j.account))
 	}
-	if j != nil && event == eventlog.RequestFailed {
+	if j != nil && (event == eventlog.RequestFailed || e.Kind() == failure.Quarantined) {
 		fields = append(fields, eventlog.Str("fingerprint", j.print().String()))
 	}
 	g.log.Event(event, fields...)
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -58,6 +58,7 @@
 		s.avoid[first.ID] = true
 		s.g.tracker.Avoid(first.ID, "silent: "+q.err.Error())
 		s.g.attemptFailed(s.j, first.ID, "silent")
+		s.g.fell(s.j, first.ID, !s.moved, s.started)
 		return errors.Wrap(q.err, "the first endpoint is silent")
 	case q.err != nil:
 		w.wait(askAgain)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -44,6 +44,7 @@
 	ran      int
 	begun    bool
 	started  time.Time       // of the present send
+	moved    bool            // it has brought an event
 	last     string          // id of the last event passed on
 	lastFrom string          // where the caller wanted to resume
 	avoid    map[string]bool // failed this request
@@ -95,6 +96,7 @@
 		}
 		switch end, cause := s.send(ctx); end {
 		case finished:
+			g.stood(j)
 			g.paces.ended(s.demand().Answer, g.svc.Now().Sub(j.req.Received))
 			metrics.Observe(g.metrics.Histogram("longest_pause_us"), s.pulse.pause)
 			g.served(j, http.StatusOK, formatPath(s.path), s.sends, s.paceFields()...)
@@ -169,7 +171,7 @@
 }
 
 func (s *streamRun) mayResume(cause error) bool {
-	return s.j.route.Resumable && s.ran < s.j.route.MaxAttempts && s.mayRepeat(cause)
+	return s.j.route.Resumable && s.ran < s.j.route.MaxAttempts && s.g.keep(s.j) == nil && s.mayRepeat(cause)
 }
 
 // resumeFrom is the id after which the next send continues.
@@ -186,6 +188,7 @@
 	defer cancel()
 	s.sends++
 	s.started = s.g.svc.Now()
+	s.moved = false
 	call := &Call{
 		Request:    s.j.req,
 		ID:         s.path[0].ID,
@@ -298,6 +301,7 @@
 	if s.last == "" && s.lastFrom == "" || s.sends == 1 && s.last == "" {
 		metrics.Observe(s.g.metrics.Histogram("first_event_us"), s.g.svc.Now().Sub(s.j.req.Received))
 	}
+	s.moved = true
 	s.pulse.beat(s.g.svc.Now(), s.last)
 	if err := s.j.out.Event(ev.data); err != nil {
 		return err
@@ -322,6 +326,9 @@
 	if notSent(err) {
 		return notRun, err
 	}
+	if cut(err) {
+		s.g.fell(s.j, s.path[0].ID, !s.moved, s.started)
+	}
 	s.ran++
 	return broken, err
 }
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -36,6 +36,7 @@
 	body     []byte
 	notRun   bool
 	err      error
+	began    time.Time
 }
 
 // good reports whether a verdict is an answer that no other attempt betters.
@@ -121,6 +122,9 @@
 		w.g.tracker.Avoid(v.endpoint.ID, w.why(v))
 		w.g.attemptFailed(w.j, v.endpoint.ID, w.why(v))
 	}
+	if cut(v.err) {
+		w.g.fell(w.j, v.endpoint.ID, true, v.began)
+	}
 	if v.notRun || notSent(v.err) {
 		w.ran--
 		w.repeat(v.err)
@@ -157,7 +161,7 @@
 
 // repeat sends once more if attempts and the budget allow it.
 func (w *wholeRun) repeat(cause error) {
-	if w.ran >= w.j.route.MaxAttempts || w.sends >= maxSends {
+	if w.ran >= w.j.route.MaxAttempts || w.sends >= maxSends || w.g.keep(w.j) != nil {
 		return
 	}
 	w.send(!notSent(cause))
@@ -181,6 +185,7 @@
 }
 
 func (w *wholeRun) answer(v *verdict) {
+	w.g.stood(w.j)
 	w.g.served(w.j, v.status, v.endpoint.ID, w.sends)
 	w.j.out.Whole(v.status, v.header, v.body)
 }
@@ -271,12 +276,13 @@
 
 // attempt sends a request to one endpoint and reads the whole answer.
 func (g *Gateway) attempt(ctx context.Context, j *job, e fleet.Endpoint) *verdict {
+	began := g.svc.Now()
 	v := &verdict{
 		endpoint: e,
+		began:    began,
 	}
 	done := g.tracker.Begin(e.ID, 0)
 	defer done()
-	began := g.svc.Now()
 	a, err := g.backend.Send(ctx, &Call{
 		Request:  j.req,
 		ID:       e.ID,
--- /dev/null
+++ b/pkg/state/quarantine_test.go
@@ -0,0 +1,77 @@
+package state
+
+import (
+	"testing"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+)
+
+func TestState(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "state")
+}
+
+func apply(m *Machine, at time.Duration, q *rpc.Quarantine) {
+	data, err := proto.Marshal(&rpc.Command{
+		UnixMs: at.Milliseconds(),
+		Kind:   &rpc.Command_Quarantine{Quarantine: q},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	_, err = m.Apply(data)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func untilOf(m *Machine, f uint64) time.Duration {
+	for _, h := range m.Quarantine() {
+		if h.Fingerprint == f {
+			return time.Duration(h.UntilMS) * time.Millisecond
+		}
+	}
+	return 0
+}
+
+var _ = Describe("the quarantine", func() {
+	It("holds a request for a while, for longer if it ends endpoints after that, and no longer by a word sent twice", func() {
+		m := New(1000)
+		start := time.Hour
+		changed := m.Changed()
+		apply(m, start, &rpc.Quarantine{Fingerprint: 7})
+		Expect(changed).To(BeClosed())
+		Expect(untilOf(m, 7)).To(Equal(start + firstHold))
+		apply(m, start+time.Minute, &rpc.Quarantine{Fingerprint: 7})
+		Expect(untilOf(m, 7)).To(Equal(start + firstHold))
+		again := start + firstHold + time.Second
+		apply(m, again, &rpc.Quarantine{Fingerprint: 7})
+		Expect(untilOf(m, 7)).To(Equal(again + nextHold))
+		apply(m, again, &rpc.Quarantine{Fingerprint: 7, Release: true})
+		Expect(m.Quarantine()).To(BeEmpty())
+	})
+
+	It("is in the snapshot, and another version after it is restored", func() {
+		m := New(1000)
+		for f := range uint64(5) {
+			apply(m, time.Hour, &rpc.Quarantine{Fingerprint: f})
+		}
+		text, err := m.Snapshot()
+		Expect(err).NotTo(HaveOccurred())
+		other := New(1000)
+		before := other.QuarantineVersion()
+		Expect(other.Restore(text)).To(Succeed())
+		Expect(other.Quarantine()).To(Equal(m.Quarantine()))
+		Expect(other.QuarantineVersion()).NotTo(Equal(before))
+	})
+
+	It("is bounded; the oldest go first, the same ones on every replica", func() {
+		m := New(1000)
+		for f := range uint64(maxQuarantined + 2) {
+			apply(m, time.Hour+time.Duration(f/4)*time.Millisecond, &rpc.Quarantine{Fingerprint: f})
+		}
+		list := m.Quarantine()
+		Expect(list).To(HaveLen(maxQuarantined))
+		Expect(list[0].Fingerprint).To(Equal(uint64(2)))
+	})
+})
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -1,5 +1,6 @@
 // Package state is the replicated state machine: the chains of bundle
-// versions and the claims of requests that must not be repeated. Applying the
+// versions, the claims of requests that must not be repeated, whole
+// configurations, and the requests that are kept from endpoints. Applying the
 // same commands in the same order gives the same state on every replica; it
 // reads no clock, and takes windows from the times inside the commands.
 package state
@@ -28,8 +29,11 @@
 	wire     *rpc.BundleSet
 	claims   *claims
 	document *rpc.Document
-	clock    int64
-	changed  chan struct{} // closed when revision changes
+	// quarantine is the requests that are kept from endpoints.
+	quarantine        *quarantine
+	quarantineVersion uint64 // rises with every change
+	clock             int64
+	changed           chan struct{} // closed when revision changes
 }
 
 // New returns an empty state that keeps claims for windowMS milliseconds.
@@ -49,6 +53,8 @@
 	m.wire = &rpc.BundleSet{}
 	m.clock = 0
 	m.document = nil
+	m.quarantine = newQuarantine(nil)
+	m.quarantineVersion++
 	m.claims.reset()
 }
 
@@ -83,6 +89,8 @@
 		reply.Kind = &rpc.CommandReply_Document{
 			Document: m.replaceDocument(k.Document),
 		}
+	case *rpc.Command_Quarantine:
+		m.changeQuarantine(k.Quarantine)
 	}
 	return proto.Marshal(reply)
 }
@@ -145,6 +153,7 @@
 		Claims:      m.claims.records(),
 		ClockUnixMs: m.clock,
 		Document:    m.document,
+		Quarantine:  m.quarantine.sorted(),
 	}
 	for _, name := range m.chainNames() {
 		s.Chains = append(s.Chains, &rpc.BundleChain{
@@ -174,6 +183,7 @@
 	m.install(s.GetRevision(), set)
 	m.clock = s.GetClockUnixMs()
 	m.document = s.GetDocument()
+	m.quarantine = newQuarantine(s.GetQuarantine())
 	m.claims.restore(s.GetClaims())
 	return nil
 }
