Time goes on while a machine is suspended

Cause: all times came from the steady clock, which stands still while a machine is suspended. A leader that wakes would take its lease for valid and an entry host its keys for confirmed, for as long as the suspension lasted, though others went on without them. Ruled out: adding the suspension to the time of day (it steps); reading both clocks only where leases and keys are checked (every age would need it). Change: the timer service's time follows the clock that counts suspension; the time of day has a call of its own, for logs and windows of the log. A request's deadline is a time-out from the service's now: contexts follow the steady clock. Cost: 284 ns a reading in place of 102 (BenchmarkNow). Conclusion: leases (pkg/replica) and ages of keys (pkg/fleetentry) rest on it without a change of their own.

--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -144,7 +144,7 @@
 
 // propose replicates a command and returns the state machine's answer.
 func (s *Server) propose(ctx context.Context, cmd *rpc.Command) (*rpc.CommandReply, error) {
-	cmd.UnixMs = s.svc.Now().UnixMilli()
+	cmd.UnixMs = s.svc.Wall().UnixMilli()
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode command")
--- a/pkg/entry/generate.go
+++ b/pkg/entry/generate.go
@@ -111,7 +111,7 @@
 func (s *Server) generate(w http.ResponseWriter, r *http.Request, a bundle.Account, g generation, name string) {
 	g.account = a
 	g.id = s.newID()
-	g.created = s.svc.Now().Unix()
+	g.created = s.svc.Wall().Unix()
 	if err := s.complete(r, &g, name); err != nil {
 		s.fail(w, a.Name, err)
 		return
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -186,13 +186,12 @@
 	if l == nil {
 		return
 	}
-	now := l.svc.Now()
-	if !l.allowed(e, now) {
+	if !l.allowed(e, l.svc.Now()) {
 		l.dropped.Add(1)
 		return
 	}
 	select {
-	case l.queue <- l.format(e, now, fields):
+	case l.queue <- l.format(e, l.svc.Wall(), fields):
 	default:
 		l.dropped.Add(1)
 	}
--- a/pkg/fleetcontrol/documents.go
+++ b/pkg/fleetcontrol/documents.go
@@ -110,7 +110,7 @@
 		}, nil
 	}
 	answer, err := s.propose(ctx, &rpc.Command{
-		UnixMs: s.cfg.Timer.Now().UnixMilli(),
+		UnixMs: s.cfg.Timer.Wall().UnixMilli(),
 		Kind: &rpc.Command_Document{
 			Document: d,
 		},
--- a/pkg/fleetcontrol/quarantine.go
+++ b/pkg/fleetcontrol/quarantine.go
@@ -30,6 +30,7 @@
 // hosts told of, which a new leader learns anew, and verdicts as hosts are told them.
 // Those that hold stand in the log.
 type court struct {
+	svc      timer.Service
 	suspects *quarantine.Suspects
 
 	mu       sync.Mutex
@@ -54,6 +55,7 @@
 
 func newCourt(svc timer.Service) *court {
 	return &court{
+		svc:      svc,
 		suspects: quarantine.NewSuspects(svc),
 	}
 }
@@ -96,14 +98,15 @@
 }
 
 // current returns the verdicts that hosts are told.
-func (c *court) current(machine *state.Machine, now time.Time) verdicts {
+func (c *court) current(machine *state.Machine) verdicts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	now := c.svc.Now()
 	v := &c.verdicts
 	version := machine.QuarantineVersion()
 	if v.machine != machine || v.version != version || now.Sub(v.madeAt) >= verdictsKeep {
 		c.verdicts = verdicts{
-			list:    verdictsOf(machine, c.suspects, now),
+			list:    c.list(machine),
 			machine: machine,
 			version: version,
 			madeAt:  now,
@@ -113,21 +116,22 @@
 	return c.verdicts
 }
 
-// verdictsOf lists what is held, and watched: by its ends, or as it was held before.
-func verdictsOf(machine *state.Machine, suspects *quarantine.Suspects, now time.Time) []verdict {
+// list returns what is held, and watched: by its ends, or as it was held before.
+func (c *court) list(machine *state.Machine) []verdict {
 	var list []verdict
+	wall := c.svc.Wall().UnixMilli()
 	known := map[uint64]bool{}
 	for _, h := range machine.Quarantine() {
 		known[h.Fingerprint] = true
 		v := verdict{
 			fingerprint: h.Fingerprint,
 		}
-		if h.UntilMS > now.UnixMilli() {
+		if h.UntilMS > wall {
 			v.untilMS = h.UntilMS
 		}
 		list = append(list, v)
 	}
-	for _, f := range suspects.Watched() {
+	for _, f := range c.suspects.Watched() {
 		if !known[uint64(f)] {
 			list = append(list, verdict{
 				fingerprint: uint64(f),
@@ -151,33 +155,34 @@
 }
 
 // hearEnds takes what a host tells of ends.
-func (s *Server) hearEnds(q *rpc.SyncRequest, machine *state.Machine, now time.Time) {
+func (s *Server) hearEnds(q *rpc.SyncRequest, machine *state.Machine) {
 	if len(q.GetEnded()) == 0 && len(q.GetServed()) == 0 {
 		return
 	}
-	held := heldAt(machine, now)
+	held := heldAt(machine, s.cfg.Timer.Wall())
 	s.court.hear(q, func(f quarantine.Fingerprint) bool { return held[uint64(f)] })
 }
 
-// heldAt returns the requests of the log's quarantine: true if held at now, false if
-// they were let go.
-func heldAt(machine *state.Machine, now time.Time) map[uint64]bool {
+// heldAt returns the requests of the log's quarantine: true if held at a time of day,
+// false if they were let go.
+func heldAt(machine *state.Machine, wall time.Time) map[uint64]bool {
 	held := map[uint64]bool{}
 	for _, h := range machine.Quarantine() {
-		held[h.Fingerprint] = h.UntilMS > now.UnixMilli()
+		held[h.Fingerprint] = h.UntilMS > wall.UnixMilli()
 	}
 	return held
 }
 
 // tellSuspects adds the verdicts to a reply if the host holds others.
-func (s *Server) tellSuspects(q *rpc.SyncRequest, reply *rpc.SyncReply, machine *state.Machine, now time.Time) {
-	v := s.court.current(machine, now)
+func (s *Server) tellSuspects(q *rpc.SyncRequest, reply *rpc.SyncReply, machine *state.Machine) {
+	v := s.court.current(machine)
 	reply.SuspectsDigest = v.digest
 	if q.GetSuspectsDigest() == v.digest {
 		return
 	}
+	wall := s.cfg.Timer.Wall().UnixMilli()
 	for _, one := range v.list {
-		left := max(0, one.untilMS-now.UnixMilli())
+		left := max(0, one.untilMS-wall)
 		reply.Suspects = append(reply.Suspects, &rpc.Suspect{
 			Fingerprint: one.fingerprint,
 			HeldMs:      uint32(min(left, math.MaxUint32)),
@@ -188,13 +193,13 @@
 // judge decides regularly, while this replica leads, which requests are kept from
 // endpoints.
 func (s *Server) judge(ctx context.Context) {
-	timer.Loop(ctx, s.cfg.Timer, quarantineInterval, func(now time.Time) {
+	timer.Loop(ctx, s.cfg.Timer, quarantineInterval, func(time.Time) {
 		machine, _, _ := s.replica.Leads(ctx)
 		if machine == nil {
 			s.court.forget()
 			return
 		}
-		held := heldAt(machine, now)
+		held := heldAt(machine, s.cfg.Timer.Wall())
 		before := func(f quarantine.Fingerprint) bool {
 			_, known := held[uint64(f)]
 			return known
@@ -229,7 +234,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	_, err := s.propose(ctx, &rpc.Command{
-		UnixMs: s.cfg.Timer.Now().UnixMilli(),
+		UnixMs: s.cfg.Timer.Wall().UnixMilli(),
 		Kind: &rpc.Command_Quarantine{
 			Quarantine: &rpc.Quarantine{
 				Fingerprint: uint64(f),
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -38,7 +38,7 @@
 	}
 	first := s.hosts.hear(began, q)
 	s.doubt(q.GetSuspects())
-	s.hearEnds(q, machine, began)
+	s.hearEnds(q, machine)
 	wait := min(maxHold, time.Duration(q.GetWaitMs())*time.Millisecond)
 	if first && q.GetEpoch() == 0 {
 		wait = 0 // it serves nobody yet
@@ -97,7 +97,7 @@
 func (s *Server) news(q *rpc.SyncRequest, term uint64, machine *state.Machine) bool {
 	return s.table.Version() != q.GetEndpointsVersion() ||
 		epochOf(term, s.settled(term)) != q.GetEpoch() ||
-		s.court.current(machine, s.cfg.Timer.Now()).digest != q.GetSuspectsDigest() ||
+		s.court.current(machine).digest != q.GetSuspectsDigest() ||
 		machine.Document().GetVersion() > q.GetDocumentVersion() &&
 			s.hosts.documentDue(s.cfg.Timer.Now(), q.GetHost().GetName())
 }
@@ -126,7 +126,7 @@
 	}
 	s.tellEndpoints(q, reply, now)
 	s.tellAddresses(q, reply, term, now)
-	s.tellSuspects(q, reply, machine, now)
+	s.tellSuspects(q, reply, machine)
 	doc := machine.Document()
 	reply.Newest = doc.GetVersion()
 	if doc.GetVersion() > q.GetDocumentVersion() && s.hosts.mayHaveDocument(now, name) {
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -347,12 +347,10 @@
 	}
 }
 
-// serve answers one request; the clock's deadline isn't the context's, since
-// contexts follow the machine's clock.
+// serve answers one request.
 func (b *bench) serve(route string) *fakeOutput {
 	out := &fakeOutput{}
 	req := b.request(route)
-	req.Received = time.Now()
 	b.gateway.Serve(context.Background(), req, out)
 	return out
 }
@@ -361,7 +359,6 @@
 func (b *bench) serveFor(route string, wait time.Duration) *fakeOutput {
 	out := &fakeOutput{}
 	req := b.request(route)
-	req.Received = time.Now()
 	req.Wait = wait
 	b.gateway.Serve(context.Background(), req, out)
 	return out
@@ -372,7 +369,6 @@
 	out = &fakeOutput{}
 	done = make(chan bool, 1)
 	req := b.request("stream")
-	req.Received = time.Now()
 	background(func() {
 		b.gateway.Serve(ctx, req, out)
 		done <- true
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -98,7 +98,9 @@
 		g.refuse(req, j, out, e)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, j.end)
+	// Contexts follow the steady clock, which the timer service's runs ahead of for good
+	// once the machine was suspended: a deadline would come that much too late.
+	ctx, cancel := context.WithTimeout(ctx, j.end.Sub(g.svc.Now()))
 	defer cancel()
 	if j.route.Kind == fleet.Stream {
 		g.serveStream(ctx, j)
--- /dev/null
+++ b/pkg/timer/boot_other.go
@@ -0,0 +1,13 @@
+//go:build !linux
+
+package timer
+
+import "time"
+
+var started = time.Now()
+
+// bootTime returns the time since the process started. Whether it counts suspension
+// is up to the system.
+func bootTime() time.Duration {
+	return time.Since(started)
+}
--- a/pkg/timer/manual.go
+++ b/pkg/timer/manual.go
@@ -34,6 +34,11 @@
 	return m.now
 }
 
+// Wall implements Service.
+func (m *Manual) Wall() time.Time {
+	return m.Now()
+}
+
 // After implements Service.
 func (m *Manual) After(d time.Duration) <-chan time.Time {
 	return m.add(d, 0).c
--- a/pkg/timer/system.go
+++ b/pkg/timer/system.go
@@ -2,16 +2,39 @@
 
 import "time"
 
-// System is the service that follows the machine's clock.
-type System struct{}
+// System is the service that follows the machine's clock. Its time goes on while the
+// machine is suspended, as other machines' does: the steady clock that time.Now reads
+// stands still then, and a leader that was suspended for seconds would take its lease
+// for valid, and an entry host a key for confirmed, long after others went on without
+// them. Steps of the time of day don't move it.
+type System struct {
+	start time.Time
+	// boot reads a clock that counts suspension; first is what it read at start.
+	boot  func() time.Duration
+	first time.Duration
+}
 
 // NewSystem returns the service that follows the machine's clock.
 func NewSystem() System {
-	return System{}
+	return newSystem(bootTime)
+}
+
+func newSystem(boot func() time.Duration) System {
+	return System{
+		start: time.Now(),
+		boot:  boot,
+		first: boot(),
+	}
+}
+
+// Now implements Service. Its monotonic reading counts suspension. It costs 0.2
+// microseconds more than time.Now (BenchmarkNow).
+func (s System) Now() time.Time {
+	return s.start.Add(s.boot() - s.first)
 }
 
-// Now implements Service.
-func (System) Now() time.Time {
+// Wall implements Service.
+func (System) Wall() time.Time {
 	return time.Now()
 }
 
--- a/pkg/timer/timer.go
+++ b/pkg/timer/timer.go
@@ -10,8 +10,11 @@
 
 // Service tells the time and wakes subscribers.
 type Service interface {
-	// Now returns the present time. System times carry a monotonic reading.
+	// Now returns the present time. It never steps, and counts what the machine was
+	// suspended; as a time of day it may be off.
 	Now() time.Time
+	// Wall returns the time of day, which may step.
+	Wall() time.Time
 	// After returns a channel that receives one time once d has passed.
 	After(d time.Duration) <-chan time.Time
 	// Every returns a subscription whose channel receives a time each d.
