Incarnations are told apart by when they started; entries by others name nothing

Cause: an endpoint that started again under its id was late until its sequence had caught up, kept the layers of before, and stayed gone if it had left; what is missing in a heartbeat counted as empty, and any state but draining as serving; an entry could end the endpoint whose address it named. Ruled out: a start beside the id in each table (registry, keeper, tracker, survey, evidence: five places to forget one); refusing unknown services where heartbeats come in (a configuration may name them a moment later). Change: the id of an incarnation holds the start that it tells, and the adapter gives endpoints their own name back; starts order what arrives late; a report by another start is none. An entry of another service ends nobody that was heard of within 1.5 intervals.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -4,7 +4,10 @@
 
 // Endpoint is the newest that is known of one incarnation of an endpoint.
 type Endpoint struct {
-	ID      string
+	// ID is the incarnation's (IncarnationID).
+	ID string
+	// Born is when it started by its own clock, as a Unix time in ms; 0: it doesn't tell.
+	Born    int64
 	Service string
 	Address string
 	Domain  string
--- a/pkg/fleet/wire.go
+++ b/pkg/fleet/wire.go
@@ -25,6 +25,7 @@
 		HeardMsAgo: uint64(max(0, now.Sub(e.HeardAt).Milliseconds())),
 		Silent:     e.Silent,
 		Slow:       e.Slow,
+		Born:       e.Born,
 	}
 }
 
@@ -49,6 +50,7 @@
 		HeardAt: now.Add(-time.Duration(a.GetHeardMsAgo()) * time.Millisecond),
 		Silent:  a.GetSilent(),
 		Slow:    a.GetSlow(),
+		Born:    a.GetBorn(),
 	}
 }
 
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -85,10 +85,12 @@
 	return n
 }
 
-// Gone notes that an incarnation has ended, and returns its row.
+// Gone notes that an incarnation has ended, the newest of an endpoint if only its own
+// id is given, and returns its row.
 func (t *Table) Gone(id string) fleet.Endpoint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	id = t.newest(id)
 	old := t.rows[id]
 	e := fleet.Endpoint{
 		ID: id,
@@ -103,7 +105,33 @@
 	return t.rows[id].Endpoint
 }
 
+// newest returns the newest incarnation of an endpoint whose own id is given, and any
+// other id as it is.
+func (t *Table) newest(id string) string {
+	if t.rows[id] != nil {
+		return id
+	}
+	newest, last := id, int64(0)
+	for one := range t.rows {
+		if own, born := fleet.SplitIncarnation(one); own == id && born > last {
+			newest, last = one, born
+		}
+	}
+	return newest
+}
+
+// left reports whether an incarnation that isn't known was last heard of before the
+// endpoint of its id, which didn't tell when it started, said that it ended.
+func (t *Table) left(e *fleet.Endpoint) bool {
+	own, _ := fleet.SplitIncarnation(e.ID)
+	r := t.rows[own]
+	return own != e.ID && r != nil && r.Gone && e.HeardAt.Before(r.HeardAt)
+}
+
 func (t *Table) merge(e fleet.Endpoint) bool {
+	if e.Address == "" {
+		e.ID = t.newest(e.ID) // nothing is told but that it ended
+	}
 	old := t.rows[e.ID]
 	if old == nil && t.heldBack(&e) {
 		t.log.Event(eventlog.EndpointGone, eventlog.Str("endpoint", e.ID), eventlog.Str("address", e.Address),
@@ -111,6 +139,7 @@
 		return false
 	}
 	if old == nil {
+		e.Gone = e.Gone || t.left(&e)
 		e.Silent = false
 		t.rows[e.ID] = &row{
 			Endpoint: e,
@@ -157,15 +186,22 @@
 
 // heldBack reports whether a heartbeat of an incarnation that isn't known is of an
 // earlier one than that at its address: a cut may hold one back until its sender
-// has crashed and another has announced itself. Numbers begin anew with each
-// incarnation, so that the earlier one's is the higher. If the other is gone itself,
-// the next heartbeat is taken, two intervals later at most.
+// has crashed and another has announced itself. Where they tell when they started,
+// that decides. Numbers begin anew with each incarnation, so that else the earlier one's
+// is the higher. If the other is gone itself, the next heartbeat is taken, two intervals
+// later at most.
 func (t *Table) heldBack(e *fleet.Endpoint) bool {
 	if e.Gone || e.Address == "" {
 		return false
 	}
 	now := t.svc.Now()
 	for _, r := range t.rows {
+		if r.Address == e.Address && r.Born > 0 && e.Born > 0 {
+			if e.Born < r.Born {
+				return true
+			}
+			continue
+		}
 		if r.Address == e.Address && !r.Gone && !r.Recalled && e.Sequence > r.Sequence && now.Sub(r.HeardAt) < 2*t.interval {
 			return true
 		}
@@ -180,7 +216,7 @@
 		return
 	}
 	for id, r := range t.rows {
-		if id == e.ID || r.Address != e.Address || r.Gone || r.HeardAt.After(e.HeardAt) {
+		if id == e.ID || r.Address != e.Address || r.Gone || !t.replaces(e, &r.Endpoint) {
 			continue
 		}
 		r.Gone = true
@@ -190,6 +226,25 @@
 	}
 }
 
+// reuseBeats is for how many heartbeat intervals an endpoint must not have been heard
+// of before one of another service has its address: addresses are given to other
+// services some seconds after their endpoints ended. An entry that names a service
+// which isn't there mustn't end the endpoint whose address it holds.
+const reuseBeats = 1.5
+
+// replaces reports whether a new incarnation at the address of another shows that the
+// other has ended.
+func (t *Table) replaces(e, other *fleet.Endpoint) bool {
+	quiet := e.HeardAt.Sub(other.HeardAt)
+	if e.Service != other.Service && float64(quiet) < reuseBeats*float64(t.interval) {
+		return false
+	}
+	if e.Born > 0 && other.Born > 0 {
+		return e.Born > other.Born
+	}
+	return quiet >= 0
+}
+
 // sameNews reports whether neither entry hosts nor other replicas need to learn
 // of a change.
 func sameNews(a, b *fleet.Endpoint) bool {
