--- a/pkg/replica/fuzz_test.go
+++ b/pkg/replica/fuzz_test.go
@@ -56,6 +56,9 @@
 			"lose disk": func(t *rapid.T) {
 				s.loseDisk(host.Draw(t, "host"))
 			},
+			"lose disk, all dark": func(t *rapid.T) {
+				s.darken(host.Draw(t, "host"))
+			},
 			"crash": func(t *rapid.T) {
 				s.crash(host.Draw(t, "host"))
 			},
--- a/pkg/replica/sim_faults_test.go
+++ b/pkg/replica/sim_faults_test.go
@@ -68,6 +68,20 @@
 	s.beginReplacement(id)
 }
 
+// darken takes a host's disk away while all other hosts lose power, and starts these
+// again.
+func (s *simulation) darken(id uint64) {
+	s.loseDisk(id)
+	for _, other := range s.ids() {
+		s.crash(other)
+	}
+	for _, other := range s.ids() {
+		if s.hosts[other].node == nil {
+			s.start(other)
+		}
+	}
+}
+
 // retire replaces a host that is well and goes on running.
 func (s *simulation) retire(id uint64) {
 	if s.moving != nil || s.hosts[id] == nil || s.retired[id] {
