--- a/pkg/registry/incarnation_test.go
+++ b/pkg/registry/incarnation_test.go
@@ -88,3 +88,40 @@
 		})
 	})
 })
+
+// What was seen: a leader gave orders to an endpoint that had ended 3 s before, and
+// again for 9 s, each refused as meant for another; paths over its layers failed.
+// How it came about: the address had a new incarnation, which answered the leader's
+// question to the old one 1 ms before the leader learnt of the new one by another
+// replica's word, 10 ms old. What caused it: answers counted as heartbeats, so the old
+// one seemed to have been heard of later than the new one, and stayed.
+// What proved it: the leader's log shows the new one's layers under both names.
+var _ = Describe("an endpoint that ended while another at its address answers questions", func() {
+	It("is ended by the first word of the other", func() {
+		withTable(func(t *Table, clock *timer.Manual) {
+			t.Announce(endpoint("old", 11))
+			clock.Advance(2 * interval)
+			t.Lost("old")
+			clock.Advance(interval)
+			next := endpoint("new", 1)
+			next.HeardAt = clock.Now()
+			clock.Advance(10 * time.Millisecond)
+			t.Reported("old", Status{Layers: fleet.Range{From: 0, To: 8}})
+			clock.Advance(time.Millisecond)
+			t.Merge([]fleet.Endpoint{next})
+			Expect(usableIDs(t)).To(Equal([]string{"new"}))
+		})
+	})
+
+	It("isn't forgotten while it answers, though no heartbeat arrives", func() {
+		withTable(func(t *Table, clock *timer.Manual) {
+			t.Announce(endpoint("a", 1))
+			for range 2 * int(forgetAfter/interval) {
+				clock.Advance(interval)
+				t.Reported("a", Status{})
+				Expect(t.Judge()).To(BeEmpty())
+			}
+			Expect(usableIDs(t)).To(Equal([]string{"a"}))
+		})
+	})
+})
