Answers to questions don't count as heartbeats

Cause: an incarnation's answer moved the time of its last heartbeat. Endpoints answer questions whoever is meant, so the next incarnation at the address kept the ended one alive, and the first word of the new one, some ms older by way of another replica, no longer ended it. Ruled out: comparing sequences (the new one's is the lower); asking by id (endpoints don't check it for questions; where they tell when they started, the answer of another is none already). Change: the time of an answer is kept apart; it only keeps an endpoint from being asked again or forgotten.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -49,6 +49,17 @@
 type row struct {
 	fleet.Endpoint
 	version uint64
+	// answeredAt is when it last answered a question; another incarnation at its address
+	// may have, so that it tells nothing of which one is the newer.
+	answeredAt time.Time
+}
+
+// quiet returns for how long nothing was heard of an endpoint.
+func (r *row) quiet(now time.Time) time.Duration {
+	if r.answeredAt.After(r.HeardAt) {
+		return now.Sub(r.answeredAt)
+	}
+	return now.Sub(r.HeardAt)
 }
 
 // New returns an empty table of endpoints that announce themselves at interval.
@@ -289,7 +300,7 @@
 	defer t.mu.Unlock()
 	var late []fleet.Endpoint
 	for id, r := range t.rows {
-		age := now.Sub(r.HeardAt)
+		age := r.quiet(now)
 		if r.Recalled {
 			continue
 		}
@@ -317,7 +328,7 @@
 	r.Silent = true
 	t.note(r)
 	t.log.Event(eventlog.EndpointSilent, eventlog.Str("endpoint", id), eventlog.Str("address", r.Address),
-		eventlog.Str("why", "doesn't answer"), eventlog.Ms("age_ms", t.svc.Now().Sub(r.HeardAt)))
+		eventlog.Str("why", "doesn't answer"), eventlog.Ms("age_ms", r.quiet(t.svc.Now())))
 }
 
 // Get returns the row of an incarnation.
--- a/pkg/registry/status.go
+++ b/pkg/registry/status.go
@@ -25,7 +25,7 @@
 		return
 	}
 	next := r.Endpoint
-	next.HeardAt = t.svc.Now()
+	r.answeredAt = t.svc.Now()
 	next.Silent = false
 	next.Layers = report.Layers
 	next.Orders = report.Orders
