A request that panics a goroutine of its own doesn't end the host

Change: reading an answer and an attempt end in an error that says where it came about; the request is answered as failed, and may have run. Before: the three specs of the gateway's test end the test's child process. After: they pass.

--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/group"
 )
 
 // item is one step of an answer: its head first, then events, then its end.
@@ -47,7 +48,17 @@
 	})
 }
 
+// read reads the answer to a call to its end.
 func (f *feed) read(ctx context.Context, b Backend, call *Call) {
+	if err := group.Try(func() { f.take(ctx, b, call) }); err != nil {
+		f.end(ctx, &SendError{
+			Sent:  true,
+			Cause: err,
+		})
+	}
+}
+
+func (f *feed) take(ctx context.Context, b Backend, call *Call) {
 	a, err := b.Send(ctx, call)
 	if err != nil {
 		f.unsent.Store(notSent(err))
--- /dev/null
+++ b/pkg/gateway/panic_test.go
@@ -0,0 +1,37 @@
+package gateway
+
+import (
+	"os"
+	"os/exec"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// inChild says that this process is the test's own child, which may end.
+const inChild = "GATEWAY_TEST_CHILD"
+
+var _ = Describe("a request whose answer ends the goroutine that reads it", func() {
+	// Such a request would end one host after the other, as its caller tries them all.
+	for _, route := range []string{"stream", "safe", "unsafe"} {
+		It("is answered as failed, and the host goes on: "+route, func() {
+			if os.Getenv(inChild) == "" {
+				cmd := exec.Command(os.Args[0], "-ginkgo.focus", "the host goes on: "+route)
+				cmd.Env = append(os.Environ(), inChild+"=1")
+				out, err := cmd.CombinedOutput()
+				Expect(err).NotTo(HaveOccurred(), string(out))
+				return
+			}
+			withGateway(func(b *bench) {
+				b.backend.answer = func(int, *Call) (*Answer, error) {
+					panic("an answer that nobody thought of")
+				}
+				out := b.serve(route)
+				Expect(out.refusal).NotTo(BeNil())
+				b.backend.answer = func(int, *Call) (*Answer, error) { return whole(200, events(1, 2)), nil }
+				b.source.renew(1)
+				Expect(b.serve(route).status).To(Equal(200))
+			})
+		})
+	}
+})
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -179,7 +179,7 @@
 	w.ran++
 	w.running++
 	w.group.Go(func(ctx context.Context) {
-		w.results <- w.g.attempt(ctx, w.j, e)
+		w.results <- w.g.tryAttempt(ctx, w.j, e)
 	})
 	return true
 }
@@ -274,6 +274,20 @@
 	return score
 }
 
+// tryAttempt is attempt, which ends in a verdict whatever it meets.
+func (g *Gateway) tryAttempt(ctx context.Context, j *job, e fleet.Endpoint) (v *verdict) {
+	if err := group.Try(func() { v = g.attempt(ctx, j, e) }); err != nil {
+		return &verdict{
+			endpoint: e,
+			err: &SendError{
+				Sent:  true,
+				Cause: err,
+			},
+		}
+	}
+	return v
+}
+
 // attempt sends a request to one endpoint and reads the whole answer.
 func (g *Gateway) attempt(ctx context.Context, j *job, e fleet.Endpoint) *verdict {
 	began := g.svc.Now()
--- /dev/null
+++ b/pkg/group/try_test.go
@@ -0,0 +1,22 @@
+package group
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestGroup(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "group")
+}
+
+var _ = Describe("Try", func() {
+	It("tells a panic, and where it came about", func() {
+		var none *PanicError
+		Expect(Try(func() {})).To(Succeed())
+		Expect(Try(func() { panic("odd") })).To(MatchError("panic at try_test.go:19: odd"))
+		Expect(Try(func() { _ = none.At })).To(MatchError(ContainSubstring("try_test.go:20: runtime error")))
+	})
+})
