--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -332,60 +331,3 @@
 	s.ran++
 	return broken, err
 }
-
-// giveUp answers a request that goes no further.
-func (s *streamRun) giveUp(e *failure.Error) {
-	if s.ran > 0 && e.Kind() != failure.EndpointFailed {
-		e = failure.Wrap(e, failure.EndpointFailed, "the stream broke and couldn't be continued")
-	}
-	if !s.begun {
-		s.g.refuse(s.j.req, s.j, s.j.out, s.returning(e))
-		return
-	}
-	s.g.log.Event(eventlog.RequestFailed, eventlog.Str("request", s.j.req.ID), eventlog.Str("kind", e.Kind().String()),
-		eventlog.Str("path", formatPath(s.path)),
-		eventlog.Str("why", e.Error()), eventlog.Str("route", s.j.route.Name), eventlog.Str("after", s.last),
-		eventlog.Str("fingerprint", s.j.print().String()))
-	s.g.metrics.Counter("streams_broken").Inc(1)
-	s.j.out.Abort()
-}
-
-// returning tells a caller that is refused for want of layers when to come back.
-// One that is refused for want of room isn't told to wait longer: room frees with
-// every stream that ends, and callers that wait come back to the next crowd. Told so
-// too, 33 in 1,000 were refused for good on a crowded day instead of 20.
-func (s *streamRun) returning(e *failure.Error) *failure.Error {
-	if e.Kind() != failure.NoChain {
-		return e
-	}
-	service := s.j.service.Name
-	s.g.returns.note(service, true)
-	return e.WithRetryAfter(s.g.returns.after(service, e.RetryAfter()))
-}
-
-// expire ends a request whose time is up or whose caller left.
-func (s *streamRun) expire(ctx context.Context) {
-	s.g.log.Event(eventlog.RequestLeft, eventlog.Str("request", s.j.req.ID), eventlog.Str("path", formatPath(s.path)),
-		eventlog.Str("after", s.last), eventlog.Ms("after_ms", s.g.svc.Now().Sub(s.j.req.Received)), eventlog.Err(ctx.Err()))
-	if s.begun {
-		s.j.out.Abort()
-		return
-	}
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return
-	}
-	if s.ran == 0 && s.unsent {
-		s.g.refuse(s.j.req, s.j, s.j.out, failure.New(failure.NoEndpoint, "no endpoint was reached in time").WithRetryAfter(comeBack))
-		return
-	}
-	s.g.refuse(s.j.req, s.j, s.j.out, failure.New(failure.DeadlineExceeded, "no event in time"))
-}
-
-// formatPath writes a path for the log: endpoint and layers of each part.
-func formatPath(path []fleet.Part) string {
-	parts := make([]string, 0, len(path))
-	for _, p := range path {
-		parts = append(parts, p.ID+"="+strconv.Itoa(p.Layers.From)+"-"+strconv.Itoa(p.Layers.To))
-	}
-	return strings.Join(parts, " ")
-}
