An endpoint that starts again at another address ends its earlier start

Cause: only what had its address ended an incarnation; one that came back under its id elsewhere stood twice, until the earlier one fell silent. Before: the new spec fails; after: it passes.

--- a/pkg/registry/incarnation_test.go
+++ b/pkg/registry/incarnation_test.go
@@ -46,6 +46,18 @@
 		}
 	})
 
+	It("replace each other though the endpoint comes back at another address", func() {
+		withTable(func(t *Table, _ *timer.Manual) {
+			next := started("i", 2000, 1)
+			next.Address = "10.0.0.9:80"
+			t.Announce(started("i", 1000, 70))
+			t.Announce(next)
+			Expect(usableIDs(t)).To(Equal([]string{next.ID}))
+			t.Announce(started("i", 1500, 3)) // late
+			Expect(usableIDs(t)).To(Equal([]string{next.ID}))
+		})
+	})
+
 	It("end by the endpoint's own id where its last word tells no start", func() {
 		withTable(func(t *Table, clock *timer.Manual) {
 			t.Announce(started("i", 1000, 1))
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -207,8 +207,8 @@
 	}
 	now := t.svc.Now()
 	for _, r := range t.rows {
-		if r.Address == e.Address && r.Born > 0 && e.Born > 0 {
-			if e.Born < r.Born {
+		if r.Born > 0 && e.Born > 0 {
+			if e.Born < r.Born && sameEndpoint(e, &r.Endpoint) {
 				return true
 			}
 			continue
@@ -227,7 +227,7 @@
 		return
 	}
 	for id, r := range t.rows {
-		if id == e.ID || r.Address != e.Address || r.Gone || !t.replaces(e, &r.Endpoint) {
+		if id == e.ID || !sameEndpoint(e, &r.Endpoint) || r.Gone || !t.replaces(e, &r.Endpoint) {
 			continue
 		}
 		r.Gone = true
@@ -237,6 +237,17 @@
 	}
 }
 
+// sameEndpoint reports whether two incarnations can't both run: they have one address,
+// or are starts of one endpoint, which may come back at another.
+func sameEndpoint(a, b *fleet.Endpoint) bool {
+	if a.Address == b.Address {
+		return true
+	}
+	own, born := fleet.SplitIncarnation(a.ID)
+	other, before := fleet.SplitIncarnation(b.ID)
+	return own == other && born > 0 && before > 0
+}
+
 // reuseBeats is for how many heartbeat intervals an endpoint must not have been heard
 // of before one of another service has its address: addresses are given to other
 // services some seconds after their endpoints ended. An entry that names a service
