A leader without a lease for a moment keeps what hosts told it of ends

Cause: found by reading: whoever led again in the same term had forgotten the ends, and hosts tell them once a term. Change: what was told is forgotten with the term. Before: the new spec fails (and with the former forgetting put back); after: it passes.

--- a/pkg/fleetcontrol/quarantine.go
+++ b/pkg/fleetcontrol/quarantine.go
@@ -34,6 +34,7 @@
 	suspects *quarantine.Suspects
 
 	mu       sync.Mutex
+	term     uint64 // in which this replica was told
 	served   []quarantine.Fingerprint
 	verdicts verdicts
 }
@@ -91,10 +92,18 @@
 	return list
 }
 
-// forget drops everything: this replica doesn't lead.
-func (c *court) forget() {
+// enter forgets everything where this replica leads in another term than before: hosts
+// tell it again then. One that had no lease for a moment goes on with what it knows,
+// which nobody tells it a second time.
+func (c *court) enter(term uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term == term {
+		return
+	}
+	c.term = term
+	c.served = nil
 	c.suspects.Forget()
-	c.takeServed()
 }
 
 // current returns the verdicts that hosts are told.
@@ -155,7 +164,8 @@
 }
 
 // hearEnds takes what a host tells of ends.
-func (s *Server) hearEnds(q *rpc.SyncRequest, machine *state.Machine) {
+func (s *Server) hearEnds(q *rpc.SyncRequest, machine *state.Machine, term uint64) {
+	s.court.enter(term)
 	if len(q.GetEnded()) == 0 && len(q.GetServed()) == 0 {
 		return
 	}
@@ -193,27 +203,34 @@
 // judge decides regularly, while this replica leads, which requests are kept from
 // endpoints.
 func (s *Server) judge(ctx context.Context) {
-	timer.Loop(ctx, s.cfg.Timer, quarantineInterval, func(time.Time) {
-		machine, _, _ := s.replica.Leads(ctx)
-		if machine == nil {
-			s.court.forget()
-			return
-		}
-		held := heldAt(machine, s.cfg.Timer.Wall())
-		before := func(f quarantine.Fingerprint) bool {
-			_, known := held[uint64(f)]
-			return known
-		}
-		for _, one := range s.court.suspects.Judge(before) {
-			s.hold(ctx, one)
-		}
-		for _, f := range s.court.takeServed() {
-			if stillHeld, known := held[uint64(f)]; known && !stillHeld {
-				err := s.decide(ctx, f, true)
-				s.cfg.Log.Event(eventlog.RequestReleased, eventlog.Str("fingerprint", f.String()), eventlog.Str("by", "control"), eventlog.Err(err))
-			}
+	timer.Loop(ctx, s.cfg.Timer, quarantineInterval, func(time.Time) { s.judgeOnce(ctx) })
+}
+
+func (s *Server) judgeOnce(ctx context.Context) {
+	machine, term, _ := s.leadership.Leads(ctx)
+	if machine == nil {
+		return
+	}
+	s.court.enter(term)
+	held := heldAt(machine, s.cfg.Timer.Wall())
+	before := func(f quarantine.Fingerprint) bool {
+		_, known := held[uint64(f)]
+		return known
+	}
+	for _, one := range s.court.suspects.Judge(before) {
+		s.hold(ctx, one)
+	}
+	for _, f := range s.court.takeServed() {
+		if stillHeld, known := held[uint64(f)]; known && !stillHeld {
+			s.release(ctx, f)
 		}
-	})
+	}
+}
+
+// release lets a request go that was served after its time.
+func (s *Server) release(ctx context.Context, f quarantine.Fingerprint) {
+	err := s.decide(ctx, f, true)
+	s.cfg.Log.Event(eventlog.RequestReleased, eventlog.Str("fingerprint", f.String()), eventlog.Str("by", "control"), eventlog.Err(err))
 }
 
 // hold keeps a request from endpoints. If the log didn't take that, it is judged again.
--- a/pkg/fleetcontrol/quarantine_test.go
+++ b/pkg/fleetcontrol/quarantine_test.go
@@ -84,6 +84,27 @@
 		})
 	})
 
+	It("is found though the leader had no lease for a moment in between, but not by what it was told in another term", func() {
+		withLeaders(func(lead func(term uint64) *Server, _ *timer.Manual) {
+			for _, c := range []struct {
+				term  uint64
+				found int
+			}{{3, 1}, {4, 0}} {
+				s := lead(3)
+				leads := s.leadership.(*fixedLead)
+				machine := leads.machine
+				s.hearEnds(&rpc.SyncRequest{Ended: []*rpc.EndedSend{end(1), end(2)}}, machine, 3)
+				leads.machine = nil // in the same term hosts don't tell again
+				s.judgeOnce(context.Background())
+				leads.machine = machine
+				leads.term = c.term
+				s.hearEnds(&rpc.SyncRequest{Ended: []*rpc.EndedSend{end(3)}}, machine, c.term)
+				found := s.court.suspects.Judge(func(quarantine.Fingerprint) bool { return false })
+				Expect(found).To(HaveLen(c.found))
+			}
+		})
+	})
+
 	It("is held for ten minutes", func() {
 		withCluster(func(c *cluster) {
 			c.tell("a", end(1), end(2), end(3))
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -38,7 +38,7 @@
 	}
 	first := s.hosts.hear(began, q)
 	s.doubt(q.GetSuspects())
-	s.hearEnds(q, machine)
+	s.hearEnds(q, machine, term)
 	wait := min(maxHold, time.Duration(q.GetWaitMs())*time.Millisecond)
 	if first && q.GetEpoch() == 0 {
 		wait = 0 // it serves nobody yet
