--- a/pkg/quarantine/suspects.go
+++ b/pkg/quarantine/suspects.go
@@ -12,7 +12,7 @@
 	// guiltyPoints is when a request is found to end endpoints: after three ends
 	// before any event of an answer, as a request that ends whatever begins to run it
 	// makes them, or five later ones. With fewer, streams that were cut twice in a
-	// crowd would be found: of 521 that were cut in half a minute of such a day, 254
+	// crowd would be found: of 521 that were cut in 24 s of logs of such a day, 254
 	// were cut twice.
 	guiltyPoints = 15
 	earlyPoints  = 5
@@ -25,8 +25,8 @@
 	endsKept = 10 * time.Minute
 	// maxWatched bounds the requests that are watched at a time: hosts are told them.
 	maxWatched = 64
-	// maxSuspects bounds the requests that are remembered, at 200 bytes or so each:
-	// the streams under way at 200 endpoints of the users' deployments.
+	// maxSuspects bounds the requests that are remembered, at 200 bytes or so by
+	// their fields: eight times the 521 streams that were cut in 24 s of such a day.
 	maxSuspects = 4096
 )
 
