Sight: what endpoints ask for in answers, and what reaches them meanwhile

The logs couldn't tell whether an answer asked for rest, for how long, nor which requests and questions reached that endpoint in it. Headers of answers are decoded in the adapter into a word (leaves, rest); the gateway logs a rest, and each call to an endpoint in it; the leader logs which plain endpoints it asks and why. No decision depends on any of it.

--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -34,6 +34,9 @@
 	StreamResumed    Event = "stream_resumed"
 	StreamStalled    Event = "stream_stalled"
 	EndpointAvoided  Event = "endpoint_avoided"
+	EndpointResting  Event = "endpoint_resting"
+	EndpointAsked    Event = "endpoint_asked"
+	CallInRest       Event = "call_in_rest"
 	EndpointJoined   Event = "endpoint_joined"
 	EndpointLeaving  Event = "endpoint_leaving"
 	EndpointGone     Event = "endpoint_gone"
@@ -62,7 +65,7 @@
 var Events = []Event{
 	Started, Stopping, Stopped, Reloaded,
 	RequestRefused, RequestFailed, RequestServed, RequestLeft, AttemptFailed, StreamRepathed, StreamResumed, StreamStalled,
-	EndpointAvoided, EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
+	EndpointAvoided, EndpointResting, EndpointAsked, CallInRest, EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
 	ConfigInForce, ConfigAccepted, ConfigRefused, ConfigFailed,
 	ControlLost, ControlRegained, ReadyChanged, RoleChanged, ReplicasChanged, ReplicaJoining,
 	StorageFailed, StorageRecovered, RequestHeld, RequestReleased, OrderSent, OrderFailed, Unexpected,
--- /dev/null
+++ b/pkg/fleet/word.go
@@ -0,0 +1,11 @@
+package fleet
+
+import "time"
+
+// Word is what an endpoint says of itself in an answer, whatever the answer is to.
+type Word struct {
+	// Leaving says that it takes no new work, for good.
+	Leaving bool
+	// Rest is for how long it wants nothing from this host; 0: it asks for none.
+	Rest time.Duration
+}
--- a/pkg/fleetcontrol/recall.go
+++ b/pkg/fleetcontrol/recall.go
@@ -87,7 +87,7 @@
 	n := s.table.Recall(list)
 	s.cfg.Log.Event(eventlog.Reloaded, eventlog.Str("what", "endpoints"), eventlog.Str("from", "disk"), eventlog.Int("count", int64(n)))
 	for _, e := range list {
-		s.ask(e, 0)
+		s.ask(e, 0, "recalled")
 	}
 }
 
--- a/pkg/fleetcontrol/survey.go
+++ b/pkg/fleetcontrol/survey.go
@@ -105,7 +105,7 @@
 func (s *Server) doubt(ids []string) {
 	for _, id := range ids {
 		if e, ok := s.table.Get(id); ok {
-			s.ask(e, probeAgain)
+			s.ask(e, probeAgain, "doubted by a host")
 		}
 	}
 }
@@ -118,24 +118,27 @@
 		return ok
 	})
 	for _, e := range late {
-		s.ask(e, probeAgain)
+		s.ask(e, probeAgain, "late")
 	}
 	for _, e := range s.survey.longestAgo(s.table.All()) {
 		switch {
 		case e.Kind == "":
 		case e.Loading || e.Layers.Len() == 0:
-			s.ask(e, loadingInterval)
+			s.ask(e, loadingInterval, "loading")
 		default:
-			s.ask(e, surveyInterval)
+			s.ask(e, surveyInterval, "survey")
 		}
 	}
 }
 
 // ask asks one endpoint, if it wasn't for as long as pause.
-func (s *Server) ask(e fleet.Endpoint, pause time.Duration) {
+func (s *Server) ask(e fleet.Endpoint, pause time.Duration, why string) {
 	if e.Gone || !s.survey.due(e.ID, s.cfg.Timer.Now(), pause) {
 		return
 	}
+	if e.Kind == "" { // engines are asked all the time
+		s.cfg.Log.Event(eventlog.EndpointAsked, eventlog.Str("endpoint", e.ID), eventlog.Str("why", why))
+	}
 	s.group.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -48,9 +48,12 @@
 	})
 }
 
+// sender makes the call whose answer a feed reads.
+type sender func(ctx context.Context) (*Answer, error)
+
 // read reads the answer to a call to its end.
-func (f *feed) read(ctx context.Context, b Backend, call *Call) {
-	if err := group.Try(func() { f.take(ctx, b, call) }); err != nil {
+func (f *feed) read(ctx context.Context, send sender) {
+	if err := group.Try(func() { f.take(ctx, send) }); err != nil {
 		f.end(ctx, &SendError{
 			Sent:  true,
 			Cause: err,
@@ -58,8 +61,8 @@
 	}
 }
 
-func (f *feed) take(ctx context.Context, b Backend, call *Call) {
-	a, err := b.Send(ctx, call)
+func (f *feed) take(ctx context.Context, send sender) {
+	a, err := send(ctx)
 	if err != nil {
 		f.unsent.Store(notSent(err))
 		f.end(ctx, err)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/quarantine"
+	"github.com/larchwinch/larchwinch/pkg/rest"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
@@ -34,6 +35,7 @@
 	returns *comebacks
 	crowd   *crowd.Crowd
 	held    *quarantine.Host
+	rests   *rest.Book
 }
 
 // New returns the gateway of a host in a failure domain.
@@ -55,6 +57,7 @@
 		returns: newComebacks(svc),
 		crowd:   crowd.New(svc),
 		held:    quarantine.NewHost(svc),
+		rests:   rest.New(svc),
 	}
 }
 
--- a/pkg/gateway/repath.go
+++ b/pkg/gateway/repath.go
@@ -55,6 +55,7 @@
 	first := s.path[0].Address
 	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 	defer cancel()
+	s.g.noteCall(s.path[0].ID, "repath")
 	err := s.g.backend.Repath(ctx, first, s.j.req.ID, path)
 	s.g.log.Event(eventlog.StreamRepathed, eventlog.Str("request", s.j.req.ID), eventlog.Str("around", address), eventlog.Err(err))
 	if err == nil {
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -50,6 +50,7 @@
 	w.asks++
 	s := w.s
 	first := s.path[0]
+	s.g.noteCall(first.ID, "question")
 	q := s.g.asker.ask(ctx, first.Address)
 	switch {
 	case ctx.Err() != nil:
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -207,7 +207,7 @@
 	defer grp.Stop()
 	f := newFeed()
 	grp.Go(func(ctx context.Context) {
-		f.read(ctx, s.g.backend, call)
+		f.read(ctx, func(ctx context.Context) (*Answer, error) { return s.g.send(ctx, s.j, call) })
 	})
 	end, cause := s.pass(ctx, f)
 	grp.Stop()
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -61,6 +61,8 @@
 	Fault string
 	// Sealed says that the answer is the endpoint's own and not damaged.
 	Sealed bool
+	// Says is of the endpoint at fault, or of who gave the answer if none is named.
+	Says fleet.Word
 }
 
 // SendError says that no answer came.
@@ -68,6 +70,8 @@
 	// Sent says that the request may have reached the endpoint.
 	Sent  bool
 	Cause error
+	// Says is what the endpoint says of itself in an answer that is no good.
+	Says fleet.Word
 }
 
 // Error implements error.
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -297,7 +297,7 @@
 	}
 	done := g.tracker.Begin(e.ID, 0)
 	defer done()
-	a, err := g.backend.Send(ctx, &Call{
+	a, err := g.send(ctx, j, &Call{
 		Request:  j.req,
 		ID:       e.ID,
 		Address:  e.Address,
