--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -36,6 +37,7 @@
 	stalled  map[string]string
 	stallErr error
 	refuse   string // repaths that name this address are refused for it
+	asked    int
 }
 
 func (b *fakeBackend) Send(ctx context.Context, c *Call) (*Answer, error) {
@@ -66,9 +68,17 @@
 func (b *fakeBackend) Stalled(context.Context, string) (map[string]string, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.asked++
 	return b.stalled, b.stallErr
 }
 
+// questions returns how often endpoints were asked what stands still.
+func (b *fakeBackend) questions() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.asked
+}
+
 // stall makes a request stand still at an address.
 func (b *fakeBackend) stall(request, address string) {
 	b.mu.Lock()
@@ -163,6 +173,16 @@
 	return s.confirmed
 }
 
+// Leaves says that an endpoint leaves, by its own word.
+func (s *fakeSource) Leaves(id string) {
+	s.change(func() {
+		s.leaving[id] = true
+		for service, list := range s.endpoints {
+			s.endpoints[service] = slices.DeleteFunc(slices.Clone(list), func(e fleet.Endpoint) bool { return e.ID == id })
+		}
+	})
+}
+
 // leave says that an endpoint leaves.
 func (s *fakeSource) leave(id string) {
 	s.change(func() { s.leaving[id] = true })
--- /dev/null
+++ b/pkg/gateway/words_test.go
@@ -0,0 +1,428 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	rested = 3 * time.Second
+	// tryAfter is how long after a rest was asked for one more send may be tried, where
+	// there is nothing else; restSpread by which share more than the least rest left
+	// callers are told.
+	tryAfter   = time.Second
+	restSpread = 0.25
+)
+
+// wantsRest is an answer that turns a request away and asks for rest; fault is the address
+// of the endpoint that it names.
+func wantsRest(fault string, d time.Duration) *Answer {
+	a := refusedBy(fault)
+	a.Says = fleet.Word{Rest: d}
+	return a
+}
+
+// good is an answer that any route takes.
+func good(c *Call) *Answer {
+	if len(c.Path) > 0 {
+		return whole(200, events(1, 2))
+	}
+	return whole(200, "ok")
+}
+
+// leaving is a good answer of an endpoint that leaves.
+func leaving(c *Call) *Answer {
+	a := good(c)
+	a.Says = fleet.Word{Leaving: true}
+	return a
+}
+
+// restless answers well, but for an endpoint that asks for rest each time.
+func restless(id string, d time.Duration) func(int, *Call) (*Answer, error) {
+	return func(_ int, c *Call) (*Answer, error) {
+		if c.ID == id {
+			return wantsRest("", d), nil
+		}
+		return good(c), nil
+	}
+}
+
+// sentTo counts the sends to an endpoint, as the first of a path or as a later part.
+func (b *fakeBackend) sentTo(id string) int {
+	n := 0
+	for _, c := range b.sent() {
+		hit := c.ID == id
+		for _, p := range c.Path {
+			hit = hit || p.ID == id
+		}
+		if hit {
+			n++
+		}
+	}
+	return n
+}
+
+// serveUntil serves requests of a route until one was sent to an endpoint.
+func (b *bench) serveUntil(route, id string) {
+	for range 100 {
+		b.serve(route)
+		if b.backend.sentTo(id) > 0 {
+			return
+		}
+	}
+	Fail("nothing was sent to " + id)
+}
+
+// serveDuring serves requests of a route every 100 ms for d.
+func (b *bench) serveDuring(route string, d time.Duration) {
+	for range int(d / (100 * time.Millisecond)) {
+		b.clock.Advance(100 * time.Millisecond)
+		b.serve(route)
+	}
+}
+
+// only leaves these endpoints to a service.
+func (s *fakeSource) only(service string, list ...fleet.Endpoint) {
+	s.change(func() { s.endpoints[service] = list })
+}
+
+var routesAndEndpoints = []struct{ route, id string }{
+	{"safe", "p"},
+	{"unsafe", "p"},
+	{"stream", "x"},
+}
+
+var _ = Describe("an endpoint that asks for rest", func() {
+	for _, c := range routesAndEndpoints {
+		It("gets nothing until its rest is over, and then as before: "+c.route, func() {
+			withGateway(func(b *bench) {
+				b.backend.answer = restless(c.id, rested)
+				b.serveUntil(c.route, c.id)
+				n := b.backend.sentTo(c.id)
+				b.serveDuring(c.route, rested-200*time.Millisecond)
+				Expect(b.backend.sentTo(c.id)).To(Equal(n))
+				b.backend.answer = func(_ int, c *Call) (*Answer, error) { return good(c), nil }
+				b.clock.Advance(time.Second)
+				b.serveDuring(c.route, 10*time.Second)
+				Expect(b.backend.sentTo(c.id)).To(BeNumerically(">", n))
+			})
+		})
+
+		It("gets at most one more in a rest, and late, where there is nothing else: "+c.route, func() {
+			withGateway(func(b *bench) {
+				b.source.only("app", appEndpoint("p"))
+				b.source.only("llm", engineEndpoint("x", 0, 4))
+				b.backend.answer = restless(c.id, rested)
+				out := b.serve(c.route)
+				Expect(b.backend.sentTo(c.id)).To(Equal(1))
+				Expect(out.refusal.Ran()).To(Equal(failure.RanNo))
+				Expect(out.refusal.RetryAfter()).To(BeNumerically(">=", rested))
+				b.serveDuring(c.route, tryAfter-200*time.Millisecond)
+				Expect(b.backend.sentTo(c.id)).To(Equal(1), "it has just said so")
+				b.serveDuring(c.route, rested-tryAfter)
+				Expect(b.backend.sentTo(c.id)).To(Equal(2))
+			})
+		})
+
+		It("is still left alone after an answer that serves meanwhile: "+c.route, func() {
+			withGateway(func(b *bench) {
+				b.source.only("app", appEndpoint("p"))
+				b.source.only("llm", engineEndpoint("x", 0, 4))
+				first := make(chan bool)
+				b.backend.until = func(_ context.Context, n int) (*Answer, error) {
+					if n == 1 {
+						<-first
+						return good(b.backend.sent()[0]), nil
+					}
+					return wantsRest("", rested), nil
+				}
+				done := make(chan bool, 1)
+				background(func() {
+					b.serve(c.route)
+					done <- true
+				})
+				Eventually(b.backend.sent, "5s").Should(HaveLen(1))
+				b.serve(c.route)
+				close(first)
+				Eventually(done, "5s").Should(Receive())
+				n := len(b.backend.sent())
+				b.serveDuring(c.route, 500*time.Millisecond)
+				Expect(b.backend.sent()).To(HaveLen(n))
+			})
+		})
+	}
+
+	It("may ask again, and the longest rest stands; none, or another incarnation, asks for nothing", func() {
+		cases := []struct {
+			name  string
+			rests []time.Duration
+			stand time.Duration
+		}{
+			{name: "longer, then shorter", rests: []time.Duration{rested, time.Second}, stand: rested},
+			{name: "shorter, then longer", rests: []time.Duration{time.Second, rested}, stand: rested},
+			{name: "a fraction", rests: []time.Duration{300 * time.Millisecond}, stand: 300 * time.Millisecond},
+			{name: "none", rests: []time.Duration{0}, stand: 0},
+			{name: "none after some", rests: []time.Duration{rested, 0}, stand: rested},
+		}
+		for _, c := range cases {
+			withGateway(func(b *bench) {
+				b.source.only("app", appEndpoint("p"))
+				for _, d := range c.rests {
+					b.gateway.hear("p", fleet.Word{Rest: d})
+				}
+				Expect(b.gateway.rests.Left("p")).To(Equal(c.stand), c.name)
+				b.backend.answer = func(_ int, c *Call) (*Answer, error) { return good(c), nil }
+				b.serve("safe")
+				Expect(b.backend.sentTo("p") > 0).To(Equal(c.stand == 0), c.name)
+				b.source.only("app", appEndpoint("p-again"))
+				b.serve("safe")
+				Expect(b.backend.sentTo("p-again")).To(Equal(1), c.name)
+			})
+		}
+	})
+
+	It("isn't reached by repeats nor beside a first send", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(_ int, c *Call) (*Answer, error) { return whole(500, "no"), nil }
+			b.gateway.hear("p", fleet.Word{Rest: rested})
+			b.gateway.hear("q", fleet.Word{Rest: rested})
+			b.clock.Advance(tryAfter)
+			b.serve("safe")
+			Expect(b.backend.sentTo("s")).To(Equal(1))
+			Expect(b.backend.sent()).To(HaveLen(1), "a second send isn't a last choice")
+		})
+	})
+
+	It("is named at fault by the first of a path, and then it's the named one", func() {
+		withGateway(func(b *bench) {
+			named := ""
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				if n > 1 {
+					return good(c), nil
+				}
+				named = c.Path[1].ID
+				return wantsRest(c.Path[1].Address, rested), nil
+			}
+			b.serve("stream")
+			first := b.backend.sent()[0].ID
+			for _, id := range []string{named, first} {
+				Expect(b.gateway.rests.Left(id) > 0).To(Equal(id == named))
+			}
+			b.serveDuring("stream", 2*time.Second)
+			Expect(b.backend.sentTo(named)).To(Equal(1))
+			Expect(b.backend.sentTo(first)).To(BeNumerically(">", 1))
+		})
+	})
+
+	It("is found by its address if it isn't on the path any more; who isn't known gets nothing booked", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				if n > 1 {
+					return good(c), nil
+				}
+				other := "y:1"
+				if c.Path[1].ID == "y" {
+					other = "z:1"
+				}
+				return wantsRest(other, rested), nil
+			}
+			b.serve("stream")
+			Expect(max(b.gateway.rests.Left("y"), b.gateway.rests.Left("z"))).To(Equal(rested))
+			Expect(max(b.gateway.rests.Left("x"), b.gateway.rests.Left("w"))).To(BeZero())
+		})
+		withGateway(func(b *bench) {
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				a := wantsRest("nobody:1", rested)
+				a.Says.Leaving = true
+				return a, nil
+			}
+			b.serve("stream")
+			for _, id := range []string{"x", "y", "z", "w"} {
+				Expect(b.gateway.rests.Left(id)).To(BeZero())
+				Expect(b.source.EndpointLeaving(id)).To(BeFalse())
+			}
+		})
+	})
+
+	It("isn't the one that was meant, if another incarnation answers at its address", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(_ int, c *Call) (*Answer, error) {
+				return &Answer{Status: 421, Misdirected: true, Says: fleet.Word{Leaving: true, Rest: rested}, Body: http.NoBody}, nil
+			}
+			b.serve("safe")
+			for _, id := range []string{"p", "q", "s"} {
+				Expect(b.gateway.rests.Left(id)).To(BeZero())
+				Expect(b.source.EndpointLeaving(id)).To(BeFalse())
+			}
+		})
+	})
+
+	It("is heard in an answer that belongs to another request, and in one that comes after its caller has left", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) {
+				return nil, &SendError{Sent: true, Cause: errReset, Says: fleet.Word{Rest: rested}}
+			}
+			b.serve("unsafe")
+			Expect(b.gateway.rests.Left(b.backend.sent()[0].ID)).To(Equal(rested))
+		})
+		for _, route := range []string{"safe", "stream"} {
+			withGateway(func(b *bench) {
+				ctx, cancel := context.WithCancel(context.Background())
+				b.backend.until = func(context.Context, int) (*Answer, error) {
+					cancel()
+					time.Sleep(10 * time.Millisecond)
+					return wantsRest("", rested), nil
+				}
+				b.gateway.Serve(ctx, b.request(route), &fakeOutput{})
+				Eventually(func() time.Duration { return b.gateway.rests.Left(b.backend.sent()[0].ID) }, "5s").Should(Equal(rested), route)
+			})
+		}
+	})
+
+	It("doesn't keep its callers waiting where all rest: each is told at once when the first is over, and none the same", func() {
+		for _, c := range routesAndEndpoints {
+			withGateway(func(b *bench) {
+				for _, id := range []string{"p", "q", "x", "y", "z"} {
+					b.gateway.hear(id, fleet.Word{Rest: rested + time.Second})
+				}
+				for _, id := range []string{"s", "w"} {
+					b.gateway.hear(id, fleet.Word{Rest: 2 * rested})
+				}
+				told := map[time.Duration]bool{}
+				for range 20 {
+					out := b.serve(c.route)
+					Expect(out.refusal.Ran()).To(Equal(failure.RanNo))
+					Expect(out.refusal.Kind()).To(Equal(failure.Overloaded))
+					after := out.refusal.RetryAfter()
+					Expect(after).To(BeNumerically(">=", rested+time.Second))
+					Expect(after).To(BeNumerically("<=", time.Duration((1+restSpread)*float64(rested+time.Second))))
+					told[after] = true
+				}
+				Expect(b.backend.sent()).To(BeEmpty())
+				Expect(len(told)).To(BeNumerically(">", 15), c.route)
+			})
+		}
+	})
+
+	It("is told of until a path is whole again, not until its first part is", func() {
+		withGateway(func(b *bench) {
+			b.gateway.hear("x", fleet.Word{Rest: time.Second})
+			b.gateway.hear("w", fleet.Word{Rest: 4 * time.Second})
+			b.gateway.hear("y", fleet.Word{Rest: 3 * time.Second})
+			b.gateway.hear("z", fleet.Word{Rest: 5 * time.Second})
+			out := b.serve("stream")
+			Expect(out.refusal.RetryAfter()).To(BeNumerically(">=", 3*time.Second))
+			Expect(out.refusal.RetryAfter()).To(BeNumerically("<", 4*time.Second))
+		})
+	})
+
+	It("isn't asked what stands still but once, and isn't given another path for a stream", func() {
+		withGateway(func(b *bench) {
+			end := b.underWay()
+			defer end()
+			path := b.backend.sent()[0].Path
+			b.gateway.hear(path[0].ID, fleet.Word{Rest: rested})
+			b.backend.stall("r1", path[1].Address)
+			asked := b.backend.questions()
+			for range 10 {
+				b.clock.Advance(250 * time.Millisecond)
+				time.Sleep(2 * time.Millisecond)
+			}
+			Expect(b.backend.questions() - asked).To(BeNumerically("<=", 1))
+			Expect(b.backend.repathed()).To(BeZero())
+			Eventually(func() int {
+				b.clock.Advance(100 * time.Millisecond)
+				return b.backend.repathed()
+			}, "5s", "5ms").Should(BeNumerically(">", 0), "once its rest is over")
+		})
+	})
+})
+
+var _ = Describe("an endpoint that says in answers that it leaves", func() {
+	for _, c := range routesAndEndpoints {
+		It("gets nothing new, not even where there is nothing else: "+c.route, func() {
+			withGateway(func(b *bench) {
+				b.source.only("app", appEndpoint("p"))
+				b.source.only("llm", engineEndpoint("x", 0, 4))
+				b.backend.answer = func(_ int, c *Call) (*Answer, error) { return leaving(c), nil }
+				Expect(b.serve(c.route).status).To(Equal(200))
+				Expect(b.source.EndpointLeaving(c.id)).To(BeTrue())
+				b.serveDuring(c.route, rested)
+				Expect(b.backend.sent()).To(HaveLen(1))
+			})
+		})
+	}
+
+	It("is heard in answers of failures, without a body, and in those that turn a request away", func() {
+		cases := []struct {
+			name   string
+			answer *Answer
+		}{
+			{name: "failure", answer: whole(500, "no")},
+			{name: "no body", answer: whole(204, "")},
+			{name: "turned away", answer: refusedBy("")},
+			{name: "damaged", answer: &Answer{Status: 200, Body: http.NoBody}},
+			{name: "torn", answer: &Answer{Status: 200, Sealed: true, Body: brokenBody{Reader: strings.NewReader("half")}}},
+		}
+		for _, c := range cases {
+			for _, route := range []string{"unsafe", "stream"} {
+				withGateway(func(b *bench) {
+					c.answer.Says = fleet.Word{Leaving: true}
+					b.backend.answer = func(n int, call *Call) (*Answer, error) {
+						if n == 1 {
+							return c.answer, nil
+						}
+						return good(call), nil
+					}
+					b.serve(route)
+					Expect(b.source.EndpointLeaving(b.backend.sent()[0].ID)).To(BeTrue(), c.name+" "+route)
+				})
+			}
+		}
+	})
+
+	It("may be a later part of a path, and then streams under way leave it", func() {
+		withGateway(func(b *bench) {
+			end := b.underWay()
+			defer end()
+			path := b.backend.sent()[0].Path
+			b.gateway.hear(path[1].ID, fleet.Word{Leaving: true})
+			Eventually(func() int {
+				b.clock.Advance(100 * time.Millisecond)
+				return b.backend.repathed()
+			}, "5s", "5ms").Should(BeNumerically(">", 0))
+			for _, p := range b.backend.repaths[0] {
+				Expect(p.ID).NotTo(Equal(path[1].ID))
+			}
+		})
+	})
+
+	It("keeps the streams that it runs as the first of their paths", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(_ int, c *Call) (*Answer, error) { return leaving(c), nil }
+			out := b.serve("stream")
+			Expect(out.text()).To(Equal(events(1, 2)))
+			Expect(b.backend.sent()).To(HaveLen(1))
+		})
+	})
+
+	It("isn't forgotten among many", func() {
+		withGateway(func(b *bench) {
+			for n := range 5000 {
+				b.gateway.hear("gone-"+strconv.Itoa(n), fleet.Word{Rest: time.Second})
+			}
+			Expect(b.gateway.rests.Size()).To(BeNumerically("<=", 5000))
+			b.clock.Advance(2 * time.Second)
+			b.gateway.hear("p", fleet.Word{Rest: time.Second})
+			Expect(b.gateway.rests.Size()).To(Equal(1), "what is over is forgotten")
+		})
+	})
+})
--- a/pkg/rest/rest.go
+++ b/pkg/rest/rest.go
@@ -40,3 +40,10 @@
 	defer b.mu.Unlock()
 	return max(0, b.rows[id].Sub(b.svc.Now()))
 }
+
+// Size returns how many rests are kept.
+func (b *Book) Size() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.rows)
+}
