What endpoints say of themselves in answers is heeded by all that calls them

Cause: nothing read it. A host left an endpoint alone for a time of its own (0.5 s after a first refusal), the leader asked whom hosts avoided each 0.8 s, and a leave was known from heartbeats only, through control hosts. Ruled out: that only requests count: a rest with three questions in it is a breach of what the endpoint asked for, too. Change: each answer's word is taken where it arrives, and booked on the endpoint at fault. pkg/rest keeps the rests of this machine; choices of endpoints and paths, repeats, second sends, questions, orders and new paths heed it; the two processes of a machine tell each other. A leave stands on the host whatever lists say, and is told to all by the leader. Where all rest, callers are told at once when the first is over.

--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -67,6 +67,7 @@
 	listing    *listing
 	history    *fleet.History
 	spreads    spreader
+	orders     *considerate
 	keeper     *placement.Keeper
 	group      *group.Group
 
@@ -146,7 +147,8 @@
 		heard:    map[uint64]time.Time{},
 	}
 	s.leadership = s.replica
-	s.keeper = placement.NewKeeper(cfg.Orders, s.table, cfg.Heartbeat, cfg.Timer, cfg.Log, g)
+	s.orders = newConsiderate(cfg.Orders, s.table, cfg.Timer, cfg.Log)
+	s.keeper = placement.NewKeeper(s.orders, s.table, cfg.Heartbeat, cfg.Timer, cfg.Log, g)
 	return s
 }
 
--- a/pkg/fleetcontrol/survey.go
+++ b/pkg/fleetcontrol/survey.go
@@ -133,7 +133,7 @@
 
 // ask asks one endpoint, if it wasn't for as long as pause.
 func (s *Server) ask(e fleet.Endpoint, pause time.Duration, why string) {
-	if e.Gone || !s.survey.due(e.ID, s.cfg.Timer.Now(), pause) {
+	if e.Gone || s.orders.rests(e.ID) || !s.survey.due(e.ID, s.cfg.Timer.Now(), pause) {
 		return
 	}
 	if e.Kind == "" { // engines are asked all the time
@@ -142,13 +142,14 @@
 	s.group.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
-		report, err := s.cfg.Orders.Report(ctx, e.ID, e.Address)
+		report, err := s.orders.Report(ctx, e.ID, e.Address)
 		s.heard(e, report, err, ctx.Err() != nil)
 	})
 }
 
 // heard takes the outcome of a question. An endpoint that refuses connections
-// or left two questions open is lost; one that has nothing to tell is there.
+// or left two questions open is lost; one that has nothing to tell, or turns questions
+// away to rest, is there.
 func (s *Server) heard(e fleet.Endpoint, report placement.Report, err error, silent bool) {
 	switch {
 	case err == nil:
@@ -156,7 +157,7 @@
 		if e.Kind != "" {
 			s.table.Reported(e.ID, report)
 		}
-	case errors.Is(err, placement.ErrNoReport):
+	case errors.Is(err, placement.ErrNoReport), errors.Is(err, errRests), report.Says.Rest > 0:
 		s.survey.answered(e.ID)
 		s.table.Answered(e.ID)
 	case s.survey.missed(e.ID) >= doubtful || !silent:
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -37,6 +37,7 @@
 		}, nil
 	}
 	first := s.hosts.hear(began, q)
+	s.hearWords(q)
 	s.doubt(q.GetSuspects())
 	s.hearEnds(q, machine, term)
 	wait := min(maxHold, time.Duration(q.GetWaitMs())*time.Millisecond)
@@ -127,6 +128,7 @@
 	s.tellEndpoints(q, reply, now)
 	s.tellAddresses(q, reply, term, now)
 	s.tellSuspects(q, reply, machine)
+	s.tellRests(q, reply)
 	doc := machine.Document()
 	reply.Newest = doc.GetVersion()
 	if doc.GetVersion() > q.GetDocumentVersion() && s.hosts.mayHaveDocument(now, name) {
--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -72,6 +72,7 @@
 	cfg        FollowerConfig
 	loads      Loads
 	suspicions Suspicions
+	rests      Rests
 
 	// content is the configuration in force as the operator sent it, which
 	// patches are applied to. whole says that a patch was no good, askOthers that
@@ -90,6 +91,7 @@
 	version     uint64 // of endpoints
 	endpoints   map[string]fleet.Endpoint
 	byService   map[string][]fleet.Endpoint
+	leaves      map[string]time.Time    // when endpoints told this host that they leave
 	digest      uint64                  // of the usable endpoints
 	others      map[uint32]gateway.Load // by fleet.LoadKey; of all hosts but this one
 	told        map[string]gateway.Load // this host's, with the last call
@@ -116,17 +118,19 @@
 		askOthers: true,
 		endpoints: map[string]fleet.Endpoint{},
 		byService: map[string][]fleet.Endpoint{},
+		leaves:    map[string]time.Time{},
 		others:    map[uint32]gateway.Load{},
 		changed:   make(chan struct{}),
 		confirmed: make(chan struct{}),
 	}
 }
 
-// Tell sets where the follower learns of this host's load, and of requests under
-// which endpoints ended. It must be called before Run.
-func (f *Follower) Tell(loads Loads, suspicions Suspicions) {
+// Tell sets where the follower learns of this host's load, of requests under which
+// endpoints ended, and of endpoints that rest. It must be called before Run.
+func (f *Follower) Tell(loads Loads, suspicions Suspicions, rests Rests) {
 	f.loads = loads
 	f.suspicions = suspicions
+	f.rests = rests
 }
 
 // Run follows the control hosts until ctx ends.
@@ -151,7 +155,7 @@
 	defer cancel()
 	f.setInterrupt(cancel)
 	sent := f.cfg.Timer.Now()
-	reply, err := rpc.NewFleetProtobufClient("http://"+address, f.cfg.Client).Sync(ctx, f.request())
+	reply, err := rpc.NewFleetProtobufClient("http://"+address, f.cfg.Client).Sync(ctx, f.request(address))
 	if err != nil && f.wasInterrupted() {
 		return true
 	}
@@ -203,7 +207,7 @@
 	}
 }
 
-func (f *Follower) request() *rpc.SyncRequest {
+func (f *Follower) request(address string) *rpc.SyncRequest {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.noteReady()
@@ -229,7 +233,7 @@
 	if !q.GetHost().GetReady() {
 		q.WaitMs /= 2
 	}
-	q.Suspects = f.loads.Suspects()
+	f.tellWords(q, address)
 	f.tellSuspects(q)
 	f.told = f.loads.Loads()
 	for id, l := range f.told {
--- a/pkg/fleetentry/take.go
+++ b/pkg/fleetentry/take.go
@@ -48,6 +48,7 @@
 	f.takeLoads(reply.GetLoads())
 	f.takeHosts(reply)
 	f.takeSuspects(reply)
+	f.takeRests(reply)
 	if list := reply.GetReplicas(); len(list) > 0 {
 		f.replicas = list
 	}
@@ -88,6 +89,7 @@
 // rebuild sorts the usable endpoints by service.
 func (f *Follower) rebuild(now time.Time) {
 	f.byService = map[string][]fleet.Endpoint{}
+	told := make([]fleet.Endpoint, 0, len(f.endpoints))
 	for id, e := range f.endpoints {
 		if !e.Usable() {
 			if now.Sub(e.HeardAt) > goneKeep {
@@ -95,14 +97,17 @@
 			}
 			continue
 		}
-		f.byService[e.Service] = append(f.byService[e.Service], e)
+		told = append(told, e)
+		if !f.heardLeaving(id) {
+			f.byService[e.Service] = append(f.byService[e.Service], e)
+		}
 	}
+	f.forgetLeaves(now)
 	close(f.changed)
 	f.changed = make(chan struct{})
-	f.digest = 0
+	f.digest = fleet.EndpointsDigest(told)
 	for _, list := range f.byService {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
-		f.digest += fleet.EndpointsDigest(list)
 	}
 }
 
--- a/pkg/fleetentry/view.go
+++ b/pkg/fleetentry/view.go
@@ -36,7 +36,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e, known := f.endpoints[id]
-	return known && !e.Usable()
+	return known && !e.Usable() || f.heardLeaving(id)
 }
 
 // EndpointSlow implements gateway.Source.
--- a/pkg/gateway/asker.go
+++ b/pkg/gateway/asker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/rest"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
@@ -25,6 +26,7 @@
 // streams ask at once. It is safe for use by several goroutines.
 type asker struct {
 	backend Backend
+	rests   *rest.Book
 	svc     timer.Service
 
 	mu   sync.Mutex
@@ -33,34 +35,39 @@
 
 // question is the newest one to an address.
 type question struct {
-	done    chan struct{} // closed with the answer
-	at      time.Time     // of the answer; zero before it
-	stalled map[string]string
-	err     error
-	silent  int // questions in a row without an answer, with this one
+	done   chan struct{} // closed with the answer
+	at     time.Time     // of the answer; zero before it
+	found  Standstill
+	err    error
+	silent int // questions in a row without an answer, with this one
 }
 
 // maxQuestions is how many addresses are remembered: more than a deployment has
 // endpoints that hold first layers.
 const maxQuestions = 1000
 
-func newAsker(backend Backend, svc timer.Service) *asker {
+func newAsker(backend Backend, rests *rest.Book, svc timer.Service) *asker {
 	return &asker{
 		backend: backend,
+		rests:   rests,
 		svc:     svc,
 		rows:    map[string]*question{},
 	}
 }
 
-// ask returns the newest answer of the endpoint at address, and asks for one if
-// there is none. A question outlives the stream that asked it.
-func (a *asker) ask(ctx context.Context, address string) *question {
-	q, mine := a.join(address)
+// ask returns the newest answer of an endpoint, and asks for one if there is none. A
+// question outlives the stream that asked it. It returns nil if the endpoint rests and
+// was asked once in that: it wants nothing, and each stream that it runs would ask.
+func (a *asker) ask(ctx context.Context, id, address string) *question {
+	q, mine := a.join(id, address)
+	if q == nil {
+		return nil
+	}
 	if mine {
 		askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stallAskTimeout)
-		stalled, err := a.backend.Stalled(askCtx, address)
+		found, err := a.backend.Stalled(askCtx, address)
 		cancel()
-		a.answer(q, stalled, err)
+		a.answer(q, found, err)
 		return q
 	}
 	select {
@@ -71,13 +78,16 @@
 }
 
 // join returns the question that serves now; mine says that the caller must ask it.
-func (a *asker) join(address string) (q *question, mine bool) {
+func (a *asker) join(id, address string) (q *question, mine bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	old := a.rows[address]
 	if old != nil && a.serves(old) {
 		return old, false
 	}
+	if !a.rests.Take(id, rest.Question) {
+		return nil, false
+	}
 	q = &question{
 		done: make(chan struct{}),
 	}
@@ -100,10 +110,10 @@
 	return (q.err == nil || q.lost()) && a.svc.Now().Sub(q.at) < sharedFor
 }
 
-func (a *asker) answer(q *question, stalled map[string]string, err error) {
+func (a *asker) answer(q *question, found Standstill, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	q.stalled = stalled
+	q.found = found
 	q.err = err
 	q.at = a.svc.Now()
 	q.silent++
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -31,8 +31,13 @@
 	return d
 }
 
-// stages returns the endpoints that hold layers, with their load.
+// stages returns the endpoints that hold layers and don't rest, with their load.
 func (s *streamRun) stages(avoid func(e *fleet.Endpoint) bool) []pathing.Stage {
+	return s.holders(func(e *fleet.Endpoint) bool { return s.g.rests.Left(e.ID) > 0 || avoid(e) })
+}
+
+// holders is stages with endpoints that rest.
+func (s *streamRun) holders(avoid func(e *fleet.Endpoint) bool) []pathing.Stage {
 	list := s.g.source.Endpoints(s.j.service.Name)
 	out := make([]pathing.Stage, 0, len(list))
 	for i := range list {
@@ -122,6 +127,9 @@
 		path = pathing.Choose(e, loose, s.demand(), s.jitter)
 	}
 	if path == nil || !pathing.Whole(e, path) {
+		path = s.lastPath()
+	}
+	if path == nil {
 		return nil, s.noPath()
 	}
 	d := s.demand()
@@ -146,6 +154,9 @@
 
 // noPath says why no path was found.
 func (s *streamRun) noPath() *failure.Error {
+	if left := s.restLeft(); left > 0 {
+		return s.g.resting(left)
+	}
 	held := 0
 	silent := 0
 	list := s.g.source.Endpoints(s.j.service.Name)
@@ -168,6 +179,9 @@
 		tried[e.ID] = s.failed(e.ID)
 	}
 	e, ok := s.g.pick(s.j.service.Name, tried)
+	if !ok && s.sends == 0 {
+		e, ok = s.g.lastChoice(s.j.service.Name, tried)
+	}
 	if !ok {
 		return nil, s.noPath()
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -40,6 +40,7 @@
 
 // New returns the gateway of a host in a failure domain.
 func New(domain string, backend Backend, source Source, budget Budget, svc timer.Service, log *eventlog.Log, set *metrics.Set) *Gateway {
+	rests := rest.New(svc)
 	return &Gateway{
 		domain:  domain,
 		backend: backend,
@@ -52,15 +53,20 @@
 		pipes:   newPipes(svc),
 		labels:  newAccountLabels(),
 		paces:   newPaces(),
-		asker:   newAsker(backend, svc),
 		waits:   newWaits(svc),
 		returns: newComebacks(svc),
 		crowd:   crowd.New(svc),
 		held:    quarantine.NewHost(svc),
-		rests:   rest.New(svc),
+		rests:   rests,
+		asker:   newAsker(backend, rests, svc),
 	}
 }
 
+// Rests returns which endpoints asked this host for rest.
+func (g *Gateway) Rests() *rest.Book {
+	return g.rests
+}
+
 // Tracker returns what this host has under way and avoids.
 func (g *Gateway) Tracker() *Tracker {
 	return g.tracker
--- a/pkg/gateway/repath.go
+++ b/pkg/gateway/repath.go
@@ -22,9 +22,12 @@
 		return nil
 	}
 	s.shun(s.path, address)
+	rests := s.g.rests.Left(s.path[0].ID) > 0 // it can't be told of another path
 	for range repathTries {
 		path := s.pathAround(s.shunned)
-		if path == nil || pathing.Crossings(path) > pathing.Crossings(s.path) {
+		if rests {
+			path = nil
+		} else if path == nil || pathing.Crossings(path) > pathing.Crossings(s.path) {
 			path = s.pathFrom(&s.path[0])
 		}
 		if s.betterElsewhere(path) {
@@ -52,16 +55,22 @@
 // follow gives the stream a path around the part at address, and reports
 // whether the first endpoint took it.
 func (s *streamRun) follow(ctx context.Context, path []fleet.Part, address string) bool {
-	first := s.path[0].Address
+	first := s.path[0]
+	if s.g.rests.Left(first.ID) > 0 {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 	defer cancel()
-	s.g.noteCall(s.path[0].ID, "repath")
-	err := s.g.backend.Repath(ctx, first, s.j.req.ID, path)
+	err := s.g.backend.Repath(ctx, first.Address, s.j.req.ID, path)
 	s.g.log.Event(eventlog.StreamRepathed, eventlog.Str("request", s.j.req.ID), eventlog.Str("around", address), eventlog.Err(err))
 	if err == nil {
 		s.take(path)
 		return true
 	}
+	var away *fleet.TurnedAway
+	if errors.As(err, &away) {
+		s.g.hear(first.ID, away.Says)
+	}
 	var fault *RepathError
 	if errors.As(err, &fault) {
 		s.shun(path, fault.At)
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -40,6 +40,10 @@
 	w.wait(stallWait)
 }
 
+// restAsk is how often a stream looks whether its first endpoint, which rests, may be
+// asked.
+const restAsk = time.Second
+
 // ask finds what stands still. Its error says that the stream must be sent
 // anew.
 func (w *stallWatch) ask(ctx context.Context) error {
@@ -47,11 +51,15 @@
 		w.timer = nil
 		return nil
 	}
-	w.asks++
 	s := w.s
 	first := s.path[0]
-	s.g.noteCall(first.ID, "question")
-	q := s.g.asker.ask(ctx, first.Address)
+	q := s.g.asker.ask(ctx, first.ID, first.Address)
+	if q == nil {
+		w.wait(max(askAgain, min(restAsk, s.g.rests.Left(first.ID))))
+		return nil
+	}
+	w.asks++
+	s.g.hear(first.ID, q.found.Says)
 	switch {
 	case ctx.Err() != nil:
 		return nil
@@ -65,7 +73,7 @@
 		w.wait(askAgain)
 		return nil
 	}
-	if at, ok := q.stalled[s.j.req.ID]; ok {
+	if at, ok := q.found.At[s.j.req.ID]; ok {
 		s.avoidAt(at, "stalled")
 		s.g.log.Event(eventlog.StreamStalled, eventlog.Str("request", s.j.req.ID), eventlog.Str("at", at), eventlog.Str("after", s.last))
 		if err := s.repath(ctx, at); err != nil {
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -98,15 +98,22 @@
 	return "the endpoint at " + e.At + " isn't there or has no room"
 }
 
+// Standstill is what the first endpoint of paths tells of requests that stand still.
+type Standstill struct {
+	At   map[string]string // address by request
+	Says fleet.Word
+}
+
 // Backend reaches endpoints.
 type Backend interface {
 	// Send sends a call; its error is a *SendError.
 	Send(ctx context.Context, c *Call) (*Answer, error)
-	// Stalled asks the first endpoint of a path which requests stand still,
-	// and at which address.
-	Stalled(ctx context.Context, address string) (map[string]string, error)
+	// Stalled asks the first endpoint of a path which requests stand still. What
+	// it says of itself is told with any answer, also beside an error.
+	Stalled(ctx context.Context, address string) (Standstill, error)
 	// Repath gives a request that is under way another path with the same
-	// first part. Its error is a *RepathError if it names an endpoint.
+	// first part. Its error is a *RepathError if it names an endpoint, or a
+	// *fleet.TurnedAway.
 	Repath(ctx context.Context, address, requestID string, path []fleet.Part) error
 }
 
@@ -144,6 +151,8 @@
 	Endpoints(service string) []fleet.Endpoint
 	// EndpointLeaving reports whether an endpoint is known to leave or gone.
 	EndpointLeaving(id string) bool
+	// Leaves says that an endpoint told this host itself that it leaves.
+	Leaves(id string)
 	// GaveUp reports whether an endpoint is known to have given up some of
 	// layers: it was ordered to hold others.
 	GaveUp(id string, layers fleet.Range) bool
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -11,6 +11,7 @@
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/rest"
 )
 
 const (
@@ -171,6 +172,9 @@
 // whether an endpoint was there.
 func (w *wholeRun) send(again bool) bool {
 	e, ok := w.g.pick(w.j.service.Name, w.tried)
+	if !ok && w.sends == 0 {
+		e, ok = w.g.lastChoice(w.j.service.Name, w.tried)
+	}
 	if !ok || (again && !w.g.repeats.spend(w.g.source.Hosts())) {
 		return false
 	}
@@ -196,12 +200,15 @@
 	switch {
 	case v != nil && v.err == nil && !v.notRun:
 		w.answer(v)
+	case v == nil && w.g.restLeft(w.j.service.Name) > 0:
+		w.refuse(w.g.resting(w.g.restLeft(w.j.service.Name)))
 	case v == nil:
-		w.refuse(failure.New(failure.NoEndpoint, "no endpoint of the service takes work").WithRetryAfter(comeBack))
+		w.refuse(failure.New(failure.NoEndpoint, "no endpoint of the service takes work").WithRetryAfter(spread(comeBack)))
 	case w.ran > 0:
 		w.refuse(failure.Wrap(v.err, failure.EndpointFailed, "endpoint %s", v.endpoint.ID))
 	default:
-		w.refuse(failure.New(failure.Overloaded, "every endpoint that was asked refused").WithRetryAfter(comeBack))
+		w.refuse(failure.New(failure.Overloaded, "every endpoint that was asked refused").
+			WithRetryAfter(max(comeBack, spread(w.g.restLeft(w.j.service.Name)))))
 	}
 }
 
@@ -234,12 +241,23 @@
 	w.g.refuse(w.j.req, w.j, w.j.out, e)
 }
 
-// pick chooses the endpoint that should answer first.
+// pick chooses the endpoint that should answer first, of those that don't rest.
 func (g *Gateway) pick(service string, tried map[string]bool) (fleet.Endpoint, bool) {
+	return g.best(service, func(id string) bool { return !tried[id] && g.rests.Left(id) == 0 })
+}
+
+// lastChoice chooses one that rests, and counts that it is called in its rest.
+func (g *Gateway) lastChoice(service string, tried map[string]bool) (fleet.Endpoint, bool) {
+	e, ok := g.best(service, func(id string) bool { return !tried[id] && g.rests.May(id, rest.LastChoice) })
+	return e, ok && g.takeLast(e.ID)
+}
+
+// best returns the endpoint with the lowest score of those that fit.
+func (g *Gateway) best(service string, fits func(id string) bool) (fleet.Endpoint, bool) {
 	var best fleet.Endpoint
 	bestScore := -1.0
 	for _, e := range g.source.Endpoints(service) {
-		if tried[e.ID] {
+		if !fits(e.ID) {
 			continue
 		}
 		if s := g.score(&e); bestScore < 0 || s < bestScore {
--- a/pkg/gateway/words.go
+++ b/pkg/gateway/words.go
@@ -2,18 +2,24 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
+	"sort"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
-	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/pathing"
+	"github.com/larchwinch/larchwinch/pkg/rest"
 )
 
 // send sends a call, and takes what the answer says of an endpoint at once, whether or
-// not anybody still waits for the answer.
+// not anybody still waits for the answer: each answer that tells of a leave or a rest is
+// heard here, and each choice of endpoints heeds it. Before, an endpoint that had asked
+// for 3 s got up to a dozen requests of one host within them.
 func (g *Gateway) send(ctx context.Context, j *job, c *Call) (*Answer, error) {
-	g.noteCall(c.ID, "request")
 	a, err := g.backend.Send(ctx, c)
 	var lost *SendError
 	switch {
@@ -47,9 +53,16 @@
 	return ""
 }
 
-// hear takes what an endpoint says of itself.
+// hear takes what an endpoint says of itself: a rest is for this host alone, a leave is
+// for all of them.
 func (g *Gateway) hear(id string, w fleet.Word) {
-	if id == "" || w.Rest <= 0 {
+	if id == "" {
+		return
+	}
+	if w.Leaving {
+		g.source.Leaves(id)
+	}
+	if w.Rest <= 0 {
 		return
 	}
 	g.rests.Ask(id, w.Rest)
@@ -57,13 +70,96 @@
 	g.log.Event(eventlog.EndpointResting, eventlog.Str("endpoint", id), eventlog.Ms("for_ms", w.Rest))
 }
 
-// noteCall counts and logs a call to an endpoint that asked for rest.
-func (g *Gateway) noteCall(id, what string) {
+// takeLast reports whether an endpoint may be called as the last choice now, and counts
+// and logs it if that is in its rest.
+func (g *Gateway) takeLast(id string) bool {
 	left := g.rests.Left(id)
-	if left <= 0 {
-		return
+	if !g.rests.Take(id, rest.LastChoice) {
+		return false
+	}
+	if left > 0 {
+		g.metrics.Counter("calls_in_rest").Inc(1)
+		g.log.Event(eventlog.CallInRest, eventlog.Str("endpoint", id), eventlog.Ms("left_ms", left))
+	}
+	return true
+}
+
+// restSpread is the part of a rest by which callers are told to come back later than its
+// end: those that were refused together must not return together.
+const restSpread = 0.25
+
+// spread returns a time that is somewhat longer.
+func spread(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + restSpread*rand.Float64()))
+}
+
+// resting refuses a request at once for which every endpoint rests: held until the rest
+// is over, it would only come with all others.
+func (g *Gateway) resting(left time.Duration) *failure.Error {
+	return failure.New(failure.Overloaded, "the endpoints asked for rest").WithRetryAfter(max(comeBack, spread(left)))
+}
+
+// restLeft returns how long it takes until an endpoint of a service may be called; 0 if
+// one may be now, or there is none.
+func (g *Gateway) restLeft(service string) time.Duration {
+	least := time.Duration(0)
+	for _, e := range g.source.Endpoints(service) {
+		left := g.rests.Left(e.ID)
+		if left == 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
+// restLeft returns how long it takes until endpoints that rest make a path whole; 0 if
+// no rest stands in the way, or not rests alone.
+func (s *streamRun) restLeft() time.Duration {
+	if s.j.service.Engine == nil {
+		return s.g.restLeft(s.j.service.Name)
+	}
+	var lefts []time.Duration
+	for _, e := range s.g.source.Endpoints(s.j.service.Name) {
+		if left := s.g.rests.Left(e.ID); left > 0 && !s.avoid[e.ID] {
+			lefts = append(lefts, left)
+		}
+	}
+	slices.Sort(lefts)
+	n := sort.Search(len(lefts), func(i int) bool {
+		return s.pathOver(func(id string) bool { return s.g.rests.Left(id) <= lefts[i] }) != nil
+	})
+	if n == len(lefts) {
+		return 0
+	}
+	return lefts[n]
+}
+
+// pathOver returns a whole path over endpoints that fit, whether they rest or not; those
+// that had no room for this request just now may have it later.
+func (s *streamRun) pathOver(fits func(id string) bool) []fleet.Part {
+	e := s.j.service.Engine
+	list := s.holders(func(p *fleet.Endpoint) bool { return s.avoid[p.ID] || !fits(p.ID) })
+	path := pathing.Choose(e, list, s.demand(), s.jitter)
+	if path == nil || !pathing.Whole(e, path) {
+		return nil
+	}
+	return path
+}
+
+// lastPath returns a path over endpoints that rest, where there is no other for a stream
+// that wasn't sent yet, and counts that they are called in their rests.
+func (s *streamRun) lastPath() []fleet.Part {
+	if s.sends > 0 || !s.g.rests.Any() {
+		return nil
+	}
+	path := s.pathOver(func(id string) bool { return s.g.rests.May(id, rest.LastChoice) })
+	for _, p := range path {
+		if !s.g.takeLast(p.ID) {
+			return nil // another stream was before this one
+		}
 	}
-	g.metrics.Counter("calls_in_rest", metrics.Label{Name: "what", Value: what}).Inc(1)
-	g.log.Event(eventlog.CallInRest, eventlog.Str("endpoint", id), eventlog.Str("what", what),
-		eventlog.Ms("left_ms", left.Round(time.Millisecond)))
+	return path
 }
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -45,10 +45,11 @@
 // Orderer reaches endpoints.
 type Orderer interface {
 	// Place carries out an order, if the incarnation has taken as many orders
-	// as given.
+	// as given. The error of one that was turned away is a *fleet.TurnedAway.
 	Place(ctx context.Context, o Order, address string, orders uint64) (Outcome, error)
 	// Report asks what an incarnation holds. It fails if another one answers,
-	// and with ErrNoReport if it is no engine.
+	// and with ErrNoReport if it is no engine. What it says of itself is told with
+	// any answer, also beside an error.
 	Report(ctx context.Context, id, address string) (Report, error)
 }
 
--- a/pkg/registry/status.go
+++ b/pkg/registry/status.go
@@ -14,6 +14,8 @@
 	Busy   bool   // with an order
 	// Slow is how many times as slow as its kind the endpoint is.
 	Slow float64
+	// Says is told with any answer, also with one that is no report.
+	Says fleet.Word
 }
 
 // Reported takes what an endpoint answered when it was asked.
@@ -37,6 +39,20 @@
 	t.replace(r, next)
 }
 
+// Left notes that an endpoint said in an answer, to this host or another, that it leaves.
+// Its heartbeats may not tell that, or later.
+func (t *Table) Left(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[id]
+	if r == nil || r.Leaving {
+		return
+	}
+	r.Leaving = true
+	t.noteChange(&r.Endpoint)
+	t.note(r)
+}
+
 // Ordered notes that an endpoint took an order to hold other layers: it has
 // given up those that it held, and loads. taken is how many orders it has taken.
 func (t *Table) Ordered(id string, taken uint64) {
--- /dev/null
+++ b/pkg/rest/rest_test.go
@@ -0,0 +1,78 @@
+package rest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestRest(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "rest")
+}
+
+// withBook runs f on a book without rests.
+func withBook(f func(b *Book, clock *timer.Manual)) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	f(New(clock), clock)
+}
+
+var _ = Describe("a rest", func() {
+	It("lasts as long as the longest that was asked for, and no longer", func() {
+		withBook(func(b *Book, clock *timer.Manual) {
+			b.Ask("p", 3*time.Second)
+			clock.Advance(time.Second)
+			b.Ask("p", time.Second)
+			Expect(b.Left("p")).To(Equal(2 * time.Second))
+			b.Ask("p", 5*time.Second)
+			Expect(b.Left("p")).To(Equal(5 * time.Second))
+			Expect(b.Left("q")).To(BeZero())
+			clock.Advance(5 * time.Second)
+			Expect(b.Left("p")).To(BeZero())
+			Expect(b.Resting()).To(BeEmpty())
+		})
+	})
+
+	It("allows each use once, not at its begin, and not again when it is drawn out", func() {
+		for _, use := range []Use{LastChoice, Question} {
+			withBook(func(b *Book, clock *timer.Manual) {
+				Expect(b.Take("p", use)).To(BeTrue(), "it doesn't rest")
+				b.Ask("p", 3*time.Second)
+				Expect(b.Take("p", use)).To(BeFalse())
+				clock.Advance(tryAfter)
+				Expect(b.May("p", use)).To(BeTrue())
+				Expect(b.Take("p", use)).To(BeTrue())
+				Expect(b.Take("p", use)).To(BeFalse())
+				b.Ask("p", 3*time.Second)
+				clock.Advance(tryAfter)
+				Expect(b.Take("p", use)).To(BeFalse(), "in no rest may it be twice")
+				clock.Advance(3 * time.Second)
+				b.Ask("p", 3*time.Second)
+				clock.Advance(tryAfter)
+				Expect(b.Take("p", use)).To(BeTrue(), "it was free meanwhile")
+			})
+		}
+	})
+
+	It("is forgotten once it is over, however many there were", func() {
+		withBook(func(b *Book, clock *timer.Manual) {
+			for n := range 3200 {
+				b.Ask(string(rune('a'+n)), time.Duration(1+n%3)*time.Second)
+			}
+			clock.Advance(4 * time.Second)
+			b.Ask("p", time.Second)
+			Expect(b.Size()).To(Equal(1))
+		})
+	})
+})
+
+func BenchmarkLeft(b *testing.B) {
+	book := New(timer.NewSystem())
+	book.Ask("p", time.Hour)
+	for b.Loop() {
+		book.Left("q")
+	}
+}
