A leave that may be another's is booked on neither; one call at most in a rest

Cause: where an answer names another endpoint at fault, a leave in it may be either's. Booked on the wrong one, it was lost for all hosts until its next start. Both are avoided for a moment now, and asked by the leader, to whom each tells of itself. A last choice and a question share the one call that a rest bears, so that a call that is on its way leaves room below two.

--- a/pkg/gateway/asker.go
+++ b/pkg/gateway/asker.go
@@ -85,7 +85,7 @@
 	if old != nil && a.serves(old) {
 		return old, false
 	}
-	if !a.rests.Take(id, rest.Question) {
+	if !a.rests.Take(id) {
 		return nil, false
 	}
 	q = &question{
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -11,7 +11,6 @@
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
-	"github.com/larchwinch/larchwinch/pkg/rest"
 )
 
 const (
@@ -248,7 +247,7 @@
 
 // lastChoice chooses one that rests, and counts that it is called in its rest.
 func (g *Gateway) lastChoice(service string, tried map[string]bool) (fleet.Endpoint, bool) {
-	e, ok := g.best(service, func(id string) bool { return !tried[id] && g.rests.May(id, rest.LastChoice) })
+	e, ok := g.best(service, func(id string) bool { return !tried[id] && g.rests.May(id) })
 	return e, ok && g.takeLast(e.ID)
 }
 
--- a/pkg/gateway/words.go
+++ b/pkg/gateway/words.go
@@ -12,7 +12,6 @@
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/pathing"
-	"github.com/larchwinch/larchwinch/pkg/rest"
 )
 
 // send sends a call, and takes what the answer says of an endpoint at once, whether or
@@ -24,13 +23,33 @@
 	var lost *SendError
 	switch {
 	case err == nil:
-		g.hear(g.speaker(j, c, a), a.Says)
+		g.hearAnswer(j, c, a)
 	case errors.As(err, &lost):
 		g.hear(c.ID, lost.Says)
 	}
 	return a, err
 }
 
+// hearAnswer takes the word of an answer. Where it names another endpoint at fault, the
+// leave may be of either. Booked on the wrong one it would keep that from every host until
+// it starts again; so both are avoided for a moment only, and as suspects they are asked
+// by the leader: each of them tells of itself then.
+func (g *Gateway) hearAnswer(j *job, c *Call, a *Answer) {
+	who := g.speaker(j, c, a)
+	w := a.Says
+	if w.Leaving && who != c.ID {
+		w.Leaving = false
+		g.tracker.Avoid(c.ID, oneLeaves)
+		if who != "" {
+			g.tracker.Avoid(who, oneLeaves)
+		}
+	}
+	g.hear(who, w)
+}
+
+// oneLeaves is why endpoints are avoided that share a path of which one leaves.
+const oneLeaves = "it or another on the path leaves"
+
 // speaker returns the endpoint that an answer's word is about: the one that it names as
 // at fault, or else who gave it. Empty: that can't be told.
 func (g *Gateway) speaker(j *job, c *Call, a *Answer) string {
@@ -74,7 +93,7 @@
 // and logs it if that is in its rest.
 func (g *Gateway) takeLast(id string) bool {
 	left := g.rests.Left(id)
-	if !g.rests.Take(id, rest.LastChoice) {
+	if !g.rests.Take(id) {
 		return false
 	}
 	if left > 0 {
@@ -155,7 +174,7 @@
 	if s.sends > 0 || !s.g.rests.Any() {
 		return nil
 	}
-	path := s.pathOver(func(id string) bool { return s.g.rests.May(id, rest.LastChoice) })
+	path := s.pathOver(func(id string) bool { return s.g.rests.May(id) })
 	for _, p := range path {
 		if !s.g.takeLast(p.ID) {
 			return nil // another stream was before this one
--- a/pkg/gateway/words_test.go
+++ b/pkg/gateway/words_test.go
@@ -249,6 +249,25 @@
 		})
 	})
 
+	It("isn't taken to leave where that may be said of another on the path; both are asked", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				a := refusedBy(c.Path[1].Address)
+				a.Says.Leaving = true
+				if n > 1 {
+					return good(c), nil
+				}
+				return a, nil
+			}
+			b.serve("stream")
+			path := b.backend.sent()[0].Path
+			for _, p := range path {
+				Expect(b.source.EndpointLeaving(p.ID)).To(BeFalse())
+				Expect(b.gateway.Tracker().Suspects()).To(ContainElement(p.ID))
+			}
+		})
+	})
+
 	It("isn't the one that was meant, if another incarnation answers at its address", func() {
 		withGateway(func(b *bench) {
 			b.backend.answer = func(_ int, c *Call) (*Answer, error) {
@@ -403,6 +422,25 @@
 		})
 	})
 
+	It("is left by streams under way only once their first endpoint, which rests, may be told so", func() {
+		withGateway(func(b *bench) {
+			end := b.underWay()
+			defer end()
+			path := b.backend.sent()[0].Path
+			b.gateway.hear(path[0].ID, fleet.Word{Rest: rested})
+			b.gateway.hear(path[1].ID, fleet.Word{Leaving: true})
+			for range 10 {
+				b.clock.Advance(250 * time.Millisecond)
+				time.Sleep(2 * time.Millisecond)
+			}
+			Expect(b.backend.repathed()).To(BeZero())
+			Eventually(func() int {
+				b.clock.Advance(100 * time.Millisecond)
+				return b.backend.repathed()
+			}, "5s", "5ms").Should(BeNumerically(">", 0))
+		})
+	})
+
 	It("keeps the streams that it runs as the first of their paths", func() {
 		withGateway(func(b *bench) {
 			b.backend.answer = func(_ int, c *Call) (*Answer, error) { return leaving(c), nil }
--- a/pkg/rest/rest.go
+++ b/pkg/rest/rest.go
@@ -8,20 +8,6 @@
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
-// Use is what an endpoint may be called for in spite of its rest.
-type Use int
-
-// The uses. Each may be made once in a rest, so that with both no more than two calls
-// reach an endpoint in it.
-const (
-	// LastChoice is a request for which there is no other endpoint: one that always
-	// asks for rest must not leave its service without any answer.
-	LastChoice Use = iota
-	// Question is one that streams which the endpoint runs need answered.
-	Question
-	uses
-)
-
 const (
 	// tryAfter is how long after it was asked for a rest isn't disturbed at all: the
 	// endpoint has just said so.
@@ -34,7 +20,8 @@
 // It is safe for use by several goroutines.
 //
 // Invariants: an end never moves nearer: neither a shorter rest nor a good answer takes
-// back what was asked for. A use that was made stays made until the endpoint was free.
+// back what was asked for. In spite of a rest an endpoint is called once at most, until it
+// was free: endpoints bear two, and a call may be on its way when they ask.
 type Book struct {
 	svc timer.Service
 
@@ -47,7 +34,7 @@
 type row struct {
 	asked time.Time // the last time
 	end   time.Time
-	made  [uses]bool
+	taken bool // the one call in spite of it
 }
 
 // New returns a book without rests.
@@ -126,30 +113,32 @@
 	return max(0, r.end.Sub(b.svc.Now()))
 }
 
-// May reports whether an endpoint may be called for a use now.
-func (b *Book) May(id string, use Use) bool {
+// May reports whether an endpoint may be called now: it doesn't rest, or some time has
+// passed and nothing has called it since. That is for what can't be done elsewhere: a
+// request for which there is no other endpoint, or a question about streams that it runs.
+func (b *Book) May(id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.may(id, use)
+	return b.may(id)
 }
 
-func (b *Book) may(id string, use Use) bool {
+func (b *Book) may(id string) bool {
 	if b.left(id) == 0 {
 		return true
 	}
 	r := b.rows[id]
-	return !r.made[use] && b.svc.Now().Sub(r.asked) >= tryAfter
+	return !r.taken && b.svc.Now().Sub(r.asked) >= tryAfter
 }
 
-// Take reports whether an endpoint may be called for a use now, and counts that as made.
-func (b *Book) Take(id string, use Use) bool {
+// Take is May for who then calls; others that ask for it in the same rest may not.
+func (b *Book) Take(id string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.may(id, use) {
+	if !b.may(id) {
 		return false
 	}
 	if b.left(id) > 0 {
-		b.rows[id].made[use] = true
+		b.rows[id].taken = true
 	}
 	return true
 }
