--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -33,6 +33,9 @@
 
 // stages returns the endpoints that hold layers and don't rest, with their load.
 func (s *streamRun) stages(avoid func(e *fleet.Endpoint) bool) []pathing.Stage {
+	if !s.g.rests.Any() {
+		return s.holders(avoid)
+	}
 	return s.holders(func(e *fleet.Endpoint) bool { return s.g.rests.Left(e.ID) > 0 || avoid(e) })
 }
 
--- a/pkg/rest/rest.go
+++ b/pkg/rest/rest.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
@@ -16,8 +17,11 @@
 	sweepEvery = time.Second
 )
 
-// Book is the rests by incarnation of an endpoint, so that a new start of one ends them.
-// It is safe for use by several goroutines.
+// Book is the rests that endpoints asked for. It is safe for use by several goroutines.
+//
+// A new start of an endpoint ends its rest, unless that was asked for after the start: a
+// request that expects the endpoint by its own id is answered by whichever start is there,
+// and a host learns of a new one up to a heartbeat and a held call later.
 //
 // Invariants: an end never moves nearer: neither a shorter rest nor a good answer takes
 // back what was asked for. In spite of a rest an endpoint is called once at most, until it
@@ -26,13 +30,15 @@
 	svc timer.Service
 
 	mu    sync.Mutex
-	rows  map[string]*row
+	rows  map[string]*row // by the endpoint's own id
 	swept time.Time
 }
 
 // row is rests without a pause between them.
 type row struct {
+	id    string    // the newest incarnation that asked
 	asked time.Time // the last time
+	wall  time.Time // the same by the time of day, which endpoints' starts are told in
 	end   time.Time
 	taken bool // the one call in spite of it
 }
@@ -52,6 +58,7 @@
 	now := b.svc.Now()
 	r := b.open(id, now)
 	r.asked = now
+	r.wall = b.svc.Wall()
 	r.last(now.Add(d))
 }
 
@@ -68,16 +75,38 @@
 // open returns the row of an endpoint, a new one if it doesn't rest.
 func (b *Book) open(id string, now time.Time) *row {
 	b.sweep(now)
-	r := b.rows[id]
-	if r == nil || !now.Before(r.end) {
+	own, born := fleet.SplitIncarnation(id)
+	r := b.rows[own]
+	if r == nil || !now.Before(r.end) || !r.holds(id) {
 		r = &row{
+			id:    id,
 			asked: now,
+			wall:  b.svc.Wall(),
 		}
-		b.rows[id] = r
+		b.rows[own] = r
+	}
+	if _, last := fleet.SplitIncarnation(r.id); born > last {
+		r.id = id
 	}
 	return r
 }
 
+// bornSlack is by how much the clocks of a host and an endpoint may differ: a rest that
+// was asked for so little before a start may be that start's. Kept for nothing, it costs
+// the new start what is left of it; dropped, the endpoint gets what it didn't want.
+const bornSlack = time.Second
+
+// holds reports whether the rests are of an incarnation: it asked, or an earlier one did
+// that had started again by then. An endpoint that doesn't tell its start has one.
+func (r *row) holds(id string) bool {
+	if r.id == id {
+		return true
+	}
+	_, born := fleet.SplitIncarnation(id)
+	_, last := fleet.SplitIncarnation(r.id)
+	return born <= last || !r.wall.Before(time.UnixMilli(born).Add(-bornSlack))
+}
+
 // last makes rests last until end at least.
 func (r *row) last(end time.Time) {
 	if end.After(r.end) {
@@ -106,13 +135,22 @@
 }
 
 func (b *Book) left(id string) time.Duration {
-	r := b.rows[id]
-	if r == nil {
+	r := b.of(id)
+	if r == nil || !r.holds(id) {
 		return 0
 	}
 	return max(0, r.end.Sub(b.svc.Now()))
 }
 
+// of returns the row of an endpoint, or nil.
+func (b *Book) of(id string) *row {
+	if len(b.rows) == 0 {
+		return nil
+	}
+	own, _ := fleet.SplitIncarnation(id)
+	return b.rows[own]
+}
+
 // May reports whether an endpoint may be called now: it doesn't rest, or some time has
 // passed and nothing has called it since. That is for what can't be done elsewhere: a
 // request for which there is no other endpoint, or a question about streams that it runs.
@@ -126,7 +164,7 @@
 	if b.left(id) == 0 {
 		return true
 	}
-	r := b.rows[id]
+	r := b.of(id)
 	return !r.taken && b.svc.Now().Sub(r.asked) >= tryAfter
 }
 
@@ -138,7 +176,7 @@
 		return false
 	}
 	if b.left(id) > 0 {
-		b.rows[id].taken = true
+		b.of(id).taken = true
 	}
 	return true
 }
@@ -148,9 +186,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := map[string]time.Duration{}
-	for id := range b.rows {
-		if left := b.left(id); left > 0 {
-			list[id] = left
+	for _, r := range b.rows {
+		if left := b.left(r.id); left > 0 {
+			list[r.id] = left
 		}
 	}
 	return list
@@ -160,6 +198,7 @@
 func (b *Book) Any() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.sweep(b.svc.Now())
 	return len(b.rows) > 0
 }
 
--- a/pkg/rest/rest_test.go
+++ b/pkg/rest/rest_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -55,6 +56,34 @@
 		})
 	})
 
+	It("is of the start that asked for it, or of one that was there by then", func() {
+		cases := []struct {
+			name    string
+			asked   string
+			born    time.Duration // of the next start, from when the rest was asked for
+			holds   bool
+			nothing bool // the endpoint doesn't tell when it started
+		}{
+			{name: "started later", asked: fleet.IncarnationID("p", 5), born: 2 * time.Second},
+			{name: "had started by then, and the host didn't know", asked: fleet.IncarnationID("p", 5), born: -2 * time.Second, holds: true},
+			{name: "clocks differ a little", asked: fleet.IncarnationID("p", 5), born: bornSlack / 2, holds: true},
+			{name: "tells no start", asked: "p", nothing: true, holds: true},
+		}
+		for _, c := range cases {
+			withBook(func(b *Book, clock *timer.Manual) {
+				b.Ask(c.asked, time.Hour)
+				next := fleet.IncarnationID("p", clock.Wall().Add(c.born).UnixMilli())
+				if c.nothing {
+					next = "p"
+				}
+				Expect(b.Left(next) > 0).To(Equal(c.holds), c.name)
+				b.Ask(next, time.Minute)
+				Expect(b.Left(next) > time.Minute).To(Equal(c.holds), c.name)
+				Expect(b.Size()).To(Equal(1), c.name)
+			})
+		}
+	})
+
 	It("is forgotten once it is over, however many there were", func() {
 		withBook(func(b *Book, clock *timer.Manual) {
 			for n := range 3200 {
