--- a/pkg/fleetcontrol/words.go
+++ b/pkg/fleetcontrol/words.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
@@ -87,7 +86,7 @@
 		return
 	}
 	for _, r := range q.GetResting() {
-		s.orders.told.Told(r.GetEndpoint(), time.Duration(r.GetLeftMs())*time.Millisecond)
+		s.orders.told.Told(r.GetEndpoint(), rest.FromWire(r))
 	}
 }
 
@@ -102,10 +101,5 @@
 	if !s.sameMachine(q) {
 		return
 	}
-	for id, left := range s.orders.asked.Resting() {
-		reply.Resting = append(reply.Resting, &rpc.Resting{
-			Endpoint: id,
-			LeftMs:   uint32(left.Milliseconds()),
-		})
-	}
+	reply.Resting = rest.ToWire(s.orders.asked.Resting())
 }
--- a/pkg/fleetentry/words.go
+++ b/pkg/fleetentry/words.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/rest"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 )
 
@@ -27,6 +28,9 @@
 	}
 	now := f.cfg.Timer.Now()
 	f.leaves[id] = now
+	if e, known := f.endpoints[id]; !known || !e.Usable() {
+		return // nothing changes now
+	}
 	f.cfg.Log.Event(eventlog.EndpointLeaving, eventlog.Str("endpoint", id), eventlog.Str("why", "its own answer"))
 	f.rebuild(now)
 }
@@ -64,18 +68,13 @@
 	if !sameHost(address, f.cfg.CallerAddress) {
 		return
 	}
-	for id, left := range resting {
-		q.Resting = append(q.Resting, &rpc.Resting{
-			Endpoint: id,
-			LeftMs:   uint32(left.Milliseconds()),
-		})
-	}
+	q.Resting = rest.ToWire(resting)
 }
 
 // takeRests takes what endpoints asked the control process of this machine for.
 func (f *Follower) takeRests(reply *rpc.SyncReply) {
 	for _, r := range reply.GetResting() {
-		f.rests.Told(r.GetEndpoint(), time.Duration(r.GetLeftMs())*time.Millisecond)
+		f.rests.Told(r.GetEndpoint(), rest.FromWire(r))
 	}
 }
 
