Words in answers to questions are heard by who asks, once; those that turn new paths away too

Cause: each stream that shared a question's answer took its word, and one that had left read it beside who wrote it; a new path that was turned away for a named endpoint lost the word. Found by reading the change; specs for both.

--- a/pkg/gateway/asker.go
+++ b/pkg/gateway/asker.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/rest"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
@@ -27,6 +28,7 @@
 type asker struct {
 	backend Backend
 	rests   *rest.Book
+	hear    func(id string, w fleet.Word)
 	svc     timer.Service
 
 	mu   sync.Mutex
@@ -46,10 +48,11 @@
 // endpoints that hold first layers.
 const maxQuestions = 1000
 
-func newAsker(backend Backend, rests *rest.Book, svc timer.Service) *asker {
+func newAsker(backend Backend, rests *rest.Book, hear func(id string, w fleet.Word), svc timer.Service) *asker {
 	return &asker{
 		backend: backend,
 		rests:   rests,
+		hear:    hear,
 		svc:     svc,
 		rows:    map[string]*question{},
 	}
@@ -67,6 +70,7 @@
 		askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stallAskTimeout)
 		found, err := a.backend.Stalled(askCtx, address)
 		cancel()
+		a.hear(id, found.Says)
 		a.answer(q, found, err)
 		return q
 	}
--- a/pkg/gateway/asker_test.go
+++ b/pkg/gateway/asker_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/rest"
 	"github.com/larchwinch/larchwinch/pkg/timer"
@@ -18,12 +19,13 @@
 	Backend
 	asked   atomic.Int64
 	release chan error
+	heard   []fleet.Word
 }
 
 func (b *askBackend) Stalled(context.Context, string) (Standstill, error) {
 	b.asked.Add(1)
 	err := <-b.release
-	return Standstill{At: map[string]string{"r1": "x:1"}}, err
+	return Standstill{At: map[string]string{"r1": "x:1"}, Says: fleet.Word{Leaving: true}}, err
 }
 
 // withAsker runs f on an asker whose questions wait for release.
@@ -32,7 +34,7 @@
 		release: make(chan error, 10),
 	}
 	clock := timer.NewManual(time.Unix(1000, 0))
-	f(newAsker(b, rest.New(clock), clock), b, clock)
+	f(newAsker(b, rest.New(clock), func(_ string, w fleet.Word) { b.heard = append(b.heard, w) }, clock), b, clock)
 }
 
 var _ = Describe("questions to endpoints", func() {
@@ -62,6 +64,21 @@
 		})
 	})
 
+	It("are heard once each, also where the answer is an error and whoever asked has left", func() {
+		withAsker(func(a *asker, b *askBackend, clock *timer.Manual) {
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			b.release <- nil
+			a.ask(ctx, "x", "x:1")
+			a.ask(ctx, "x", "x:1") // the same answer
+			Expect(b.heard).To(Equal([]fleet.Word{{Leaving: true}}))
+			clock.Advance(sharedFor)
+			b.release <- errors.New("status 500")
+			a.ask(ctx, "x", "x:1")
+			Expect(b.heard).To(HaveLen(2))
+		})
+	})
+
 	It("count those in a row that stayed without an answer", func() {
 		withAsker(func(a *asker, b *askBackend, clock *timer.Manual) {
 			cases := []struct {
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -38,6 +38,7 @@
 	stallErr error
 	refuse   string // repaths that name this address are refused for it
 	asked    int
+	turnAway func() error // answers new paths
 }
 
 func (b *fakeBackend) Send(ctx context.Context, c *Call) (*Answer, error) {
@@ -72,6 +73,13 @@
 	return Standstill{At: b.stalled}, b.stallErr
 }
 
+// repathErr answers new paths by f.
+func (b *fakeBackend) repathErr(f func() error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.turnAway = f
+}
+
 // questions returns how often endpoints were asked what stands still.
 func (b *fakeBackend) questions() int {
 	b.mu.Lock()
@@ -90,6 +98,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.repaths = append(b.repaths, path)
+	if b.turnAway != nil {
+		return b.turnAway()
+	}
 	for _, p := range path {
 		if p.Address == b.refuse {
 			return &RepathError{
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -41,7 +41,7 @@
 // New returns the gateway of a host in a failure domain.
 func New(domain string, backend Backend, source Source, budget Budget, svc timer.Service, log *eventlog.Log, set *metrics.Set) *Gateway {
 	rests := rest.New(svc)
-	return &Gateway{
+	g := &Gateway{
 		domain:  domain,
 		backend: backend,
 		source:  source,
@@ -58,8 +58,9 @@
 		crowd:   crowd.New(svc),
 		held:    quarantine.NewHost(svc),
 		rests:   rests,
-		asker:   newAsker(backend, rests, svc),
 	}
+	g.asker = newAsker(backend, rests, g.hear, svc)
+	return g
 }
 
 // Rests returns which endpoints asked this host for rest.
--- a/pkg/gateway/repath.go
+++ b/pkg/gateway/repath.go
@@ -67,12 +67,23 @@
 		s.take(path)
 		return true
 	}
+	call := &Call{
+		ID:      first.ID,
+		Address: first.Address,
+		Path:    path,
+	}
 	var away *fleet.TurnedAway
 	if errors.As(err, &away) {
-		s.g.hear(first.ID, away.Says)
+		s.g.hearAnswer(s.j, call, &Answer{
+			Says: away.Says,
+		})
 	}
 	var fault *RepathError
 	if errors.As(err, &fault) {
+		s.g.hearAnswer(s.j, call, &Answer{
+			Fault: fault.At,
+			Says:  fault.Says,
+		})
 		s.shun(path, fault.At)
 	}
 	return false
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -59,7 +59,6 @@
 		return nil
 	}
 	w.asks++
-	s.g.hear(first.ID, q.found.Says)
 	switch {
 	case ctx.Err() != nil:
 		return nil
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -91,6 +91,8 @@
 // it isn't there, or has no room.
 type RepathError struct {
 	At string // the endpoint's address
+	// Says is of that endpoint, or of the first of the path.
+	Says fleet.Word
 }
 
 // Error implements error.
--- a/pkg/gateway/words_test.go
+++ b/pkg/gateway/words_test.go
@@ -268,6 +268,33 @@
 		})
 	})
 
+	It("may say so when it turns a new path away, for itself or for the part that it names", func() {
+		for _, named := range []bool{false, true} {
+			withGateway(func(b *bench) {
+				b.source.only("llm", engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4), engineEndpoint("z", 2, 4))
+				end := b.underWay()
+				defer end()
+				path := b.backend.sent()[0].Path
+				other := map[string]string{"y": "z", "z": "y"}[path[1].ID]
+				b.backend.repathErr(func() error {
+					if named {
+						return &RepathError{At: other + ":1", Says: fleet.Word{Rest: rested}}
+					}
+					return &fleet.TurnedAway{Status: 503, Says: fleet.Word{Rest: rested}}
+				})
+				b.backend.stall("r1", path[1].Address)
+				who := map[bool]string{true: other, false: path[0].ID}[named]
+				Eventually(func() time.Duration {
+					b.clock.Advance(100 * time.Millisecond)
+					return b.gateway.rests.Left(who)
+				}, "5s", "5ms").Should(BeNumerically(">", 0))
+				for _, id := range []string{"x", "y", "z"} {
+					Expect(b.gateway.rests.Left(id) > 0).To(Equal(id == who), id)
+				}
+			})
+		}
+	})
+
 	It("isn't the one that was meant, if another incarnation answers at its address", func() {
 		withGateway(func(b *bench) {
 			b.backend.answer = func(_ int, c *Call) (*Answer, error) {
