--- /dev/null
+++ b/pkg/gateway/leaves_test.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("an endpoint that says in answers that it leaves", func() {
+	for _, c := range routesAndEndpoints {
+		It("gets nothing new, not even where there is nothing else: "+c.route, func() {
+			withGateway(func(b *bench) {
+				b.source.only("app", appEndpoint("p"))
+				b.source.only("llm", engineEndpoint("x", 0, 4))
+				b.backend.answer = func(_ int, c *Call) (*Answer, error) { return leaving(c), nil }
+				Expect(b.serve(c.route).status).To(Equal(200))
+				Expect(b.source.EndpointLeaving(c.id)).To(BeTrue())
+				b.serveDuring(c.route, rested)
+				Expect(b.backend.sent()).To(HaveLen(1))
+			})
+		})
+	}
+
+	It("is heard in answers of failures, without a body, and in those that turn a request away", func() {
+		cases := []struct {
+			name   string
+			answer *Answer
+		}{
+			{name: "failure", answer: whole(500, "no")},
+			{name: "no body", answer: whole(204, "")},
+			{name: "turned away", answer: refusedBy("")},
+			{name: "damaged", answer: &Answer{Status: 200, Body: http.NoBody}},
+			{name: "torn", answer: &Answer{Status: 200, Sealed: true, Body: brokenBody{Reader: strings.NewReader("half")}}},
+		}
+		for _, c := range cases {
+			for _, route := range []string{"unsafe", "stream"} {
+				withGateway(func(b *bench) {
+					c.answer.Says = fleet.Word{Leaving: true}
+					b.backend.answer = func(n int, call *Call) (*Answer, error) {
+						if n == 1 {
+							return c.answer, nil
+						}
+						return good(call), nil
+					}
+					b.serve(route)
+					Expect(b.source.EndpointLeaving(b.backend.sent()[0].ID)).To(BeTrue(), c.name+" "+route)
+				})
+			}
+		}
+	})
+
+	It("may be a later part of a path, and then streams under way leave it", func() {
+		withGateway(func(b *bench) {
+			end := b.underWay()
+			defer end()
+			path := b.backend.sent()[0].Path
+			b.gateway.hear(path[1].ID, fleet.Word{Leaving: true})
+			Eventually(func() int {
+				b.clock.Advance(100 * time.Millisecond)
+				return b.backend.repathed()
+			}, "5s", "5ms").Should(BeNumerically(">", 0))
+			for _, p := range b.backend.repaths[0] {
+				Expect(p.ID).NotTo(Equal(path[1].ID))
+			}
+		})
+	})
+
+	It("is left by streams under way only once their first endpoint, which rests, may be told so", func() {
+		withGateway(func(b *bench) {
+			end := b.underWay()
+			defer end()
+			path := b.backend.sent()[0].Path
+			b.gateway.hear(path[0].ID, fleet.Word{Rest: rested})
+			b.gateway.hear(path[1].ID, fleet.Word{Leaving: true})
+			for range 10 {
+				b.clock.Advance(250 * time.Millisecond)
+				time.Sleep(2 * time.Millisecond)
+			}
+			Expect(b.backend.repathed()).To(BeZero())
+			Eventually(func() int {
+				b.clock.Advance(100 * time.Millisecond)
+				return b.backend.repathed()
+			}, "5s", "5ms").Should(BeNumerically(">", 0))
+		})
+	})
+
+	It("keeps the streams that it runs as the first of their paths", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(_ int, c *Call) (*Answer, error) { return leaving(c), nil }
+			out := b.serve("stream")
+			Expect(out.text()).To(Equal(events(1, 2)))
+			Expect(b.backend.sent()).To(HaveLen(1))
+		})
+	})
+
+	It("gets no stream back that its first endpoint, which rests, can't bring around what stands still", func() {
+		withGateway(func(b *bench) {
+			end := b.underWay()
+			defer end()
+			path := b.backend.sent()[0].Path
+			b.gateway.hear(path[0].ID, fleet.Word{Rest: rested})
+			b.backend.stall("r1", path[1].Address)
+			Eventually(func() int {
+				b.clock.Advance(100 * time.Millisecond)
+				return len(b.backend.sent())
+			}, "5s", "5ms").Should(Equal(2), "another first endpoint continues it")
+			Expect(b.backend.sent()[1].ID).NotTo(Equal(path[0].ID))
+			Expect(b.backend.repathed()).To(BeZero())
+		})
+	})
+
+	It("isn't forgotten among many", func() {
+		withGateway(func(b *bench) {
+			for n := range 5000 {
+				b.gateway.hear("gone-"+strconv.Itoa(n), fleet.Word{Rest: time.Second})
+			}
+			Expect(b.gateway.rests.Size()).To(BeNumerically("<=", 5000))
+			b.clock.Advance(2 * time.Second)
+			b.gateway.hear("p", fleet.Word{Rest: time.Second})
+			Expect(b.gateway.rests.Size()).To(Equal(1), "what is over is forgotten")
+		})
+	})
+})
