--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -37,6 +37,7 @@
 	EndpointResting  Event = "endpoint_resting"
 	EndpointAsked    Event = "endpoint_asked"
 	CallInRest       Event = "call_in_rest"
+	EndpointLimit    Event = "endpoint_limit"
 	EndpointJoined   Event = "endpoint_joined"
 	EndpointLeaving  Event = "endpoint_leaving"
 	EndpointGone     Event = "endpoint_gone"
@@ -65,7 +66,8 @@
 var Events = []Event{
 	Started, Stopping, Stopped, Reloaded,
 	RequestRefused, RequestFailed, RequestServed, RequestLeft, AttemptFailed, StreamRepathed, StreamResumed, StreamStalled,
-	EndpointAvoided, EndpointResting, EndpointAsked, CallInRest, EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
+	EndpointAvoided, EndpointResting, EndpointAsked, CallInRest, EndpointLimit,
+	EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
 	ConfigInForce, ConfigAccepted, ConfigRefused, ConfigFailed,
 	ControlLost, ControlRegained, ReadyChanged, RoleChanged, ReplicasChanged, ReplicaJoining,
 	StorageFailed, StorageRecovered, RequestHeld, RequestReleased, OrderSent, OrderFailed, Unexpected,
--- a/pkg/gateway/asker.go
+++ b/pkg/gateway/asker.go
@@ -29,6 +29,7 @@
 	backend Backend
 	rests   *rest.Book
 	hear    func(id string, w fleet.Word)
+	count   func(way, id string) // counts a call to an endpoint that has a limit
 	svc     timer.Service
 
 	mu   sync.Mutex
@@ -48,11 +49,12 @@
 // endpoints that hold first layers.
 const maxQuestions = 1000
 
-func newAsker(backend Backend, rests *rest.Book, hear func(id string, w fleet.Word), svc timer.Service) *asker {
+func newAsker(backend Backend, rests *rest.Book, hear func(id string, w fleet.Word), count func(way, id string), svc timer.Service) *asker {
 	return &asker{
 		backend: backend,
 		rests:   rests,
 		hear:    hear,
+		count:   count,
 		svc:     svc,
 		rows:    map[string]*question{},
 	}
@@ -67,6 +69,7 @@
 		return nil
 	}
 	if mine {
+		a.count("question", id)
 		askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stallAskTimeout)
 		found, err := a.backend.Stalled(askCtx, address)
 		cancel()
--- a/pkg/gateway/asker_test.go
+++ b/pkg/gateway/asker_test.go
@@ -34,7 +34,7 @@
 		release: make(chan error, 10),
 	}
 	clock := timer.NewManual(time.Unix(1000, 0))
-	f(newAsker(b, rest.New(clock), func(_ string, w fleet.Word) { b.heard = append(b.heard, w) }, clock), b, clock)
+	f(newAsker(b, rest.New(clock), func(_ string, w fleet.Word) { b.heard = append(b.heard, w) }, func(_, _ string) {}, clock), b, clock)
 }
 
 var _ = Describe("questions to endpoints", func() {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/rest"
 	"github.com/larchwinch/larchwinch/pkg/timer"
@@ -36,6 +37,7 @@
 	crowd   *crowd.Crowd
 	held    *quarantine.Host
 	rests   *rest.Book
+	permits *permit.Book
 }
 
 // New returns the gateway of a host in a failure domain.
@@ -58,8 +60,9 @@
 		crowd:   crowd.New(svc),
 		held:    quarantine.NewHost(svc),
 		rests:   rests,
+		permits: permit.NewBook(svc),
 	}
-	g.asker = newAsker(backend, rests, g.hear, svc)
+	g.asker = newAsker(backend, rests, g.hear, g.countLimited, svc)
 	return g
 }
 
--- a/pkg/gateway/repath.go
+++ b/pkg/gateway/repath.go
@@ -61,6 +61,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 	defer cancel()
+	s.g.countLimited("repath", first.ID)
 	err := s.g.backend.Repath(ctx, first.Address, s.j.req.ID, path)
 	s.g.log.Event(eventlog.StreamRepathed, eventlog.Str("request", s.j.req.ID), eventlog.Str("around", address), eventlog.Err(err))
 	if err == nil {
--- a/pkg/gateway/words.go
+++ b/pkg/gateway/words.go
@@ -5,20 +5,25 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/pathing"
 )
 
 // send sends a call, and takes what the answer says of an endpoint at once, whether or
 // not anybody still waits for the answer: each answer that tells of a leave or a rest is
-// heard here, and each choice of endpoints heeds it. Before, an endpoint that had asked
-// for 3 s got up to a dozen requests of one host within them.
+// heard here, and each choice of endpoints heeds it.
 func (g *Gateway) send(ctx context.Context, j *job, c *Call) (*Answer, error) {
+	g.countLimited("request", c.ID)
+	for _, p := range c.Path[min(1, len(c.Path)):] {
+		g.countLimited("part", p.ID)
+	}
 	a, err := g.backend.Send(ctx, c)
 	var lost *SendError
 	switch {
@@ -81,6 +86,9 @@
 	if w.Leaving {
 		g.source.Leaves(id)
 	}
+	if g.permits.Hear(id, w.Limit) {
+		g.logLimit(id, w.Limit)
+	}
 	if w.Rest <= 0 {
 		return
 	}
@@ -182,3 +190,20 @@
 	}
 	return path
 }
+
+// logLimit tells that an endpoint named a limit, another one, or none any more.
+func (g *Gateway) logLimit(id string, l fleet.Limit) {
+	says := "over"
+	if l.Says == fleet.LimitNamed {
+		says = "named"
+	}
+	g.log.Event(eventlog.EndpointLimit, eventlog.Str("endpoint", id), eventlog.Str("says", says),
+		eventlog.Str("per_second", strconv.FormatFloat(l.PerSecond, 'g', 4, 64)), eventlog.Str("by", "an answer"))
+}
+
+// countLimited counts a call to an endpoint that has a limit, by the way it goes.
+func (g *Gateway) countLimited(way, id string) {
+	if g.permits.Limited(id) {
+		g.metrics.Counter("calls_limited", metrics.Label{Name: "way", Value: way}).Inc(1)
+	}
+}
