--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -86,7 +86,7 @@
 		Window: cfg.Bounds.RepeatWindow.Or(time.Second),
 	}
 	g := gateway.New(cfg.Domain, platform.NewBackend(endpointClients(cfg.IP)), f, budget, p.svc, p.log, p.set)
-	f.Tell(g.Tracker(), g.Quarantine(), g.Rests())
+	f.Tell(g.Tracker(), g.Quarantine(), g.Rests(), g.Permits())
 	grace := cfg.Bounds.Grace.Or(time.Second)
 	host := fleetentry.NewHost(f, grace, p.svc, p.log)
 	keep := min(directoryKeep, cfg.Bounds.DirectoryKeep.Or(directoryKeep))
--- a/pkg/fleetcontrol/hosts.go
+++ b/pkg/fleetcontrol/hosts.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// count returns how many hosts call.
+func (h *hosts) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.rows)
+}
+
 // gather is how long a held call waits for more news before it is answered.
 func (h *hosts) gather() time.Duration {
 	h.mu.Lock()
--- /dev/null
+++ b/pkg/fleetcontrol/limits_test.go
@@ -0,0 +1,209 @@
+package fleetcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/permit"
+	"github.com/larchwinch/larchwinch/pkg/placement"
+	"github.com/larchwinch/larchwinch/pkg/registry"
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	"github.com/larchwinch/larchwinch/pkg/state"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const limitTerm = 3
+
+// withLimit runs f on a leader that has heard of an endpoint e1 with a limit, long ago.
+func withLimit(perSecond float64, f func(s *Server, clock *timer.Manual)) {
+	withServer(nil, func(s *Server, _ *group.Group) {
+		clock := s.cfg.Timer.(*timer.Manual)
+		s.leadership = &fixedLead{term: limitTerm, machine: state.New(claimWindow.Milliseconds())}
+		s.noteLeading(limitTerm, clock.Now())
+		s.lender.Enter(limitTerm)
+		s.hear(perSecond, clock.Now())
+		clock.Advance(10 * time.Second)
+		f(s, clock)
+	})
+}
+
+func (s *Server) hear(perSecond float64, at time.Time) {
+	s.lender.Hear([]permit.Word{{Key: permit.Key("e1"), Service: "s", PerSecond: perSecond, Sent: at, Heard: at}})
+}
+
+// want is a host's call by which it has use for permits to e1.
+func want(requests uint32) *rpc.SyncRequest {
+	q := call(1, true)
+	q.LimitsTerm = limitTerm
+	q.Demands = []*rpc.Demand{{Service: "s", Requests: requests, Wanted: []uint32{permit.Key("e1")}}}
+	return q
+}
+
+func borrowing(wait time.Duration) *rpc.BorrowRequest {
+	return &rpc.BorrowRequest{Host: "h1", Endpoints: []uint32{permit.Key("e1")}, WaitMs: uint32(wait.Milliseconds())}
+}
+
+var _ = Describe("the leader's answers on limits", func() {
+	It("hold the limits that a host lacks, and permits by what it is asked for", func() {
+		withLimit(8, func(s *Server, _ *timer.Manual) {
+			reply := &rpc.SyncReply{}
+			s.tellLimits(want(4), reply, limitTerm)
+			Expect(reply.GetLimits()[0].GetEndpoint()).To(Equal(permit.Key("e1")))
+			Expect(reply.GetLimitsTerm()).To(Equal(uint64(limitTerm)))
+			Expect(permit.TableFromWire(reply.GetPermits())).To(Equal(permit.Table{permit.Key("e1"): 4}))
+			q := want(4)
+			q.LimitsVersion = reply.GetLimitsVersion()
+			again := &rpc.SyncReply{}
+			s.tellLimits(q, again, limitTerm)
+			Expect(again.GetLimits()).To(BeEmpty())
+			Expect(again.GetLimitsWhole()).To(BeFalse())
+		})
+	})
+
+	It("count what a host tells, its words and its unused permits", func() {
+		withLimit(8, func(s *Server, clock *timer.Manual) {
+			for s.lender.Lend(permit.Demand{Service: "s", Requests: 50, Wanted: []uint32{permit.Key("e1")}}).Sum() > 0 {
+			}
+			clock.Advance(2 * permit.Valid)
+			s.lender.Spend(permit.Key("e1"))
+			q := want(0)
+			q.Unused = permit.Table{permit.Key("e1"): 3}.ToWire()
+			q.LimitWords = []*rpc.LimitWord{{Endpoint: permit.Key("e2"), Service: "s", PerSecond: 4}}
+			s.hearLimits(q, limitTerm)
+			Expect(s.lender.Size()).To(Equal(2))
+		})
+	})
+
+	It("lend at once, after a short wait, or tell when there will be one", func() {
+		withLimit(8, func(s *Server, _ *timer.Manual) {
+			reply, err := s.Borrow(context.Background(), borrowing(0))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.GetConfirmed()).To(BeTrue())
+			Expect(permit.TableFromWire(reply.GetPermits()).Sum()).To(Equal(1))
+		})
+		withLimit(0.5, func(s *Server, clock *timer.Manual) {
+			s.hosts.hear(clock.Now(), call(1, true))
+			s.hosts.hear(clock.Now(), call(2, true))
+			first, _ := s.Borrow(context.Background(), borrowing(0)) // its error is told by Confirmed
+			Expect(permit.TableFromWire(first.GetPermits()).Sum()).To(Equal(1))
+			reply, err := s.Borrow(context.Background(), borrowing(0))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.GetPermits()).To(BeNil())
+			Expect(reply.GetDueMs()).To(BeNumerically(">", 0))
+			Expect(reply.GetGapMs()).To(Equal(uint32(4000)), "two hosts share one in 2 s")
+		})
+		withLimit(8, func(s *Server, clock *timer.Manual) {
+			for s.lender.Lend(permit.Demand{Service: "s", Requests: 50, Wanted: []uint32{permit.Key("e1")}}).Sum() > 0 {
+			}
+			clock.Advance(permit.Valid)
+			s.lender.Spend(permit.Key("e1"))
+			for { // until the next is due in a moment
+				loan := s.lender.Queue([]uint32{permit.Key("e1")}, true, 5)
+				_, due := s.lender.Try(loan)
+				s.lender.Leave(loan)
+				if due > 0 {
+					break
+				}
+			}
+			done := make(chan *rpc.BorrowReply, 1)
+			background(func() {
+				reply, _ := s.Borrow(context.Background(), borrowing(mostBorrowHold)) // its error is told by Confirmed
+				done <- reply
+			})
+			Eventually(func() bool {
+				clock.Advance(10 * time.Millisecond)
+				select {
+				case reply := <-done:
+					Expect(permit.TableFromWire(reply.GetPermits()).Sum()).To(Equal(1))
+					return true
+				default:
+					return false
+				}
+			}, "5s", "1ms").Should(BeTrue())
+		})
+	})
+
+	It("are no permits of a replica that doesn't lead", func() {
+		withLimit(8, func(s *Server, _ *timer.Manual) {
+			s.leadership = s.replica
+			reply, err := s.Borrow(context.Background(), borrowing(0))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply.GetConfirmed()).To(BeFalse())
+			Expect(reply.GetPermits()).To(BeNil())
+		})
+	})
+
+	It("come at once where there is a limit that the host doesn't know of", func() {
+		withLimit(8, func(s *Server, _ *timer.Manual) {
+			q := want(1)
+			q.Epoch = epochOf(limitTerm, false)
+			machine := s.leadership.(*fixedLead).machine
+			Expect(s.news(q, limitTerm, machine)).To(BeTrue())
+			_, version, _ := s.lender.Since(0, 0)
+			q.LimitsVersion = version
+			q.EndpointsVersion = s.table.Version()
+			Expect(s.news(q, limitTerm, machine)).To(BeFalse())
+		})
+	})
+})
+
+var _ = Describe("the leader's own calls to endpoints that have limits", func() {
+	It("are asked less often, and take places", func() {
+		cases := []struct {
+			limit float64
+			asked int // in 8 s
+		}{
+			{8, 8},
+			{1, 2},
+			{0.05, 1},
+		}
+		for _, c := range cases {
+			asked := 0
+			withServer(func(string) (placement.Report, error) { asked++; return placement.Report{}, nil }, func(s *Server, g *group.Group) {
+				clock := s.cfg.Timer.(*timer.Manual)
+				s.lender.Enter(limitTerm)
+				s.hear(c.limit, clock.Now())
+				s.table.Announce(announcement(false, 1))
+				e, _ := s.table.Get("e1")
+				for range 80 {
+					s.ask(e, surveyInterval, "survey")
+					g.Wait()
+					clock.Advance(100 * time.Millisecond)
+				}
+				Expect(asked).To(Equal(c.asked), "%v", c.limit)
+			})
+		}
+	})
+
+	It("hear of limits in every answer, and that one is over", func() {
+		e := &engines{says: fleet.Word{Limit: fleet.Limit{Says: fleet.LimitNamed, PerSecond: 8}}}
+		withConsiderate(e, func(c *considerate, _ *registry.Table, clock *timer.Manual) {
+			c.lender.Enter(limitTerm)
+			_, _ = c.Report(context.Background(), "e1", "127.0.2.1:80") // the test's
+			Expect(c.lender.Size()).To(Equal(1))
+			e.says.Limit = fleet.Limit{}
+			_, _ = c.Report(context.Background(), "e1", "127.0.2.1:80") // the same
+			clock.Advance(5 * time.Second)
+			c.lender.Sweep()
+			Expect(c.lender.Size()).To(Equal(1), "what can't be read ends nothing")
+			e.says.Limit = fleet.Limit{Says: fleet.LimitNone}
+			_, _ = c.Report(context.Background(), "e1", "127.0.2.1:80") // the same
+			clock.Advance(5 * time.Second)
+			c.lender.Sweep()
+			Expect(c.lender.Size()).To(BeZero())
+		})
+	})
+
+	It("leave layers to be copied where an endpoint takes less than its service is asked for", func() {
+		withLimit(8, func(s *Server, _ *timer.Manual) {
+			Expect(s.short("e1")).To(BeFalse())
+			s.tellLimits(want(20), &rpc.SyncReply{}, limitTerm)
+			Expect(s.short("e1")).To(BeTrue())
+			Expect(s.short("e2")).To(BeFalse())
+		})
+	})
+})
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -13,6 +13,7 @@
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/placement"
 	"github.com/larchwinch/larchwinch/pkg/registry"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
@@ -73,6 +74,7 @@
 
 	survey *survey
 	court  *court
+	lender *permit.Lender
 	// standing is the configuration that lead read last.
 	standing *fleet.Configuration
 
@@ -133,6 +135,7 @@
 		group:   g,
 		survey:  newSurvey(),
 		court:   newCourt(cfg.Timer),
+		lender:  permit.NewLender(cfg.Timer),
 	}
 	s.replica = &Replica{
 		folder:   cfg.Folder,
@@ -147,8 +150,8 @@
 		heard:    map[uint64]time.Time{},
 	}
 	s.leadership = s.replica
-	s.orders = newConsiderate(cfg.Orders, s.table, cfg.Timer, cfg.Log)
-	s.keeper = placement.NewKeeper(s.orders, s.table, cfg.Heartbeat, cfg.Timer, cfg.Log, g)
+	s.orders = newConsiderate(cfg.Orders, s.table, s.lender, cfg.Timer, cfg.Log)
+	s.keeper = placement.NewKeeper(s.orders, s.table, s.short, cfg.Heartbeat, cfg.Timer, cfg.Log, g)
 	return s
 }
 
@@ -213,6 +216,7 @@
 		}
 		since := s.noteLeading(term, now)
 		s.hosts.bury(now)
+		s.noteLimits(s.lender.Sweep())
 		if now.Sub(since) < settleBeats*s.cfg.Heartbeat {
 			return
 		}
--- a/pkg/fleetcontrol/survey.go
+++ b/pkg/fleetcontrol/survey.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/placement"
 	"golang.org/x/time/rate"
 )
@@ -131,8 +132,10 @@
 	}
 }
 
-// ask asks one endpoint, if it wasn't for as long as pause.
+// ask asks one endpoint, if it wasn't for as long as pause, or longer if it has a limit:
+// questions take places of requests.
 func (s *Server) ask(e fleet.Endpoint, pause time.Duration, why string) {
+	pause = max(pause, s.lender.AskPause(permit.Key(e.ID)))
 	if e.Gone || s.orders.rests(e.ID) || !s.survey.due(e.ID, s.cfg.Timer.Now(), pause) {
 		return
 	}
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -40,6 +40,7 @@
 	s.hearWords(q)
 	s.doubt(q.GetSuspects())
 	s.hearEnds(q, machine, term)
+	s.hearLimits(q, term)
 	wait := min(maxHold, time.Duration(q.GetWaitMs())*time.Millisecond)
 	if first && q.GetEpoch() == 0 {
 		wait = 0 // it serves nobody yet
@@ -70,12 +71,14 @@
 	for {
 		endpoints := s.table.Changed()
 		document := machine.Changed()
+		limits := s.lender.Changed()
 		if s.news(q, term, machine) {
 			return nil
 		}
 		select {
 		case <-endpoints:
 		case <-document:
+		case <-limits:
 		case <-end:
 			return nil
 		case <-ctx.Done():
@@ -99,6 +102,7 @@
 	return s.table.Version() != q.GetEndpointsVersion() ||
 		epochOf(term, s.settled(term)) != q.GetEpoch() ||
 		s.court.current(machine).digest != q.GetSuspectsDigest() ||
+		!s.lender.Holds(q.GetLimitsTerm(), q.GetLimitsVersion()) ||
 		machine.Document().GetVersion() > q.GetDocumentVersion() &&
 			s.hosts.documentDue(s.cfg.Timer.Now(), q.GetHost().GetName())
 }
@@ -129,6 +133,7 @@
 	s.tellAddresses(q, reply, term, now)
 	s.tellSuspects(q, reply, machine)
 	s.tellRests(q, reply)
+	s.tellLimits(q, reply, term)
 	doc := machine.Document()
 	reply.Newest = doc.GetVersion()
 	if doc.GetVersion() > q.GetDocumentVersion() && s.hosts.mayHaveDocument(now, name) {
--- a/pkg/fleetcontrol/words.go
+++ b/pkg/fleetcontrol/words.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/placement"
 	"github.com/larchwinch/larchwinch/pkg/registry"
 	"github.com/larchwinch/larchwinch/pkg/rest"
@@ -17,8 +18,8 @@
 // errRests says that an endpoint wasn't called, since it asked this machine for rest.
 var errRests = errors.New("the endpoint asked this machine for rest")
 
-// considerate calls endpoints as orders does, but none that rests, and takes what they
-// say of themselves. A rest is for the machine: requests of its entry process, questions
+// considerate calls endpoints as orders does, but none that rests, counts calls to those
+// that have limits, and takes what they say of themselves. A rest is for the machine: requests of its entry process, questions
 // and orders count together, and the leader asks each engine every second.
 type considerate struct {
 	orders placement.Orderer
@@ -26,15 +27,19 @@
 	log    *eventlog.Log
 	asked  *rest.Book // of this process
 	told   *rest.Book // by the entry process of this machine, of what it was asked for
+	lender *permit.Lender
+	svc    timer.Service
 }
 
-func newConsiderate(orders placement.Orderer, table *registry.Table, svc timer.Service, log *eventlog.Log) *considerate {
+func newConsiderate(orders placement.Orderer, table *registry.Table, lender *permit.Lender, svc timer.Service, log *eventlog.Log) *considerate {
 	return &considerate{
 		orders: orders,
 		table:  table,
 		log:    log,
 		asked:  rest.New(svc),
 		told:   rest.New(svc),
+		lender: lender,
+		svc:    svc,
 	}
 }
 
@@ -59,8 +64,11 @@
 	if c.rests(id) {
 		return placement.Report{}, errRests
 	}
+	c.lender.Spend(permit.Key(id))
+	sent := c.svc.Now()
 	report, err := c.orders.Report(ctx, id, address)
 	c.hear(id, report.Says)
+	c.hearLimit(id, report.Says.Limit, sent)
 	return report, err
 }
 
@@ -69,10 +77,13 @@
 	if c.rests(o.ID) {
 		return placement.Refused, errRests
 	}
+	c.lender.Spend(permit.Key(o.ID))
+	sent := c.svc.Now()
 	outcome, err := c.orders.Place(ctx, o, address, orders)
 	var away *fleet.TurnedAway
 	if errors.As(err, &away) {
 		c.hear(o.ID, away.Says)
+		c.hearLimit(o.ID, away.Says.Limit, sent)
 	}
 	return outcome, err
 }
--- a/pkg/fleetcontrol/words_test.go
+++ b/pkg/fleetcontrol/words_test.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/placement"
 	"github.com/larchwinch/larchwinch/pkg/registry"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
@@ -40,7 +41,7 @@
 	clock := timer.NewManual(time.Unix(1000, 0))
 	table := registry.New(clock, nil, time.Second)
 	table.Announce(announcement(false, 1))
-	f(newConsiderate(e, table, clock, nil), table, clock)
+	f(newConsiderate(e, table, permit.NewLender(clock), clock, nil), table, clock)
 }
 
 // callBoth asks an endpoint and gives it an order.
--- a/pkg/fleetentry/follower.go
+++ b/pkg/fleetentry/follower.go
@@ -13,6 +13,7 @@
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
+	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
@@ -73,6 +74,8 @@
 	loads      Loads
 	suspicions Suspicions
 	rests      Rests
+	permits    Permits
+	heardLimit chan struct{} // holds one if the leader must be told of limits
 
 	// content is the configuration in force as the operator sent it, which
 	// patches are applied to. whole says that a patch was no good, askOthers that
@@ -122,19 +125,25 @@
 		others:    map[uint32]gateway.Load{},
 		changed:   make(chan struct{}),
 		confirmed: make(chan struct{}),
+
+		heardLimit: make(chan struct{}, 1),
 	}
 }
 
 // Tell sets where the follower learns of this host's load, of requests under which
-// endpoints ended, and of endpoints that rest. It must be called before Run.
-func (f *Follower) Tell(loads Loads, suspicions Suspicions, rests Rests) {
+// endpoints ended, and of endpoints that rest or have limits. It must be called before Run.
+func (f *Follower) Tell(loads Loads, suspicions Suspicions, rests Rests, permits Permits) {
 	f.loads = loads
 	f.suspicions = suspicions
 	f.rests = rests
+	f.permits = permits
 }
 
 // Run follows the control hosts until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	g := group.New(ctx)
+	defer g.Stop()
+	g.Go(f.tellHeard)
 	for ctx.Err() == nil {
 		if f.sync(ctx) {
 			continue
@@ -235,6 +244,7 @@
 	}
 	f.tellWords(q, address)
 	f.tellSuspects(q)
+	f.tellLimits(q)
 	f.told = f.loads.Loads()
 	for id, l := range f.told {
 		q.Loads.Endpoints = append(q.Loads.Endpoints, fleet.LoadKey(id))
--- a/pkg/fleetentry/follower_test.go
+++ b/pkg/fleetentry/follower_test.go
@@ -16,6 +16,7 @@
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
 	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/rest"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
@@ -95,12 +96,17 @@
 	return len(c.calls)
 }
 
+// withFleet serves control hosts' calls.
+func withFleet(c rpc.Fleet, f func(address string)) {
+	s := httptest.NewServer(rpc.NewFleetServer(c))
+	defer s.Close()
+	f(strings.TrimPrefix(s.URL, "http://"))
+}
+
 // withControl serves a scripted control host.
 func withControl(answer func(n int, q *rpc.SyncRequest) *rpc.SyncReply, f func(c *fakeControl, address string)) {
 	c := &fakeControl{answer: answer}
-	s := httptest.NewServer(rpc.NewFleetServer(c))
-	defer s.Close()
-	f(c, strings.TrimPrefix(s.URL, "http://"))
+	withFleet(c, func(address string) { f(c, address) })
 }
 
 func newFollower(clock timer.Service, seeds ...string) *Follower {
@@ -114,7 +120,7 @@
 		Client:        &http.Client{},
 		Timer:         clock,
 	})
-	f.Tell(&fakeLoads{}, quarantine.NewHost(clock), rest.New(clock))
+	f.Tell(&fakeLoads{}, quarantine.NewHost(clock), rest.New(clock), permit.NewBook(clock))
 	return f
 }
 
@@ -198,7 +204,7 @@
 		clock := timer.NewManual(time.Unix(1000, 0))
 		f := newFollower(clock)
 		own := &fakeLoads{requests: 2}
-		f.Tell(own, quarantine.NewHost(clock), rest.New(clock))
+		f.Tell(own, quarantine.NewHost(clock), rest.New(clock), permit.NewBook(clock))
 		f.request("10.0.0.9:80")
 		reply := confirmed(1)
 		reply.Hosts = 3
--- a/pkg/fleetentry/suspects.go
+++ b/pkg/fleetentry/suspects.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 )
@@ -19,10 +20,11 @@
 	Digest() uint64
 }
 
-// telling is what one call tells of suspicions.
+// telling is what one call tells of suspicions and limits.
 type telling struct {
 	ends   []quarantine.End
 	served int
+	words  []permit.Word
 }
 
 // tellSuspects adds to a call what the leader that answered last wasn't told.
@@ -49,7 +51,6 @@
 // takeSuspects notes that a call was taken, and installs what it brings.
 func (f *Follower) takeSuspects(reply *rpc.SyncReply) {
 	f.suspicions.Told(termOf(reply.GetEpoch()), f.telling.ends, f.telling.served)
-	f.telling = telling{}
 	if reply.GetSuspectsDigest() == f.suspicions.Digest() {
 		return
 	}
--- a/pkg/fleetentry/take.go
+++ b/pkg/fleetentry/take.go
@@ -49,6 +49,8 @@
 	f.takeHosts(reply)
 	f.takeSuspects(reply)
 	f.takeRests(reply)
+	f.takeLimits(reply, sent)
+	f.telling = telling{}
 	if list := reply.GetReplicas(); len(list) > 0 {
 		f.replicas = list
 	}
--- a/pkg/gateway/asker.go
+++ b/pkg/gateway/asker.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/fleet"
-	"github.com/larchwinch/larchwinch/pkg/rest"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
@@ -27,15 +26,36 @@
 // streams ask at once. It is safe for use by several goroutines.
 type asker struct {
 	backend Backend
-	rests   *rest.Book
-	hear    func(id string, w fleet.Word)
-	count   func(way, id string) // counts a call to an endpoint that has a limit
+	manners manners
 	svc     timer.Service
 
 	mu   sync.Mutex
 	rows map[string]*question // by address
 }
 
+// manners is what endpoints want of calls to them.
+type manners interface {
+	// mayAsk reports whether an endpoint may be asked now, and takes what that needs.
+	mayAsk(id string) bool
+	// asked takes what the answer to a question sent at a time says of an endpoint.
+	asked(service, id string, w fleet.Word, sent time.Time)
+}
+
+// mayAsk implements manners.
+func (g *Gateway) mayAsk(id string) bool {
+	if !g.rests.May(id) || !g.permits.Take(id) || !g.rests.Take(id) {
+		return false
+	}
+	g.countLimited("question", id)
+	return true
+}
+
+// asked implements manners.
+func (g *Gateway) asked(service, id string, w fleet.Word, sent time.Time) {
+	g.hear(id, w)
+	g.hearLimit(service, id, w.Limit, sent)
+}
+
 // question is the newest one to an address.
 type question struct {
 	done   chan struct{} // closed with the answer
@@ -49,31 +69,29 @@
 // endpoints that hold first layers.
 const maxQuestions = 1000
 
-func newAsker(backend Backend, rests *rest.Book, hear func(id string, w fleet.Word), count func(way, id string), svc timer.Service) *asker {
+func newAsker(m manners, backend Backend, svc timer.Service) *asker {
 	return &asker{
 		backend: backend,
-		rests:   rests,
-		hear:    hear,
-		count:   count,
+		manners: m,
 		svc:     svc,
 		rows:    map[string]*question{},
 	}
 }
 
 // ask returns the newest answer of an endpoint, and asks for one if there is none. A
-// question outlives the stream that asked it. It returns nil if the endpoint rests and
-// was asked once in that: it wants nothing, and each stream that it runs would ask.
-func (a *asker) ask(ctx context.Context, id, address string) *question {
+// question outlives the stream that asked it. It returns nil if the endpoint wants none:
+// it rests and was asked once in that, or has a limit and there is no permit.
+func (a *asker) ask(ctx context.Context, service, id, address string) *question {
 	q, mine := a.join(id, address)
 	if q == nil {
 		return nil
 	}
 	if mine {
-		a.count("question", id)
+		sent := a.svc.Now()
 		askCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stallAskTimeout)
 		found, err := a.backend.Stalled(askCtx, address)
 		cancel()
-		a.hear(id, found.Says)
+		a.manners.asked(service, id, found.Says, sent)
 		a.answer(q, found, err)
 		return q
 	}
@@ -92,7 +110,7 @@
 	if old != nil && a.serves(old) {
 		return old, false
 	}
-	if !a.rests.Take(id) {
+	if !a.manners.mayAsk(id) {
 		return nil, false
 	}
 	q = &question{
--- a/pkg/gateway/asker_test.go
+++ b/pkg/gateway/asker_test.go
@@ -34,7 +34,19 @@
 		release: make(chan error, 10),
 	}
 	clock := timer.NewManual(time.Unix(1000, 0))
-	f(newAsker(b, rest.New(clock), func(_ string, w fleet.Word) { b.heard = append(b.heard, w) }, func(_, _ string) {}, clock), b, clock)
+	f(newAsker(&listener{rests: rest.New(clock), backend: b}, b, clock), b, clock)
+}
+
+// listener lets endpoints that don't rest be asked, and notes what they say.
+type listener struct {
+	rests   *rest.Book
+	backend *askBackend
+}
+
+func (l *listener) mayAsk(id string) bool { return l.rests.Take(id) }
+
+func (l *listener) asked(_, _ string, w fleet.Word, _ time.Time) {
+	l.backend.heard = append(l.backend.heard, w)
 }
 
 var _ = Describe("questions to endpoints", func() {
@@ -44,7 +56,7 @@
 			answers := make(chan *question, 20)
 			for range 20 {
 				g.Go(func(ctx context.Context) {
-					answers <- a.ask(ctx, "x", "x:1")
+					answers <- a.ask(ctx, "s", "x", "x:1")
 				})
 			}
 			Eventually(b.asked.Load, "5s").Should(Equal(int64(1)))
@@ -56,10 +68,10 @@
 			Expect(b.asked.Load()).To(Equal(int64(1)))
 			clock.Advance(sharedFor)
 			b.release <- nil
-			a.ask(context.Background(), "x", "x:1")
+			a.ask(context.Background(), "s", "x", "x:1")
 			Expect(b.asked.Load()).To(Equal(int64(2)), "an old answer serves nobody")
 			b.release <- nil
-			a.ask(context.Background(), "y", "y:1")
+			a.ask(context.Background(), "s", "y", "y:1")
 			Expect(b.asked.Load()).To(Equal(int64(3)), "another endpoint is asked for itself")
 		})
 	})
@@ -69,12 +81,12 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel()
 			b.release <- nil
-			a.ask(ctx, "x", "x:1")
-			a.ask(ctx, "x", "x:1") // the same answer
+			a.ask(ctx, "s", "x", "x:1")
+			a.ask(ctx, "s", "x", "x:1") // the same answer
 			Expect(b.heard).To(Equal([]fleet.Word{{Leaving: true}}))
 			clock.Advance(sharedFor)
 			b.release <- errors.New("status 500")
-			a.ask(ctx, "x", "x:1")
+			a.ask(ctx, "s", "x", "x:1")
 			Expect(b.heard).To(HaveLen(2))
 		})
 	})
@@ -93,7 +105,7 @@
 			}
 			for _, c := range cases {
 				b.release <- c.err
-				Expect(a.ask(context.Background(), "x", "x:1").lost()).To(Equal(c.lost), c.what)
+				Expect(a.ask(context.Background(), "s", "x", "x:1").lost()).To(Equal(c.lost), c.what)
 				clock.Advance(sharedFor)
 			}
 		})
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -31,15 +31,17 @@
 	return d
 }
 
-// stages returns the endpoints that hold layers and don't rest, with their load.
+// stages returns the endpoints that hold layers and may be called now, with their load.
 func (s *streamRun) stages(avoid func(e *fleet.Endpoint) bool) []pathing.Stage {
-	if !s.g.rests.Any() {
+	if !s.g.rests.Any() && !s.g.permits.Any() {
 		return s.holders(avoid)
 	}
-	return s.holders(func(e *fleet.Endpoint) bool { return s.g.rests.Left(e.ID) > 0 || avoid(e) })
+	return s.holders(func(e *fleet.Endpoint) bool {
+		return s.g.rests.Left(e.ID) > 0 || !s.g.permits.May(e.ID) || avoid(e)
+	})
 }
 
-// holders is stages with endpoints that rest.
+// holders is stages with endpoints that rest or have no permit.
 func (s *streamRun) holders(avoid func(e *fleet.Endpoint) bool) []pathing.Stage {
 	list := s.g.source.Endpoints(s.j.service.Name)
 	out := make([]pathing.Stage, 0, len(list))
@@ -82,12 +84,24 @@
 		changed := s.g.source.Changed()
 		path, e := s.choose()
 		if e == nil && (pathing.Crossings(path) == 0 || s.g.source.Settled()) {
+			if !s.g.permits.Take(idsOf(path)...) {
+				continue // another request was before this one
+			}
 			s.take(path)
 			return nil
 		}
+		if e != nil && s.borrowPath(ctx) {
+			continue
+		}
+		if e != nil && s.due > 0 {
+			e = s.g.full(s.due)
+		}
 		if s.g.awaitEndpoints(ctx, s.j.req, changed) || s.awaitRoom(ctx, e) {
 			continue
 		}
+		if e == nil && !s.g.permits.Take(idsOf(path)...) {
+			continue
+		}
 		if e == nil {
 			s.take(path)
 		}
@@ -181,7 +195,7 @@
 	for _, e := range s.g.source.Endpoints(s.j.service.Name) {
 		tried[e.ID] = s.failed(e.ID)
 	}
-	e, ok := s.g.pick(s.j.service.Name, tried)
+	e, ok := s.g.pick(s.j.service.Name, func(id string) bool { return !tried[id] })
 	if !ok && s.sends == 0 {
 		e, ok = s.g.lastChoice(s.j.service.Name, tried)
 	}
@@ -199,6 +213,8 @@
 func (s *streamRun) take(path []fleet.Part) {
 	s.release()
 	s.path = path
+	s.borrowed = 0
+	s.due = 0
 	tokens := 0
 	if s.j.service.Engine != nil {
 		d := s.demand()
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -135,6 +135,27 @@
 	confirmed chan struct{}
 	unsettled bool
 	stopsIn   time.Duration // 0: it wasn't told to stop
+	// lend answers for the leader what is borrowed; without it, there is nothing.
+	lend     func(ids []string, each bool, priority int) time.Duration
+	borrowed int
+	told     int // that limits were heard
+}
+
+// Borrow asks lend.
+func (s *fakeSource) Borrow(_ context.Context, ids []string, each bool, priority int, _ time.Duration) Loan {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.borrowed++
+	if s.lend == nil {
+		return Loan{Due: time.Second, Gap: time.Second}
+	}
+	return Loan{Due: s.lend(ids, each, priority), Gap: time.Second}
+}
+
+func (s *fakeSource) TellLimits() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.told++
 }
 
 func (s *fakeSource) View() View {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -38,6 +38,7 @@
 	held    *quarantine.Host
 	rests   *rest.Book
 	permits *permit.Book
+	borrows *borrowing
 }
 
 // New returns the gateway of a host in a failure domain.
@@ -61,8 +62,9 @@
 		held:    quarantine.NewHost(svc),
 		rests:   rests,
 		permits: permit.NewBook(svc),
+		borrows: newBorrowing(svc),
 	}
-	g.asker = newAsker(backend, rests, g.hear, g.countLimited, svc)
+	g.asker = newAsker(g, backend, svc)
 	return g
 }
 
@@ -115,6 +117,7 @@
 	// once the machine was suspended: a deadline would come that much too late.
 	ctx, cancel := context.WithTimeout(ctx, j.end.Sub(g.svc.Now()))
 	defer cancel()
+	g.permits.Ask(j.service.Name)
 	if j.route.Kind == fleet.Stream {
 		g.serveStream(ctx, j)
 		return
--- /dev/null
+++ b/pkg/gateway/limits_test.go
@@ -0,0 +1,304 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/permit"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func limited(perSecond float64) fleet.Word {
+	return fleet.Word{Limit: fleet.Limit{Says: fleet.LimitNamed, PerSecond: perSecond}}
+}
+
+// limiting answers well, and endpoints name a limit in their answers.
+func limiting(ids ...string) func(int, *Call) (*Answer, error) {
+	return func(_ int, c *Call) (*Answer, error) {
+		a := good(c)
+		a.Says = fleet.Word{Limit: fleet.Limit{Says: fleet.LimitNone}}
+		if slices.Contains(ids, c.ID) {
+			a.Says = limited(8)
+		}
+		return a, nil
+	}
+}
+
+// name has endpoints name a limit to this host.
+func (b *bench) name(ids ...string) {
+	for _, id := range ids {
+		b.gateway.hearLimit("app", id, limited(8).Limit, b.clock.Now())
+	}
+}
+
+// grant has this host hold a permit for each of the endpoints.
+func (b *bench) grant(ids ...string) {
+	list := permit.Table{}
+	for _, id := range ids {
+		list[permit.Key(id)]++
+	}
+	b.gateway.permits.Grant(0, list, b.clock.Now().Add(permit.Valid))
+}
+
+// lendWhatIsAsked has the leader lend all that is asked for.
+func (b *bench) lendWhatIsAsked() {
+	b.source.lend = func(ids []string, each bool, _ int) time.Duration {
+		if !each {
+			ids = ids[:1]
+		}
+		b.grant(ids...)
+		return 0
+	}
+}
+
+var _ = Describe("an endpoint that names a limit", func() {
+	for _, c := range routesAndEndpoints {
+		It("gets a call for each permit and no other, while others serve: "+c.route, func() {
+			withGateway(func(b *bench) {
+				b.backend.answer = limiting(c.id)
+				b.serveUntil(c.route, c.id)
+				n := b.backend.sentTo(c.id)
+				for range 3 {
+					b.grant(c.id)
+				}
+				for range 200 {
+					Expect(b.serve(c.route).refusal).To(BeNil())
+				}
+				Expect(b.backend.sentTo(c.id)).To(BeNumerically("<=", n+3))
+				Expect(b.source.borrowed).To(BeZero(), "others have room")
+				Expect(b.source.told).To(BeNumerically(">", 0), "the leader is told at once")
+			})
+		})
+
+		It("gets what the leader lends where there is nothing else, and others are told at once when to return: "+c.route, func() {
+			withGateway(func(b *bench) {
+				b.source.only("app", appEndpoint("p"))
+				b.source.only("llm", engineEndpoint("x", 0, 4))
+				b.backend.answer = limiting(c.id)
+				b.serve(c.route)
+				b.lendWhatIsAsked()
+				for range 5 {
+					Expect(b.serve(c.route).refusal).To(BeNil())
+				}
+				n := b.backend.sentTo(c.id)
+				b.source.lend = nil
+				times := map[time.Duration]bool{}
+				for range 20 {
+					out := b.serve(c.route)
+					Expect(out.refusal.Kind()).To(Equal(failure.Overloaded))
+					Expect(out.refusal.Ran()).To(Equal(failure.RanNo))
+					Expect(out.refusal.RetryAfter()).To(BeNumerically(">=", comeBack))
+					Expect(out.refusal.RetryAfter()).To(BeNumerically("<=", mostComeBack))
+					times[out.refusal.RetryAfter()] = true
+				}
+				Expect(b.backend.sentTo(c.id)).To(Equal(n))
+				Expect(len(times)).To(BeNumerically(">", 10))
+				Expect(b.source.borrowed).To(BeNumerically("<", 10), "the leader isn't asked for each")
+			})
+		})
+	}
+
+	It("may be one of several on a path that all have one", func() {
+		withGateway(func(b *bench) {
+			b.source.only("llm", engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4))
+			b.name("x", "y")
+			b.backend.answer = limiting("x", "y")
+			asked := []string(nil)
+			b.source.lend = func(ids []string, each bool, _ int) time.Duration {
+				Expect(each).To(BeTrue())
+				asked = ids
+				b.grant(ids...)
+				return 0
+			}
+			Expect(b.serve("stream").refusal).To(BeNil())
+			Expect(asked).To(ConsistOf("x", "y"))
+			b.source.lend = nil
+			b.grant("x")
+			Expect(b.serve("stream").refusal).NotTo(BeNil())
+			Expect(b.gateway.permits.May("x")).To(BeTrue(), "a permit of half a path isn't used up")
+		})
+	})
+
+	It("gets no second send beside a first, but a repeat of one that failed", func() {
+		withGateway(func(b *bench) {
+			b.name("p", "q", "s")
+			b.grant("p", "q", "s")
+			release := make(chan bool)
+			b.backend.until = func(context.Context, int) (*Answer, error) {
+				<-release
+				return whole(200, "ok"), nil
+			}
+			done := make(chan bool, 1)
+			background(func() {
+				b.serve("safe")
+				done <- true
+			})
+			Eventually(b.backend.sent, "5s").Should(HaveLen(1))
+			b.clock.Advance(300 * time.Millisecond) // over the time for a second send
+			time.Sleep(5 * time.Millisecond)
+			Expect(b.backend.sent()).To(HaveLen(1))
+			close(release)
+			Eventually(done, "5s").Should(Receive())
+		})
+		withGateway(func(b *bench) {
+			b.name("p", "q", "s")
+			b.grant("p", "q", "s")
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				if n == 1 {
+					return refusedBy(""), nil
+				}
+				return good(c), nil
+			}
+			Expect(b.serve("safe").status).To(Equal(200))
+			Expect(b.backend.sent()).To(HaveLen(2))
+		})
+	})
+
+	It("is asked what stands still by a permit, and gives streams another path by one", func() {
+		withGateway(func(b *bench) {
+			b.source.only("llm", engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4), engineEndpoint("z", 2, 4))
+			end := b.underWay()
+			defer end()
+			path := b.backend.sent()[0].Path
+			b.backend.stall("r1", path[1].Address)
+			b.name("x", "y", "z")
+			asked := b.backend.questions()
+			for range 20 {
+				b.clock.Advance(100 * time.Millisecond)
+				time.Sleep(2 * time.Millisecond)
+			}
+			Expect(b.backend.questions()).To(Equal(asked))
+			Expect(b.backend.repathed()).To(BeZero())
+			calls := atomic.Int64{}
+			b.source.lend = func(ids []string, _ bool, _ int) time.Duration {
+				calls.Add(1)
+				b.grant("x", "x", "y", "z")
+				return 0
+			}
+			Eventually(func() int {
+				b.clock.Advance(100 * time.Millisecond)
+				return b.backend.repathed()
+			}, "5s", "5ms").Should(BeNumerically(">", 0))
+			Expect(calls.Load()).To(BeNumerically(">", 0))
+		})
+	})
+
+	It("isn't left for it by the streams that it runs", func() {
+		withGateway(func(b *bench) {
+			end := b.underWay()
+			defer end()
+			path := b.backend.sent()[0].Path
+			b.name(path[0].ID, path[1].ID)
+			for range 20 {
+				b.clock.Advance(100 * time.Millisecond)
+				time.Sleep(2 * time.Millisecond)
+			}
+			Expect(b.backend.repathed()).To(BeZero())
+			Expect(b.backend.sent()).To(HaveLen(1))
+		})
+	})
+
+	It("is named at fault by the first of a path: then both are taken to have it, and neither to have none", func() {
+		withGateway(func(b *bench) {
+			says := limited(8)
+			b.backend.answer = func(n int, c *Call) (*Answer, error) {
+				if n > 1 {
+					return good(c), nil
+				}
+				a := refusedBy(c.Path[1].Address)
+				a.Says = says
+				return a, nil
+			}
+			b.serve("stream")
+			path := b.backend.sent()[0].Path
+			for _, p := range path {
+				Expect(b.gateway.permits.Limited(p.ID)).To(BeTrue())
+			}
+			b.gateway.permits.Told(1, b.gateway.permits.Words())
+			b.clock.Advance(time.Second)
+			b.gateway.hearLimits(&job{service: &fleet.Service{Name: "llm"}}, &Call{ID: path[0].ID}, path[1].ID, fleet.Limit{Says: fleet.LimitNone}, b.clock.Now())
+			Expect(b.gateway.permits.Words()).To(BeEmpty())
+		})
+	})
+
+	It("isn't the one that another incarnation's answer is about", func() {
+		withGateway(func(b *bench) {
+			b.backend.answer = func(_ int, c *Call) (*Answer, error) {
+				return &Answer{Status: 421, Misdirected: true, Says: limited(8), Body: http.NoBody}, nil
+			}
+			b.serve("safe")
+			Expect(b.gateway.permits.Any()).To(BeFalse())
+		})
+	})
+
+	It("is heard in answers of failures, to questions, and in those that turn a path away", func() {
+		for _, a := range []*Answer{whole(500, "no"), refusedBy(""), {Status: 200, Body: http.NoBody}} {
+			withGateway(func(b *bench) {
+				a.Says = limited(8)
+				b.backend.answer = func(n int, c *Call) (*Answer, error) {
+					if n == 1 {
+						return a, nil
+					}
+					return good(c), nil
+				}
+				b.serve("unsafe")
+				Expect(b.gateway.permits.Limited(b.backend.sent()[0].ID)).To(BeTrue())
+			})
+		}
+		withGateway(func(b *bench) {
+			b.backend.answer = func(int, *Call) (*Answer, error) {
+				return nil, &SendError{Sent: true, Cause: errReset, Says: limited(8)}
+			}
+			b.serve("unsafe")
+			Expect(b.gateway.permits.Limited(b.backend.sent()[0].ID)).To(BeTrue())
+		})
+		withGateway(func(b *bench) {
+			b.gateway.asked("llm", "x", limited(8), b.clock.Now())
+			Expect(b.gateway.permits.Limited("x")).To(BeTrue())
+		})
+	})
+
+	It("is asked for by the more urgent though less urgent ones were just denied", func() {
+		withGateway(func(b *bench) {
+			at := b.gateway.borrows
+			_, ok := at.begin("e", 5)
+			Expect(ok).To(BeTrue())
+			at.end("e", 5, Loan{Due: time.Second, Gap: time.Second})
+			_, ok = at.begin("e", 5)
+			Expect(ok).To(BeFalse())
+			_, ok = at.begin("e", 4)
+			Expect(ok).To(BeTrue())
+			at.end("e", 4, Loan{})
+			b.clock.Advance(denialKept)
+			for range borrowsAtOnce {
+				_, ok = at.begin("e", 5)
+				Expect(ok).To(BeTrue())
+			}
+			due, ok := at.begin("e", 5)
+			Expect(ok).To(BeFalse(), "not too many at once")
+			Expect(due).To(BeNumerically(">", 0))
+		})
+	})
+
+	It("has places promised one after the other to who is refused", func() {
+		withGateway(func(b *bench) {
+			at := b.gateway.borrows
+			loan := Loan{Due: 500 * time.Millisecond, Gap: time.Second}
+			_, _ = at.begin("e", 5)
+			Expect(at.end("e", 5, loan)).To(Equal(500 * time.Millisecond))
+			for n := range 3 {
+				due, _ := at.begin("e", 5)
+				Expect(due).To(Equal(loan.Due + time.Duration(n+1)*loan.Gap))
+			}
+			b.clock.Advance(10 * time.Second)
+			_, _ = at.begin("e", 5)
+			Expect(at.end("e", 5, loan)).To(Equal(loan.Due), "these had their places")
+		})
+	})
+})
--- a/pkg/gateway/repath.go
+++ b/pkg/gateway/repath.go
@@ -56,12 +56,13 @@
 // whether the first endpoint took it.
 func (s *streamRun) follow(ctx context.Context, path []fleet.Part, address string) bool {
 	first := s.path[0]
-	if s.g.rests.Left(first.ID) > 0 {
+	if s.g.rests.Left(first.ID) > 0 || !s.takeRepath(path) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, repathTimeout)
 	defer cancel()
 	s.g.countLimited("repath", first.ID)
+	sent := s.g.svc.Now()
 	err := s.g.backend.Repath(ctx, first.Address, s.j.req.ID, path)
 	s.g.log.Event(eventlog.StreamRepathed, eventlog.Str("request", s.j.req.ID), eventlog.Str("around", address), eventlog.Err(err))
 	if err == nil {
@@ -77,14 +78,14 @@
 	if errors.As(err, &away) {
 		s.g.hearAnswer(s.j, call, &Answer{
 			Says: away.Says,
-		})
+		}, sent)
 	}
 	var fault *RepathError
 	if errors.As(err, &fault) {
 		s.g.hearAnswer(s.j, call, &Answer{
 			Fault: fault.At,
 			Says:  fault.Says,
-		})
+		}, sent)
 		s.shun(path, fault.At)
 	}
 	return false
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -44,6 +44,14 @@
 // asked.
 const restAsk = time.Second
 
+const (
+	// mostUrgent is the priority of a question about streams that stand still: one
+	// answer serves all of them.
+	mostUrgent = 0
+	// questionWait is how long it waits for a permit. The stream's events wait as long.
+	questionWait = 50 * time.Millisecond
+)
+
 // ask finds what stands still. Its error says that the stream must be sent
 // anew.
 func (w *stallWatch) ask(ctx context.Context) error {
@@ -53,9 +61,12 @@
 	}
 	s := w.s
 	first := s.path[0]
-	q := s.g.asker.ask(ctx, first.ID, first.Address)
+	q := s.g.asker.ask(ctx, s.j.service.Name, first.ID, first.Address)
+	if q == nil && s.g.permits.Limited(first.ID) && s.g.source.Borrow(ctx, []string{first.ID}, true, mostUrgent, questionWait).Due == 0 {
+		q = s.g.asker.ask(ctx, s.j.service.Name, first.ID, first.Address)
+	}
 	if q == nil {
-		w.wait(max(askAgain, min(restAsk, s.g.rests.Left(first.ID))))
+		w.wait(max(stallWait, min(restAsk, s.g.rests.Left(first.ID))))
 		return nil
 	}
 	w.asks++
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -60,6 +60,10 @@
 	held    time.Duration
 	pulse   pulse
 	waiting *waiting // of the present send
+	// borrowed is how often it asked for permits, and due when there is one, if there
+	// wasn't.
+	borrowed int
+	due      time.Duration
 }
 
 // outcome is how one send of a stream ended.
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -173,6 +173,19 @@
 	StopsIn() (left time.Duration, stops bool)
 	// Hosts returns how many entry hosts share the work.
 	Hosts() int
+	// Borrow asks the leader for permits, one for each of the endpoints or one for any
+	// of them, and waits so long for it.
+	Borrow(ctx context.Context, ids []string, each bool, priority int, wait time.Duration) Loan
+	// TellLimits has the leader told at once of what this host heard of limits.
+	TellLimits()
+}
+
+// Loan is the leader's answer to a host that borrows.
+type Loan struct {
+	// Due is 0 once the permits are in the host's book, and else when there is one.
+	Due time.Duration
+	// Gap is the time between two permits for this host; 0 if that isn't known.
+	Gap time.Duration
 }
 
 // Load is work under way at an endpoint.
--- a/pkg/gateway/whole.go
+++ b/pkg/gateway/whole.go
@@ -70,14 +70,21 @@
 	running int
 	ran     int // attempts that may have run
 	last    *verdict
+	// borrowed is how often it asked for permits, and due when there is one, if there
+	// wasn't.
+	borrowed int
+	due      time.Duration
 }
 
 func (w *wholeRun) run(ctx context.Context) {
 	for {
 		changed := w.g.source.Changed()
-		if w.send(false) {
+		if w.send(firstSend) {
 			break
 		}
+		if w.borrow(ctx) {
+			continue
+		}
 		if !w.g.awaitEndpoints(ctx, w.j.req, changed) {
 			w.finish()
 			return
@@ -93,7 +100,7 @@
 			}
 		case <-hedge:
 			hedge = nil
-			w.repeat(nil)
+			w.repeat(besideOther, nil)
 		case <-ctx.Done():
 			w.expired(ctx)
 			return
@@ -127,11 +134,11 @@
 	}
 	if v.notRun || notSent(v.err) {
 		w.ran--
-		w.repeat(v.err)
+		w.repeat(afterFailure, v.err)
 		return false
 	}
 	if w.j.route.Kind == fleet.Safe && w.running == 0 {
-		w.repeat(v.err)
+		w.repeat(afterFailure, v.err)
 	}
 	return false
 }
@@ -160,21 +167,32 @@
 }
 
 // repeat sends once more if attempts and the budget allow it.
-func (w *wholeRun) repeat(cause error) {
+func (w *wholeRun) repeat(why occasion, cause error) {
 	if w.ran >= w.j.route.MaxAttempts || w.sends >= maxSends || w.g.keep(w.j) != nil {
 		return
 	}
-	w.send(!notSent(cause))
+	if notSent(cause) {
+		why = afterUnsent
+	}
+	w.send(why)
 }
 
+// occasion is why a request is sent.
+type occasion int
+
+const (
+	firstSend    occasion = iota
+	afterFailure          // an attempt failed, or was refused
+	afterUnsent           // an attempt reached no endpoint
+	besideOther           // an attempt still runs
+)
+
 // send starts an attempt, paid for by the budget if it is a repeat, and reports
-// whether an endpoint was there.
-func (w *wholeRun) send(again bool) bool {
-	e, ok := w.g.pick(w.j.service.Name, w.tried)
-	if !ok && w.sends == 0 {
-		e, ok = w.g.lastChoice(w.j.service.Name, w.tried)
-	}
-	if !ok || (again && !w.g.repeats.spend(w.g.source.Hosts())) {
+// whether an endpoint was there. A send beside another takes no permit: that is a place
+// of a request which wasn't sent yet.
+func (w *wholeRun) send(why occasion) bool {
+	e, ok := w.pick(why)
+	if !ok {
 		return false
 	}
 	w.tried[e.ID] = true
@@ -187,6 +205,37 @@
 	return true
 }
 
+// pick chooses the endpoint of the next send, and takes what the send needs.
+func (w *wholeRun) pick(why occasion) (fleet.Endpoint, bool) {
+	fits := func(id string) bool { return !w.tried[id] && (why != besideOther || !w.g.permits.Limited(id)) }
+	paid := why == firstSend || why == afterUnsent
+	for {
+		e, ok := w.g.pick(w.j.service.Name, fits)
+		if !ok && w.sends == 0 {
+			e, ok = w.g.lastChoice(w.j.service.Name, w.tried)
+		}
+		paid = paid || ok && w.g.repeats.spend(w.g.source.Hosts())
+		if !ok || !paid {
+			return e, false
+		}
+		if w.g.permits.Take(e.ID) {
+			return e, true
+		}
+	}
+}
+
+// borrow asks for a permit where nothing else is lacking, and reports whether to choose
+// again.
+func (w *wholeRun) borrow(ctx context.Context) bool {
+	ids := w.g.scarce(w.j.service.Name, w.tried)
+	if len(ids) == 0 || w.borrowed >= maxBorrows {
+		return false
+	}
+	w.borrowed++
+	w.due = w.g.borrow(ctx, w.j, ids, false)
+	return w.due == 0
+}
+
 func (w *wholeRun) answer(v *verdict) {
 	w.g.stood(w.j)
 	w.g.served(w.j, v.status, v.endpoint.ID, w.sends)
@@ -199,6 +248,8 @@
 	switch {
 	case v != nil && v.err == nil && !v.notRun:
 		w.answer(v)
+	case v == nil && w.due > 0:
+		w.refuse(w.g.full(w.due))
 	case v == nil && w.g.restLeft(w.j.service.Name) > 0:
 		w.refuse(w.g.resting(w.g.restLeft(w.j.service.Name)))
 	case v == nil:
@@ -240,14 +291,14 @@
 	w.g.refuse(w.j.req, w.j, w.j.out, e)
 }
 
-// pick chooses the endpoint that should answer first, of those that don't rest.
-func (g *Gateway) pick(service string, tried map[string]bool) (fleet.Endpoint, bool) {
-	return g.best(service, func(id string) bool { return !tried[id] && g.rests.Left(id) == 0 })
+// pick chooses the endpoint that should answer first, of those that may be called now.
+func (g *Gateway) pick(service string, fits func(id string) bool) (fleet.Endpoint, bool) {
+	return g.best(service, func(id string) bool { return fits(id) && g.rests.Left(id) == 0 && g.permits.May(id) })
 }
 
 // lastChoice chooses one that rests, and counts that it is called in its rest.
 func (g *Gateway) lastChoice(service string, tried map[string]bool) (fleet.Endpoint, bool) {
-	e, ok := g.best(service, func(id string) bool { return !tried[id] && g.rests.May(id) })
+	e, ok := g.best(service, func(id string) bool { return !tried[id] && g.rests.May(id) && g.permits.May(id) })
 	return e, ok && g.takeLast(e.ID)
 }
 
@@ -271,6 +322,9 @@
 	// avoidedScore puts endpoints that failed or went silent behind all others.
 	avoidedScore = 1e6
 	silentScore  = 1e3
+	// permitScore puts endpoints whose permit this host holds before others: one that
+	// isn't used is lost to all hosts for a second.
+	permitScore = 0.25
 	// unknownLatency, in ms, stands for an endpoint that never answered here.
 	unknownLatency = 50
 )
@@ -282,6 +336,9 @@
 		latency = unknownLatency
 	}
 	score := load / float64(max(1, e.Slots)) * latency * (0.9 + 0.2*rand.Float64())
+	if g.permits.Limited(e.ID) {
+		score *= permitScore
+	}
 	if g.tracker.Avoided(e.ID) {
 		score += avoidedScore
 	}
--- a/pkg/gateway/words.go
+++ b/pkg/gateway/words.go
@@ -5,14 +5,12 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
-	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
-	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/pathing"
 )
 
@@ -24,13 +22,15 @@
 	for _, p := range c.Path[min(1, len(c.Path)):] {
 		g.countLimited("part", p.ID)
 	}
+	sent := g.svc.Now()
 	a, err := g.backend.Send(ctx, c)
 	var lost *SendError
 	switch {
 	case err == nil:
-		g.hearAnswer(j, c, a)
+		g.hearAnswer(j, c, a, sent)
 	case errors.As(err, &lost):
 		g.hear(c.ID, lost.Says)
+		g.hearLimit(j.service.Name, c.ID, lost.Says.Limit, sent)
 	}
 	return a, err
 }
@@ -39,9 +39,10 @@
 // leave may be of either. Booked on the wrong one it would keep that from every host until
 // it starts again; so both are avoided for a moment only, and as suspects they are asked
 // by the leader: each of them tells of itself then.
-func (g *Gateway) hearAnswer(j *job, c *Call, a *Answer) {
+func (g *Gateway) hearAnswer(j *job, c *Call, a *Answer, sent time.Time) {
 	who := g.speaker(j, c, a)
 	w := a.Says
+	g.hearLimits(j, c, who, w.Limit, sent)
 	if w.Leaving && who != c.ID {
 		w.Leaving = false
 		g.tracker.Avoid(c.ID, oneLeaves)
@@ -86,9 +87,6 @@
 	if w.Leaving {
 		g.source.Leaves(id)
 	}
-	if g.permits.Hear(id, w.Limit) {
-		g.logLimit(id, w.Limit)
-	}
 	if w.Rest <= 0 {
 		return
 	}
@@ -182,7 +180,7 @@
 	if s.sends > 0 || !s.g.rests.Any() {
 		return nil
 	}
-	path := s.pathOver(func(id string) bool { return s.g.rests.May(id) })
+	path := s.pathOver(func(id string) bool { return s.g.rests.May(id) && s.g.permits.May(id) })
 	for _, p := range path {
 		if !s.g.takeLast(p.ID) {
 			return nil // another stream was before this one
@@ -190,20 +188,3 @@
 	}
 	return path
 }
-
-// logLimit tells that an endpoint named a limit, another one, or none any more.
-func (g *Gateway) logLimit(id string, l fleet.Limit) {
-	says := "over"
-	if l.Says == fleet.LimitNamed {
-		says = "named"
-	}
-	g.log.Event(eventlog.EndpointLimit, eventlog.Str("endpoint", id), eventlog.Str("says", says),
-		eventlog.Str("per_second", strconv.FormatFloat(l.PerSecond, 'g', 4, 64)), eventlog.Str("by", "an answer"))
-}
-
-// countLimited counts a call to an endpoint that has a limit, by the way it goes.
-func (g *Gateway) countLimited(way, id string) {
-	if g.permits.Limited(id) {
-		g.metrics.Counter("calls_limited", metrics.Label{Name: "way", Value: way}).Inc(1)
-	}
-}
--- /dev/null
+++ b/pkg/pattern/limits_test.go
@@ -0,0 +1,157 @@
+package pattern
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	limitFrom   = 5 * time.Second // when endpoints name their limits
+	limitWindow = 4 * time.Second
+	// limitContact is how long after it was named first a limit must be kept.
+	limitContact = 3 * time.Second
+)
+
+// allowedIn returns how many requests a limit allows in a window.
+func allowedIn(limit float64) int {
+	return int(1.5*limit*limitWindow.Seconds() + 5)
+}
+
+// namesFrom returns limits that the first endpoints name from limitFrom on.
+func namesFrom(endpoints int, limit float64) func(int, time.Duration) float64 {
+	return func(e int, now time.Duration) float64 {
+		if e < endpoints && now >= limitFrom {
+			return limit
+		}
+		return -1
+	}
+}
+
+var limitSizes = []int{11, 100, 300}
+
+// expectKept checks that no window of an endpoint holds more than a limit allows. What
+// reached it before it was named doesn't count.
+func expectKept(m *Limits, endpoint int, limit float64, from, to time.Duration, about string) {
+	most := m.Most(endpoint, limitWindow, from, to)
+	Expect(most).To(BeNumerically("<=", allowedIn(limit)), about)
+}
+
+var _ = Describe("endpoints that name limits", func() {
+	for _, hosts := range limitSizes {
+		for _, limit := range []float64{0, 0.05, 2, 8, 40} {
+			It(fmt.Sprintf("get no more than that, and where others have room nobody is refused: %d hosts, %v a second", hosts, limit), func() {
+				for _, seed := range seeds {
+					m := NewLimits(LimitShape{Hosts: hosts, Endpoints: 3, PerSecond: 150, Limit: namesFrom(1, limit)}, seed)
+					m.Run(30 * time.Second)
+					expectKept(m, 0, limit, limitFrom+300*time.Millisecond, 30*time.Second, fmt.Sprint("seed ", seed))
+					Expect(m.Refused).To(BeEmpty())
+				}
+			})
+		}
+
+		for _, demand := range []float64{1.5, 10} {
+			It(fmt.Sprintf("get nearly that where all do and more is asked for: %d hosts, %v times the limits", hosts, demand), func() {
+				for _, seed := range seeds {
+					const limit = 8.0
+					m := NewLimits(LimitShape{Hosts: hosts, Endpoints: 3, PerSecond: demand * 3 * limit, Limit: namesFrom(3, limit)}, seed)
+					m.Run(30 * time.Second)
+					for e := range 3 {
+						expectKept(m, e, limit, limitFrom+300*time.Millisecond, 30*time.Second, fmt.Sprint("seed ", seed))
+						Expect(m.Reached(e, 10*time.Second, 30*time.Second)).To(BeNumerically(">=", 0.85*20*limit))
+					}
+				}
+			})
+		}
+
+		It(fmt.Sprintf("are used in full soon after the limit is over: %d hosts", hosts), func() {
+			limit := func(_ int, now time.Duration) float64 {
+				if now >= limitFrom && now < 15*time.Second {
+					return 8
+				}
+				return -1
+			}
+			for _, seed := range seeds {
+				m := NewLimits(LimitShape{Hosts: hosts, Endpoints: 1, PerSecond: 100, Limit: limit}, seed)
+				m.Run(20 * time.Second)
+				expectKept(m, 0, 8, limitFrom+300*time.Millisecond, 15*time.Second, fmt.Sprint("seed ", seed))
+				Expect(m.RefusedIn(17*time.Second, 20*time.Second)).To(BeZero())
+			}
+		})
+
+		It(fmt.Sprintf("get no more while leaders change, hosts are cut off and start anew: %d hosts", hosts), func() {
+			for _, seed := range seeds {
+				const limit = 8.0
+				m := NewLimits(LimitShape{Hosts: hosts, Endpoints: 2, PerSecond: 200, Limit: namesFrom(2, limit)}, seed)
+				for at := 7 * time.Second; at < 40*time.Second; at += 700 * time.Millisecond {
+					m.Run(at)
+					switch m.rand.IntN(4) {
+					case 0:
+						m.LoseLeader(time.Duration(m.rand.IntN(800)) * time.Millisecond)
+					case 1:
+						m.Cut(m.rand.IntN(hosts), true)
+					case 2:
+						m.Cut(m.rand.IntN(hosts), false)
+					default:
+						m.Restart(m.rand.IntN(hosts))
+					}
+				}
+				for e := range 2 {
+					expectKept(m, e, limit, limitFrom+300*time.Millisecond, 40*time.Second, fmt.Sprint("seed ", seed))
+				}
+			}
+		})
+
+		It(fmt.Sprintf("get no more than they named where that changes all the time: %d hosts", hosts), func() {
+			// It rises, falls, comes and goes; what it is lowest at holds for its windows.
+			limit := func(e int, now time.Duration) float64 {
+				n := int(now / time.Second)
+				switch {
+				case now < limitFrom:
+					return -1
+				case e == 0: // 8 and 10 by turns
+					return float64(8 + 2*(n%2))
+				case n%2 == 1:
+					return 8
+				default: // none each other second
+					return -1
+				}
+			}
+			for _, seed := range seeds {
+				m := NewLimits(LimitShape{Hosts: hosts, Endpoints: 2, PerSecond: 200, Limit: limit}, seed)
+				m.Run(30 * time.Second)
+				for e := range 2 {
+					expectKept(m, e, 10, limitFrom+300*time.Millisecond, 30*time.Second, fmt.Sprint("endpoint ", e, " seed ", seed))
+				}
+			}
+		})
+	}
+})
+
+var _ = Describe("ways to keep the sum of a limit", func() {
+	// One endpoint names 8 a second and is asked for more: how much the fullest 4 s hold,
+	// and how much of the limit is used. The ways in which a host acts alone use little of
+	// it where requests are few for each host, or hold too much where they come at once.
+	for _, way := range []Way{Lent, EqualParts, FewHosts} {
+		It("are told apart: "+way.String(), func() {
+			fits := true
+			for _, hosts := range limitSizes {
+				for _, demand := range []float64{12, 80} {
+					most, used := 0, 0
+					for _, seed := range seeds {
+						m := NewLimits(LimitShape{Way: way, Hosts: hosts, Endpoints: 1, PerSecond: demand, Limit: namesFrom(1, 8)}, seed)
+						m.Run(45 * time.Second)
+						most = max(most, m.Most(0, limitWindow, limitFrom+300*time.Millisecond, 45*time.Second))
+						used += m.Reached(0, 15*time.Second, 45*time.Second)
+					}
+					share := float64(used) / float64(len(seeds)) / (30 * 8)
+					GinkgoWriter.Printf("%s, %d hosts, asked for %v: fullest 4 s %d, used %.2f\n", way, hosts, demand, most, share)
+					fits = fits && most <= allowedIn(8) && share >= 0.85
+				}
+			}
+			Expect(fits).To(Equal(way == Lent))
+		})
+	}
+})
--- /dev/null
+++ b/pkg/permit/account.go
@@ -0,0 +1,170 @@
+package permit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// creditTime is the time whose calls may be lent at once, where nothing was lent
+	// before, and creditMore calls beyond these: 0.4 to 0.7 s pass between two calls of a
+	// host, and requests don't come evenly.
+	creditTime = 500 * time.Millisecond
+	creditMore = 2.5
+	// outTime is the time whose calls may be out as permits. With the credit it keeps the
+	// calls of any 4 s within 1.5 times what the limit allows, and half of the 5 that are
+	// allowed beyond it.
+	outTime = 1500 * time.Millisecond
+	// pauseTime is how long nothing is lent once a limit is named: until then the
+	// endpoint got what it couldn't bear.
+	pauseTime = time.Second
+	// overTime is how long a limit must not have been named before it is over: one that
+	// comes and goes each second stays.
+	overTime = 1100 * time.Millisecond
+	// wordSlack is by how much a word's time may be off: it is told as an age, and the
+	// way of the call that tells it isn't counted.
+	wordSlack = 100 * time.Millisecond
+	// forgetTime is how long a limit is kept of which nothing is heard.
+	forgetTime = 2 * time.Minute
+	// lentSlots parts the time for which permits are valid.
+	lentSlots = 10
+)
+
+// account is what the leader knows of one endpoint that has a limit.
+//
+// Invariant: credit rises by the limit and falls by what is lent and not given back, so
+// that the calls of any time are at most the limit's, what was out, and the most credit.
+type account struct {
+	key     uint32
+	service string
+	limit   float64
+	credit  float64
+	at      time.Time // of credit
+	lent    [lentSlots]int
+	slot    int64     // newest of lent
+	setAt   time.Time // when the limit that stands was last heard
+	overAt  time.Time // since when it may be over; zero: it isn't
+	// overSent is when the call was sent whose answer named no limit.
+	overSent time.Time
+	version  uint64
+	queue    []*Loan
+}
+
+func newAccount(w Word, now time.Time) *account {
+	return &account{
+		key:     w.Key,
+		service: w.Service,
+		limit:   w.PerSecond,
+		credit:  -w.PerSecond * pauseTime.Seconds(),
+		at:      now,
+		setAt:   w.Heard,
+	}
+}
+
+// change tells that the endpoint has a limit.
+func (a *account) change() Change {
+	return Change{
+		Key:       a.key,
+		Service:   a.service,
+		PerSecond: a.limit,
+	}
+}
+
+// most returns the most credit.
+func (a *account) most() float64 {
+	return a.limit*creditTime.Seconds() + creditMore
+}
+
+// room returns how many permits may be out.
+func (a *account) room() int {
+	return int(math.Max(1, a.limit*outTime.Seconds()))
+}
+
+// refill adds what the limit allowed since the last look.
+func (a *account) refill(now time.Time) {
+	more := a.limit * now.Sub(a.at).Seconds()
+	a.credit = math.Min(a.most(), a.credit+more)
+	a.at = now
+	slot := now.UnixNano() / int64(Valid/lentSlots)
+	for ; a.slot < slot && slot-a.slot < lentSlots; a.slot++ {
+		a.lent[(a.slot+1)%lentSlots] = 0
+	}
+	if a.slot < slot {
+		a.lent = [lentSlots]int{}
+		a.slot = slot
+	}
+}
+
+// out returns how many permits were lent that may still be used.
+func (a *account) out() int {
+	sum := 0
+	for _, n := range a.lent {
+		sum += n
+	}
+	return sum
+}
+
+// free returns how many permits may be lent now beside ahead others. The account must
+// be refilled.
+func (a *account) free(ahead int) int {
+	credit := int(math.Floor(a.credit)) - ahead
+	room := a.room() - a.out() - ahead
+	return max(0, min(credit, room))
+}
+
+// lend lends n permits.
+func (a *account) lend(n int) {
+	a.credit -= float64(n)
+	a.lent[a.slot%lentSlots] += n
+}
+
+// unused takes n permits back that are over.
+func (a *account) unused(n int) {
+	a.credit = math.Min(a.most(), a.credit+float64(n))
+}
+
+// due returns how long it takes until a permit may be lent behind ahead others. The
+// account must be refilled.
+func (a *account) due(ahead int) time.Duration {
+	if a.free(ahead) > 0 {
+		return 0
+	}
+	lack := math.Max(0, float64(ahead+1)-a.credit)
+	d := time.Duration(math.Min(lack/a.limit, longestDue.Seconds()) * float64(time.Second))
+	return max(d, Valid/lentSlots) // what is out counts by slots
+}
+
+// longestDue bounds what a caller is told.
+const longestDue = time.Minute
+
+// hear takes a word. Of two whose times overlap the lower limit stands: a word that is
+// late may neither raise a limit nor end one.
+func (a *account) hear(w Word, now time.Time) {
+	later := !w.Sent.Before(a.setAt.Add(wordSlack))
+	if !w.names() {
+		if later && a.overAt.IsZero() {
+			a.overAt = now
+			a.overSent = w.Sent
+		}
+		return
+	}
+	if !a.overAt.IsZero() && !w.Heard.Before(a.overSent) {
+		a.overAt = time.Time{}
+	}
+	switch {
+	case w.PerSecond < a.limit || w.PerSecond > a.limit && later:
+		a.refill(now)
+		if w.PerSecond < a.limit { // until now it got what it can't bear any more
+			a.credit = math.Min(a.credit, pauseTime.Seconds()*math.Max(w.PerSecond-a.limit, -w.PerSecond))
+		}
+		a.limit = w.PerSecond
+		a.setAt = w.Heard
+	case w.PerSecond == a.limit && w.Heard.After(a.setAt):
+		a.setAt = w.Heard
+	}
+}
+
+// over reports whether the endpoint has no limit any more.
+func (a *account) over(now time.Time) bool {
+	return !a.overAt.IsZero() && now.Sub(a.overAt) >= overTime || now.Sub(a.setAt) > forgetTime
+}
--- a/pkg/permit/book.go
+++ b/pkg/permit/book.go
@@ -1,68 +1,139 @@
-// Package permit keeps what all hosts together send to endpoints within the limits that
-// these name.
 package permit
 
 import (
+	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 )
 
-// Clock tells the time.
-type Clock interface {
-	Now() time.Time
-}
-
-// Key names an endpoint, whichever start of it is there: one that is in need may still be
-// after a start, and names no limit then if it isn't.
-func Key(id string) uint32 {
-	own, _ := fleet.SplitIncarnation(id)
-	return fleet.LoadKey(own)
-}
+const (
+	// fallShare is the part of a limit under which a lower one is told at once: the leader
+	// lends by what it knows.
+	fallShare = 0.8
+	// rateTime is the time over which requests are counted.
+	rateTime = 2 * time.Second
+	// leastUse is how many requests must be expected while a permit is valid to have use
+	// for one that isn't asked for by a request; one request alone makes half of one.
+	leastUse = 0.6
+	// idleFirst is for how long a host asks for no permit to an endpoint after it had no
+	// use for one; each time in a row doubles it, up to idleMost times.
+	idleFirst = 2 * time.Second
+	idleMost  = 3
+	// mostWanted bounds the endpoints of a service for which one call asks for permits, at
+	// four bytes each; the next call asks for others.
+	mostWanted = 32
+)
 
-// Book is the limits that a host knows of. It is safe for use by several goroutines.
+// Book is what a host knows of endpoints that have limits, and the permits that it holds.
+// It is safe for use by several goroutines.
+//
+// Invariant: an endpoint that has a limit is called by a permit that wasn't used, and
+// isn't over. A host alone never ends a limit: it tells what it heard, and the leader
+// weighs that with what others heard.
 type Book struct {
 	clock Clock
 
-	mu   sync.Mutex
-	rows map[uint32]*row
+	mu      sync.Mutex
+	rows    map[uint32]*row
+	term    uint64 // of the leader whose limits are held, up to version
+	version uint64
+	words   map[uint32]Word   // to be told, the newest of each endpoint
+	asked   map[string]*asked // by service
+	next    uint32            // key from which on endpoints are asked for
+	unused  Table             // permits of term that were over, to be told
 }
 
 // row is one endpoint that has a limit.
 type row struct {
-	limit float64
+	word Word   // the last that named it
+	told uint64 // term of the leader that knows; 0: none does
+	held []held // permits, the oldest first
+	// idle is how many permits in a row weren't used, and until is when to ask for others.
+	idle  int
+	until time.Time
+}
+
+// asked is requests for a service.
+type asked struct {
+	untold int
+	rate   float64 // in rateTime, those that are older less and less
+	at     time.Time
+}
+
+func (a *asked) fade(now time.Time) {
+	a.rate *= math.Exp(-float64(now.Sub(a.at)) / float64(rateTime))
+	a.at = now
+}
+
+// held is a permit.
+type held struct {
+	end  time.Time
+	term uint64 // of the leader that lent it
 }
 
 // NewBook returns a book without limits.
 func NewBook(clock Clock) *Book {
 	return &Book{
-		clock: clock,
-		rows:  map[uint32]*row{},
+		clock:  clock,
+		rows:   map[uint32]*row{},
+		words:  map[uint32]Word{},
+		asked:  map[string]*asked{},
+		unused: Table{},
 	}
 }
 
-// Hear takes what an answer says of an endpoint's limit, and reports whether that changed.
-func (b *Book) Hear(id string, l fleet.Limit) bool {
+// Hear takes what an answer to a call sent at a time says of an endpoint's limit. It
+// reports whether that is news, which the leader must learn at once.
+func (b *Book) Hear(id, service string, l fleet.Limit, sent time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := Key(id)
-	r := b.rows[key]
-	switch l.Says {
-	case fleet.LimitNamed:
-		if r != nil && r.limit == l.PerSecond {
-			return false
-		}
-		b.rows[key] = &row{
-			limit: l.PerSecond,
+	if l.Says == fleet.LimitUnsaid || l.Says == fleet.LimitNone && len(b.rows) == 0 {
+		return false
+	}
+	w := Word{
+		Key:       Key(id),
+		Service:   service,
+		PerSecond: -1,
+		Sent:      sent,
+		Heard:     b.clock.Now(),
+	}
+	r := b.rows[w.Key]
+	if l.Says == fleet.LimitNone {
+		return r != nil && b.hearNone(r, w)
+	}
+	w.PerSecond = l.PerSecond
+	b.words[w.Key] = w
+	if r == nil {
+		b.rows[w.Key] = &row{
+			word: w,
 		}
 		return true
-	case fleet.LimitNone:
-		delete(b.rows, key)
-		return r != nil
-	default:
+	}
+	falls := w.PerSecond < fallShare*r.word.PerSecond
+	r.word = w
+	return falls
+}
+
+// hearNone takes an answer that names no limit, from an endpoint that has one. It may have
+// begun before the limit was named.
+func (b *Book) hearNone(r *row, w Word) bool {
+	if w.Sent.Before(r.word.Heard) {
+		return false
+	}
+	old, waits := b.words[w.Key]
+	if waits && !old.names() {
+		return false // it will be told
+	}
+	if r.told == 0 {
+		delete(b.rows, w.Key) // it came and went, and nobody else was told
+		delete(b.words, w.Key)
 		return false
 	}
+	b.words[w.Key] = w
+	return true
 }
 
 // Limited reports whether an endpoint has a limit.
@@ -71,3 +142,272 @@
 	defer b.mu.Unlock()
 	return len(b.rows) > 0 && b.rows[Key(id)] != nil
 }
+
+// Any reports whether any endpoint has a limit.
+func (b *Book) Any() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.rows) > 0
+}
+
+// May reports whether an endpoint may be called now.
+func (b *Book) May(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.may(id)
+}
+
+func (b *Book) may(id string) bool {
+	if len(b.rows) == 0 {
+		return true
+	}
+	key := Key(id)
+	r := b.rows[key]
+	return r == nil || b.drop(key, r, b.clock.Now()) > 0
+}
+
+// Take takes what calls to endpoints need, all or nothing, and reports whether it was
+// there: the calls may be made then, and must follow at once.
+func (b *Book) Take(ids ...string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, id := range ids {
+		if !b.may(id) {
+			return false
+		}
+	}
+	for _, id := range ids {
+		if r := b.rows[Key(id)]; r != nil {
+			r.held = r.held[1:]
+			r.idle = 0
+		}
+	}
+	return true
+}
+
+// drop takes the permits of an endpoint out that are over, and returns how many are left.
+func (b *Book) drop(key uint32, r *row, now time.Time) int {
+	for len(r.held) > 0 && !now.Before(r.held[0].end) {
+		if r.held[0].term == b.term {
+			b.unused[key]++
+		}
+		r.held = r.held[1:]
+		r.until = now.Add(idleFirst << min(r.idle, idleMost))
+		r.idle++
+	}
+	return len(r.held)
+}
+
+// Ask counts a request for a service, whose endpoints may have limits.
+func (b *Book) Ask(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.rows) == 0 {
+		return
+	}
+	now := b.clock.Now()
+	a := b.asked[service]
+	if a == nil {
+		a = &asked{
+			at: now,
+		}
+		b.asked[service] = a
+	}
+	a.fade(now)
+	a.rate++
+	a.untold++
+}
+
+// News is what a host tells the leader.
+type News struct {
+	Term    uint64
+	Version uint64
+	Words   []Word
+	Demands []Demand
+	Unused  Table
+}
+
+// News returns what the leader must be told. What is unused is told once: were it told
+// again, since an answer was lost, it would be lent twice.
+func (b *Book) News() News {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rep := News{
+		Term:    b.term,
+		Version: b.version,
+		Words:   b.pending(),
+	}
+	if len(b.rows) > 0 {
+		rep.Demands = b.demands(b.clock.Now())
+	}
+	rep.Unused = b.unused
+	b.unused = Table{}
+	return rep
+}
+
+// demands returns the requests that weren't told, and forgets services without any.
+func (b *Book) demands(now time.Time) []Demand {
+	wanted := b.wanted(now)
+	var list []Demand
+	for service, a := range b.asked {
+		a.fade(now)
+		if a.untold == 0 && a.rate < leastUse {
+			delete(b.asked, service)
+			continue
+		}
+		d := Demand{
+			Service:  service,
+			Requests: a.untold,
+		}
+		if a.rate*float64(Valid)/float64(rateTime) >= leastUse {
+			d.Wanted = wanted[service]
+		}
+		a.untold = 0
+		list = append(list, d)
+	}
+	return list
+}
+
+// wanted returns the endpoints for which this host holds no permit, in turn, but those
+// whose permits it had no use for.
+func (b *Book) wanted(now time.Time) map[string][]uint32 {
+	keys := make([]uint32, 0, len(b.rows))
+	for key := range b.rows {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	first, _ := slices.BinarySearch(keys, b.next)
+	list := map[string][]uint32{}
+	for i := range keys {
+		key := keys[(first+i)%len(keys)]
+		r := b.rows[key]
+		if b.drop(key, r, now) > 0 || now.Before(r.until) || len(list[r.word.Service]) >= mostWanted {
+			continue
+		}
+		list[r.word.Service] = append(list[r.word.Service], key)
+		b.next = key + 1
+	}
+	return list
+}
+
+// Words returns what was heard and not told yet.
+func (b *Book) Words() []Word {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pending()
+}
+
+func (b *Book) pending() []Word {
+	list := make([]Word, 0, len(b.words))
+	for _, w := range b.words {
+		list = append(list, w)
+	}
+	return list
+}
+
+// Told notes that the leader of a term took words.
+func (b *Book) Told(term uint64, words []Word) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, w := range words {
+		if b.words[w.Key] == w {
+			delete(b.words, w.Key)
+		}
+		if r := b.rows[w.Key]; r != nil && w.names() {
+			r.told = term
+		}
+	}
+}
+
+// Install takes the limits that changed since what was reported, or all of them. A limit
+// that the leader doesn't know of stays, and it is told.
+func (b *Book) Install(term, version uint64, whole bool, list []Change) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if term != b.term {
+		b.unused = Table{} // lent by another, who doesn't lend any more
+	}
+	b.term = term
+	b.version = version
+	listed := map[uint32]bool{}
+	for _, c := range list {
+		if c.Over {
+			b.end(c.Key)
+			continue
+		}
+		listed[c.Key] = true
+		b.learn(c).told = term
+	}
+	for key, r := range b.rows {
+		switch {
+		case r.told != term:
+			b.retell(key, r)
+		case whole && !listed[key]:
+			b.end(key)
+		}
+	}
+}
+
+// learn returns the row of an endpoint of which the leader tells that it has a limit.
+func (b *Book) learn(c Change) *row {
+	r := b.rows[c.Key]
+	if r == nil {
+		now := b.clock.Now()
+		r = &row{
+			word: Word{
+				Key:       c.Key,
+				Service:   c.Service,
+				PerSecond: c.PerSecond,
+				Sent:      now,
+				Heard:     now,
+			},
+		}
+		b.rows[c.Key] = r
+	}
+	return r
+}
+
+// retell has a leader told that doesn't know of a limit.
+func (b *Book) retell(key uint32, r *row) {
+	if _, waits := b.words[key]; !waits {
+		b.words[key] = r.word
+	}
+}
+
+// end ends a limit, unless it was named anew meanwhile.
+func (b *Book) end(key uint32) {
+	if w, waits := b.words[key]; waits && w.names() {
+		return
+	}
+	delete(b.rows, key)
+	delete(b.words, key)
+	delete(b.unused, key)
+}
+
+// Grant notes permits that the leader of a term lent, which may be used until an end.
+func (b *Book) Grant(term uint64, list Table, end time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, n := range list {
+		r := b.rows[key]
+		if r == nil {
+			continue // it has no limit here
+		}
+		for range n {
+			r.held = append(r.held, held{
+				end:  end,
+				term: term,
+			})
+		}
+	}
+}
+
+// Size returns how many limits and permits are held.
+func (b *Book) Size() (limits, permits int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.rows {
+		permits += len(r.held)
+	}
+	return len(b.rows), permits
+}
--- /dev/null
+++ b/pkg/permit/loan.go
@@ -0,0 +1,136 @@
+package permit
+
+import (
+	"math"
+	"time"
+)
+
+// Loan is a request that waits at the leader for permits: one for each of its endpoints,
+// or one for any of them.
+type Loan struct {
+	keys     []uint32
+	each     bool
+	priority int // 0 is the most urgent
+	order    uint64
+}
+
+// before reports whether a loan is served before another.
+func (n *Loan) before(other *Loan) bool {
+	if n.priority != other.priority {
+		return n.priority < other.priority
+	}
+	return n.order < other.order
+}
+
+// Queue puts a loan in the queue of its endpoints, until Leave.
+func (l *Lender) Queue(keys []uint32, each bool, priority int) *Loan {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orders++
+	n := &Loan{
+		keys:     keys,
+		each:     each,
+		priority: priority,
+		order:    l.orders,
+	}
+	for _, key := range keys {
+		if a := l.accounts[key]; a != nil {
+			a.queue = append(a.queue, n)
+		}
+	}
+	return n
+}
+
+// Leave takes a loan out of all queues.
+func (l *Lender) Leave(n *Loan) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, key := range n.keys {
+		a := l.accounts[key]
+		if a == nil {
+			continue
+		}
+		for i, one := range a.queue {
+			if one == n {
+				a.queue = append(a.queue[:i:i], a.queue[i+1:]...)
+				break
+			}
+		}
+	}
+}
+
+// ahead returns how many loans are served before one.
+func (a *account) ahead(n *Loan) int {
+	count := 0
+	for _, one := range a.queue {
+		if one != n && one.before(n) {
+			count++
+		}
+	}
+	return count
+}
+
+// Try lends what a loan asks for, or returns when to try again.
+func (l *Lender) Try(n *Loan) (lent Table, due time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	var best *account
+	for i, key := range n.keys {
+		a := l.accounts[key]
+		if a == nil {
+			if n.each {
+				continue
+			}
+			return Table{}, 0 // it has no limit any more
+		}
+		a.refill(now)
+		d := a.due(a.ahead(n))
+		switch {
+		case n.each:
+			due = max(due, d)
+		case i == 0 || d < due:
+			due = d
+			best = a
+		}
+	}
+	if due > 0 {
+		return nil, due
+	}
+	lent = Table{}
+	if n.each {
+		for _, key := range n.keys {
+			if a := l.accounts[key]; a != nil {
+				a.lend(1)
+				lent[key] = 1
+			}
+		}
+		return lent, 0
+	}
+	if best != nil {
+		best.lend(1)
+		lent[best.key] = 1
+	}
+	return lent, 0
+}
+
+// Gap returns the time between two permits for what a loan asks for, of all hosts.
+func (l *Lender) Gap(n *Loan) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum, least := 0.0, math.Inf(1)
+	for _, key := range n.keys {
+		if a := l.accounts[key]; a != nil {
+			sum += a.limit
+			least = math.Min(least, a.limit)
+		}
+	}
+	switch {
+	case sum == 0:
+		return 0
+	case n.each:
+		return time.Duration(float64(time.Second) / least)
+	default:
+		return time.Duration(float64(time.Second) / sum)
+	}
+}
--- a/pkg/placement/bridge.go
+++ b/pkg/placement/bridge.go
@@ -83,7 +83,7 @@
 func (p *planner) bridgeServer(hole fleet.Range) int {
 	best := -1
 	for i, s := range p.servers {
-		if s.Moving || s.Slow >= slowLimit || p.room(s) == 0 || !p.servedWithout(s) {
+		if s.Moving || s.Short || s.Slow >= slowLimit || p.room(s) == 0 || !p.servedWithout(s) {
 			continue
 		}
 		if best < 0 || p.betterBridge(s, p.servers[best], hole) {
--- a/pkg/placement/keeper.go
+++ b/pkg/placement/keeper.go
@@ -72,6 +72,7 @@
 type Keeper struct {
 	orders Orderer
 	table  *registry.Table
+	short  func(id string) bool // of what the endpoint's service is asked for
 	svc    timer.Service
 	log    *eventlog.Log
 	group  *group.Group
@@ -97,12 +98,13 @@
 }
 
 // NewKeeper returns a keeper whose calls run in g. Endpoints announce themselves
-// once in a beat.
-func NewKeeper(orders Orderer, table *registry.Table, beat time.Duration, svc timer.Service, log *eventlog.Log, g *group.Group) *Keeper {
+// once in a beat; short tells which of them take less than their service is asked for.
+func NewKeeper(orders Orderer, table *registry.Table, short func(id string) bool, beat time.Duration, svc timer.Service, log *eventlog.Log, g *group.Group) *Keeper {
 	return &Keeper{
 		beat:   beat,
 		orders: orders,
 		table:  table,
+		short:  short,
 		svc:    svc,
 		log:    log,
 		group:  g,
@@ -191,6 +193,7 @@
 			Kind:   e.Kind,
 			Layers: k.holds(e, now),
 			Slow:   e.Slow,
+			Short:  k.short(e.ID),
 			Fresh:  k.fresh(e, now),
 			Moving: k.moving(e, now),
 		})
--- a/pkg/placement/keeper_test.go
+++ b/pkg/placement/keeper_test.go
@@ -92,7 +92,7 @@
 		clock:   clock,
 		group:   g,
 	}
-	k.keeper = placement.NewKeeper(k.orderer, k.table, beat, clock, nil, g)
+	k.keeper = placement.NewKeeper(k.orderer, k.table, func(string) bool { return false }, beat, clock, nil, g)
 	f(k)
 }
 
--- a/pkg/placement/mend.go
+++ b/pkg/placement/mend.go
@@ -74,7 +74,7 @@
 func (p *planner) donor(g int, hole fleet.Range) int {
 	best := -1
 	for i, s := range p.servers {
-		if p.group[s.Domain] != g || s.Moving || s.Slow >= slowLimit || s.Layers.Len() == 0 || !p.spare(g, s) {
+		if p.group[s.Domain] != g || s.Moving || s.Short || s.Slow >= slowLimit || s.Layers.Len() == 0 || !p.spare(g, s) {
 			continue
 		}
 		if p.room(s) == 0 || s.Layers.From <= hole.From && s.Layers.To > hole.From {
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -42,6 +42,9 @@
 	Moving bool
 	// Slow is how many times as slow as its kind it is.
 	Slow float64
+	// Short servers take less than is asked for: layers that only such ones hold are
+	// copied. Their streams stay, so they are left where they are.
+	Short bool
 	// Fresh servers have only just come: they are kept for a hole, since the
 	// one that they replace may be about to leave.
 	Fresh bool
@@ -84,8 +87,8 @@
 	held    [][]int        // the same, with servers that are slow
 	total   []int          // by layer
 	// serving, limping and coming count the servers of all groups by layer: those
-	// that serve it as they should, those that serve it slowly, and those that
-	// are loading it.
+	// that serve it as they should, those that serve it slowly or too little, and
+	// those that are loading it.
 	serving []int
 	limping []int
 	coming  []int
@@ -138,7 +141,7 @@
 	switch {
 	case s.Moving:
 		return p.coming
-	case s.Slow >= slowLimit:
+	case s.Slow >= slowLimit || s.Short:
 		return p.limping
 	default:
 		return p.serving
--- a/pkg/placement/plan_test.go
+++ b/pkg/placement/plan_test.go
@@ -127,6 +127,33 @@
 		Expect(orders[0].Layers).To(Equal(old.Layers))
 	})
 
+	It("copies layers that only servers hold which take too little, and leaves these where they are", func() {
+		e := engine()
+		list := apply(users(), placement.Plan(e, users()))
+		short := map[string]bool{}
+		last := ""
+		for i := range list {
+			if list[i].Layers.From == 0 {
+				last = list[i].ID
+				short[last] = true
+				list[i].Short = true
+			}
+		}
+		orders := placement.Plan(e, list)
+		Expect(orders).NotTo(BeEmpty())
+		copied := false
+		for _, o := range orders {
+			Expect(short).NotTo(HaveKey(o.ID))
+			copied = copied || o.Layers.From == 0
+		}
+		Expect(copied).To(BeTrue())
+		for i := range list {
+			list[i].Short = list[i].ID == last
+		}
+		Expect(len(short)).To(BeNumerically(">", 1))
+		Expect(placement.Plan(e, list)).To(BeEmpty(), "others hold its layers as well")
+	})
+
 	It("covers what a slow server holds by one that isn't needed, but shifts nothing for it", func() {
 		e := engine()
 		list := apply(users(), placement.Plan(e, users()))
