A limit is over by two answers a second apart; a new leader needn't tell what hosts hold

Found in the model, at 100 hosts: an endpoint that names 8 a second and none by turns, a second each, got 103 requests in 4 s (65 allowed with 10). Cause: the limit ended 1.1 s after the first answer without one, while an answer with one was on its way. Now it takes two answers without, to calls sent 1.05 s apart, and none with one between.

Cost of a change of leader, by arithmetic, where 1,600 endpoints have limits: each of 450 hosts told all of them and was told all of them, some 30 MB. Now hosts that hold the same by a digest are told none, and hosts tell what a leader lacks spread over a second, so that the first spares the others. An answer without a limit is told at once only once in that time. The model confirms only what the same leader heard, as the control hosts do.

--- a/pkg/fleetcontrol/limits.go
+++ b/pkg/fleetcontrol/limits.go
@@ -47,7 +47,7 @@
 // tellLimits adds the limits that a host lacks, and lends it permits by what it was asked
 // for.
 func (s *Server) tellLimits(q *rpc.SyncRequest, reply *rpc.SyncReply, term uint64) {
-	list, version, whole := s.lender.Since(q.GetLimitsTerm(), q.GetLimitsVersion())
+	list, version, whole := s.lender.Since(q.GetLimitsTerm(), q.GetLimitsVersion(), q.GetLimitsDigest())
 	reply.LimitsTerm = term
 	reply.LimitsVersion = version
 	reply.LimitsWhole = whole
--- a/pkg/fleetentry/limits.go
+++ b/pkg/fleetentry/limits.go
@@ -37,6 +37,7 @@
 	rep := f.permits.News()
 	q.LimitsTerm = rep.Term
 	q.LimitsVersion = rep.Version
+	q.LimitsDigest = rep.Digest
 	q.LimitWords = permit.WordsToWire(rep.Words, f.cfg.Timer.Now())
 	q.Unused = rep.Unused.ToWire()
 	q.Demands = permit.DemandsToWire(rep.Demands)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -61,7 +61,7 @@
 		crowd:   crowd.New(svc),
 		held:    quarantine.NewHost(svc),
 		rests:   rests,
-		permits: permit.NewBook(svc),
+		permits: permit.NewBook(svc, rand.Uint64()),
 		borrows: newBorrowing(svc),
 	}
 	g.asker = newAsker(g, backend, svc)
--- a/pkg/pattern/limits.go
+++ b/pkg/pattern/limits.go
@@ -93,6 +93,7 @@
 type limitHeld struct {
 	report permit.News
 	sent   time.Duration
+	term   uint64 // of the leader that heard it; 0: none did
 }
 
 // limitPart is a host's own part of a limit, as the other ways have it.
@@ -122,7 +123,7 @@
 		h := &limitHost{
 			m:     m,
 			n:     n,
-			book:  permit.NewBook(m),
+			book:  permit.NewBook(m, uint64(n)),
 			parts: map[string]*limitPart{},
 		}
 		m.hosts = append(m.hosts, h)
@@ -185,7 +186,7 @@
 // start begins a host anew.
 func (h *limitHost) start() {
 	h.epoch++
-	h.book = permit.NewBook(h.m)
+	h.book = permit.NewBook(h.m, uint64(h.n))
 	h.parts = map[string]*limitPart{}
 	h.held = nil
 	h.call()
@@ -200,7 +201,7 @@
 	}
 	h.held = held
 	h.m.Calls++
-	h.m.clock.after(limitHop, func() { h.m.hear(h, held.report) })
+	h.m.clock.after(limitHop, func() { h.m.hear(h, held) })
 	h.m.clock.after(limitCall, func() {
 		if h.epoch == epoch && h.held == held {
 			h.answer()
@@ -209,10 +210,12 @@
 }
 
 // hear takes what a host reports.
-func (m *Limits) hear(h *limitHost, rep permit.News) {
+func (m *Limits) hear(h *limitHost, held *limitHeld) {
 	if !m.leads || h.cut {
 		return
 	}
+	held.term = m.term
+	rep := held.report
 	news := m.lender.Hear(rep.Words)
 	m.lender.Unused(rep.Term, rep.Unused)
 	if len(news) > 0 {
@@ -225,7 +228,7 @@
 	gather := limitGather * time.Duration(len(m.hosts))
 	for _, h := range m.hosts {
 		held, epoch := h.held, h.epoch
-		if held == nil {
+		if held == nil || held.term != m.term {
 			continue
 		}
 		m.clock.after(max(limitHop, held.sent+gather-m.clock.now), func() {
@@ -238,14 +241,14 @@
 
 // answer has the leader answer the call of a host, which calls again.
 func (h *limitHost) answer() {
-	m, rep := h.m, h.held.report
+	m, rep, heardBy := h.m, h.held.report, h.held.term
 	epoch := h.epoch
 	h.held = nil
-	if !m.leads || h.cut {
+	if !m.leads || h.cut || heardBy != m.term { // a leader confirms what it heard itself
 		m.clock.after(limitCall, func() { h.again(epoch) })
 		return
 	}
-	list, version, whole := m.lender.Since(rep.Term, rep.Version)
+	list, version, whole := m.lender.Since(rep.Term, rep.Version, rep.Digest)
 	lent := permit.Table{}
 	for _, d := range rep.Demands {
 		lent = m.lender.Lend(d)
@@ -440,6 +443,17 @@
 	return most
 }
 
+// Knowing returns how many hosts know that an endpoint has a limit.
+func (m *Limits) Knowing(endpoint int) int {
+	n := 0
+	for _, h := range m.hosts {
+		if h.book.Limited(m.endpoints[endpoint].id) {
+			n++
+		}
+	}
+	return n
+}
+
 // RefusedIn returns how many requests were refused in [from, to).
 func (m *Limits) RefusedIn(from, to time.Duration) int {
 	n := 0
--- a/pkg/permit/account.go
+++ b/pkg/permit/account.go
@@ -18,9 +18,9 @@
 	// pauseTime is how long nothing is lent once a limit is named: until then the
 	// endpoint got what it couldn't bear.
 	pauseTime = time.Second
-	// overTime is how long a limit must not have been named before it is over: one that
-	// comes and goes each second stays.
-	overTime = 1100 * time.Millisecond
+	// overTime lies at least between two calls that are answered without a limit, and none
+	// with one, before it is over: one that comes and goes each second stays.
+	overTime = 1050 * time.Millisecond
 	// wordSlack is by how much a word's time may be off: it is told as an age, and the
 	// way of the call that tells it isn't counted.
 	wordSlack = 100 * time.Millisecond
@@ -43,11 +43,11 @@
 	lent    [lentSlots]int
 	slot    int64     // newest of lent
 	setAt   time.Time // when the limit that stands was last heard
-	overAt  time.Time // since when it may be over; zero: it isn't
-	// overSent is when the call was sent whose answer named no limit.
-	overSent time.Time
-	version  uint64
-	queue    []*Loan
+	// unnamed is when the first call was sent whose answer named no limit since one did;
+	// zero: there is none.
+	unnamed time.Time
+	ended   bool
+	queue   []*Loan
 }
 
 func newAccount(w Word, now time.Time) *account {
@@ -142,14 +142,17 @@
 func (a *account) hear(w Word, now time.Time) {
 	later := !w.Sent.Before(a.setAt.Add(wordSlack))
 	if !w.names() {
-		if later && a.overAt.IsZero() {
-			a.overAt = now
-			a.overSent = w.Sent
+		switch {
+		case !later:
+		case a.unnamed.IsZero():
+			a.unnamed = w.Sent
+		case w.Sent.Sub(a.unnamed) >= overTime:
+			a.ended = true
 		}
 		return
 	}
-	if !a.overAt.IsZero() && !w.Heard.Before(a.overSent) {
-		a.overAt = time.Time{}
+	if !w.Heard.Before(a.unnamed) {
+		a.unnamed = time.Time{}
 	}
 	switch {
 	case w.PerSecond < a.limit || w.PerSecond > a.limit && later:
@@ -166,5 +169,5 @@
 
 // over reports whether the endpoint has no limit any more.
 func (a *account) over(now time.Time) bool {
-	return !a.overAt.IsZero() && now.Sub(a.overAt) >= overTime || now.Sub(a.setAt) > forgetTime
+	return a.ended || now.Sub(a.setAt) > forgetTime
 }
--- a/pkg/permit/book.go
+++ b/pkg/permit/book.go
@@ -36,8 +36,12 @@
 type Book struct {
 	clock Clock
 
+	// seed is this host's own, so that not all hosts tell the same at the same time.
+	seed uint64
+
 	mu      sync.Mutex
 	rows    map[uint32]*row
+	digest  uint64 // of their keys
 	term    uint64 // of the leader whose limits are held, up to version
 	version uint64
 	words   map[uint32]Word   // to be told, the newest of each endpoint
@@ -51,6 +55,10 @@
 	word Word   // the last that named it
 	told uint64 // term of the leader that knows; 0: none does
 	held []held // permits, the oldest first
+	// noneAt is when it was last told that an answer names none.
+	noneAt time.Time
+	// retellAt is when a leader that doesn't know of it is told.
+	retellAt time.Time
 	// idle is how many permits in a row weren't used, and until is when to ask for others.
 	idle  int
 	until time.Time
@@ -74,10 +82,11 @@
 	term uint64 // of the leader that lent it
 }
 
-// NewBook returns a book without limits.
-func NewBook(clock Clock) *Book {
+// NewBook returns a book without limits; seed should differ from host to host.
+func NewBook(clock Clock, seed uint64) *Book {
 	return &Book{
 		clock:  clock,
+		seed:   seed,
 		rows:   map[uint32]*row{},
 		words:  map[uint32]Word{},
 		asked:  map[string]*asked{},
@@ -107,9 +116,9 @@
 	w.PerSecond = l.PerSecond
 	b.words[w.Key] = w
 	if r == nil {
-		b.rows[w.Key] = &row{
+		b.add(&row{
 			word: w,
-		}
+		})
 		return true
 	}
 	falls := w.PerSecond < fallShare*r.word.PerSecond
@@ -128,12 +137,29 @@
 		return false // it will be told
 	}
 	if r.told == 0 {
-		delete(b.rows, w.Key) // it came and went, and nobody else was told
-		delete(b.words, w.Key)
+		b.remove(w.Key) // it came and went, and nobody else was told
 		return false
 	}
 	b.words[w.Key] = w
-	return true
+	news := w.Heard.Sub(r.noneAt) > overTime
+	if news {
+		r.noneAt = w.Heard
+	}
+	return news
+}
+
+func (b *Book) add(r *row) {
+	b.rows[r.word.Key] = r
+	b.digest += digestOf(r.word.Key)
+}
+
+func (b *Book) remove(key uint32) {
+	if b.rows[key] != nil {
+		b.digest -= digestOf(key)
+	}
+	delete(b.rows, key)
+	delete(b.words, key)
+	delete(b.unused, key)
 }
 
 // Limited reports whether an endpoint has a limit.
@@ -222,6 +248,7 @@
 type News struct {
 	Term    uint64
 	Version uint64
+	Digest  uint64
 	Words   []Word
 	Demands []Demand
 	Unused  Table
@@ -235,6 +262,7 @@
 	rep := News{
 		Term:    b.term,
 		Version: b.version,
+		Digest:  b.digest,
 		Words:   b.pending(),
 	}
 	if len(b.rows) > 0 {
@@ -298,6 +326,12 @@
 }
 
 func (b *Book) pending() []Word {
+	now := b.clock.Now()
+	for key, r := range b.rows {
+		if _, waits := b.words[key]; !waits && r.told < b.term && !now.Before(r.retellAt) {
+			b.words[key] = r.word
+		}
+	}
 	list := make([]Word, 0, len(b.words))
 	for _, w := range b.words {
 		list = append(list, w)
@@ -319,11 +353,17 @@
 	}
 }
 
-// Install takes the limits that changed since what was reported, or all of them. A limit
-// that the leader doesn't know of stays, and it is told.
+// retellTime is the time over which hosts tell a new leader what it doesn't know: who
+// is first spares the others.
+const retellTime = time.Second
+
+// Install takes the limits that changed since what was reported, or all of them, or
+// nothing where the host holds the same ones. A limit that the leader doesn't know of
+// stays, and it is told.
 func (b *Book) Install(term, version uint64, whole bool, list []Change) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	same := term != b.term && !whole && len(list) == 0
 	if term != b.term {
 		b.unused = Table{} // lent by another, who doesn't lend any more
 	}
@@ -338,16 +378,26 @@
 		listed[c.Key] = true
 		b.learn(c).told = term
 	}
+	now := b.clock.Now()
 	for key, r := range b.rows {
+		_, waits := b.words[key]
 		switch {
-		case r.told != term:
-			b.retell(key, r)
-		case whole && !listed[key]:
+		case same && !waits: // it isn't newer than what was reported
+			r.told = term
+		case r.told < term && r.retellAt.Before(now):
+			r.retellAt = now.Add(b.part(key, retellTime))
+		case r.told == term && whole && !listed[key]:
 			b.end(key)
 		}
 	}
 }
 
+// part returns a part of d that differs from host to host.
+func (b *Book) part(key uint32, d time.Duration) time.Duration {
+	mixed := digestOf(key ^ uint32(b.seed))
+	return time.Duration(float64(d) * float64(mixed>>32) / (1 << 32))
+}
+
 // learn returns the row of an endpoint of which the leader tells that it has a limit.
 func (b *Book) learn(c Change) *row {
 	r := b.rows[c.Key]
@@ -362,26 +412,17 @@
 				Heard:     now,
 			},
 		}
-		b.rows[c.Key] = r
+		b.add(r)
 	}
 	return r
 }
 
-// retell has a leader told that doesn't know of a limit.
-func (b *Book) retell(key uint32, r *row) {
-	if _, waits := b.words[key]; !waits {
-		b.words[key] = r.word
-	}
-}
-
 // end ends a limit, unless it was named anew meanwhile.
 func (b *Book) end(key uint32) {
 	if w, waits := b.words[key]; waits && w.names() {
 		return
 	}
-	delete(b.rows, key)
-	delete(b.words, key)
-	delete(b.unused, key)
+	b.remove(key)
 }
 
 // Grant notes permits that the leader of a term lent, which may be used until an end.
--- a/pkg/permit/lender.go
+++ b/pkg/permit/lender.go
@@ -31,6 +31,7 @@
 	term     uint64
 	version  uint64
 	accounts map[uint32]*account
+	digest   uint64           // of their keys
 	pools    map[string]*pool // by service
 	changes  []numbered       // the oldest first
 	changed  chan struct{}
@@ -70,12 +71,13 @@
 	l.term = term
 	l.version = 0
 	l.accounts = map[uint32]*account{}
+	l.digest = 0
 	l.pools = map[string]*pool{}
 	l.changes = nil
 	l.wake()
 }
 
-// Hear takes words, and returns which endpoints have a limit since.
+// Hear takes words, and returns which endpoints have a limit since, or none any more.
 func (l *Lender) Hear(words []Word) []Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -89,6 +91,9 @@
 		switch {
 		case a != nil:
 			a.hear(w, now)
+			if a.over(now) {
+				news = append(news, l.close(a))
+			}
 		case w.names():
 			news = append(news, l.open(w, now))
 		}
@@ -99,6 +104,7 @@
 func (l *Lender) open(w Word, now time.Time) Change {
 	a := newAccount(w, now)
 	l.accounts[w.Key] = a
+	l.digest += digestOf(w.Key)
 	p := l.pools[w.Service]
 	if p == nil {
 		p = &pool{
@@ -111,25 +117,30 @@
 	return a.change()
 }
 
-// Sweep ends the limits that are over, and returns them.
+// close ends a limit.
+func (l *Lender) close(a *account) Change {
+	delete(l.accounts, a.key)
+	l.digest -= digestOf(a.key)
+	p := l.pools[a.service]
+	if p.limits--; p.limits == 0 {
+		delete(l.pools, a.service)
+	}
+	c := a.change()
+	c.Over = true
+	l.note(c)
+	return c
+}
+
+// Sweep ends the limits of which nothing is heard any more, and returns them.
 func (l *Lender) Sweep() []Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	var news []Change
-	for key, a := range l.accounts {
-		if !a.over(now) {
-			continue
-		}
-		delete(l.accounts, key)
-		p := l.pools[a.service]
-		if p.limits--; p.limits == 0 {
-			delete(l.pools, a.service)
+	for _, a := range l.accounts {
+		if a.over(now) {
+			news = append(news, l.close(a))
 		}
-		c := a.change()
-		c.Over = true
-		l.note(c)
-		news = append(news, c)
 	}
 	return news
 }
@@ -167,10 +178,14 @@
 }
 
 // Since returns what changed since a version of a term, and the newest version; whole
-// says that these are all limits that there are.
-func (l *Lender) Since(term, known uint64) (list []Change, version uint64, whole bool) {
+// says that these are all limits that there are. Who holds the same ones, by their digest,
+// needs none, whichever term they are of.
+func (l *Lender) Since(term, known, digest uint64) (list []Change, version uint64, whole bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if digest == l.digest {
+		return nil, l.version, false
+	}
 	if term == l.term && known <= l.version && (known == l.version || len(l.changes) > 0 && l.changes[0].version <= known+1) {
 		for i := len(l.changes) - 1; i >= 0 && l.changes[i].version > known; i-- {
 			list = append(list, l.changes[i].Change)
--- a/pkg/permit/permit.go
+++ b/pkg/permit/permit.go
@@ -6,8 +6,10 @@
 package permit
 
 import (
+	"encoding/binary"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 )
 
@@ -28,6 +30,11 @@
 	return fleet.LoadKey(own)
 }
 
+// digestOf returns what an endpoint that has a limit adds to the digest of all that do.
+func digestOf(key uint32) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint32(nil, key))
+}
+
 // Word is what an answer told of an endpoint's limit.
 type Word struct {
 	Key     uint32
