--- a/pkg/pattern/limits_test.go
+++ b/pkg/pattern/limits_test.go
@@ -11,8 +11,6 @@
 const (
 	limitFrom   = 5 * time.Second // when endpoints name their limits
 	limitWindow = 4 * time.Second
-	// limitContact is how long after it was named first a limit must be kept.
-	limitContact = 3 * time.Second
 )
 
 // allowedIn returns how many requests a limit allows in a window.
