What hosts tell a new leader is told once, and an old word neither ends nor lowers a limit

A host whose turn to tell a new leader of a limit came while its call was held put it off again with each answer, so that the leader might never know. A limit that was told by a host which had heard it over two minutes before was forgotten at once, by all hosts. A word heard before the one that stands lowered a limit.

--- a/pkg/permit/account.go
+++ b/pkg/permit/account.go
@@ -44,8 +44,12 @@
 	credit  float64
 	at      time.Time // of credit
 	lent    [lentSlots]int
-	slot    int64     // newest of lent
-	setAt   time.Time // when the limit that stands was last heard
+	slot    int64 // newest of lent
+	// setSent and setAt are when the call was sent, and its answer came, that last named
+	// the limit that stands; toldAt is when this leader last had a word of any kind.
+	setSent time.Time
+	setAt   time.Time
+	toldAt  time.Time
 	// unnamed is when the first call was sent whose answer named no limit since one did;
 	// zero: there is none.
 	unnamed time.Time
@@ -60,7 +64,9 @@
 		limit:   w.PerSecond,
 		credit:  -w.PerSecond * pauseTime.Seconds(),
 		at:      now,
+		setSent: w.Sent,
 		setAt:   w.Heard,
+		toldAt:  now,
 	}
 }
 
@@ -146,6 +152,7 @@
 // hear takes a word. Of two whose times overlap the lower limit stands: a word that is
 // late may neither raise a limit nor end one.
 func (a *account) hear(w Word, now time.Time) {
+	a.toldAt = now
 	later := !w.Sent.Before(a.setAt.Add(wordSlack))
 	if !w.names() {
 		switch {
@@ -160,20 +167,27 @@
 	if !w.Heard.Before(a.unnamed) {
 		a.unnamed = time.Time{}
 	}
-	switch {
-	case w.PerSecond < a.limit || w.PerSecond > a.limit && later:
-		a.refill(now)
-		if w.PerSecond < a.limit { // until now it got what it can't bear any more
-			a.credit = math.Min(a.credit, pauseTime.Seconds()*math.Max(w.PerSecond-a.limit, -w.PerSecond))
-		}
-		a.limit = w.PerSecond
-		a.setAt = w.Heard
-	case w.PerSecond == a.limit && w.Heard.After(a.setAt):
+	earlier := w.Heard.Before(a.setSent)
+	if earlier || w.PerSecond > a.limit && !later || w.PerSecond == a.limit && !w.Heard.After(a.setAt) {
+		return
+	}
+	a.set(w, now)
+}
+
+// set takes the limit of a word.
+func (a *account) set(w Word, now time.Time) {
+	a.refill(now)
+	if w.PerSecond < a.limit { // until now it got what it can't bear any more
+		a.credit = math.Min(a.credit, pauseTime.Seconds()*math.Max(w.PerSecond-a.limit, -w.PerSecond))
+	}
+	a.limit = w.PerSecond
+	a.setSent = w.Sent
+	if w.Heard.After(a.setAt) {
 		a.setAt = w.Heard
 	}
 }
 
 // over reports whether the endpoint has no limit any more.
 func (a *account) over(now time.Time) bool {
-	return a.ended || now.Sub(a.setAt) > forgetTime
+	return a.ended || now.Sub(a.toldAt) > forgetTime
 }
--- a/pkg/permit/book.go
+++ b/pkg/permit/book.go
@@ -57,8 +57,9 @@
 	held []held // permits, the oldest first
 	// noneAt is when it was last told that an answer names none.
 	noneAt time.Time
-	// retellAt is when a leader that doesn't know of it is told.
+	// retellAt is when the leader of the term retell is told, which doesn't know of it.
 	retellAt time.Time
+	retell   uint64
 	// idle is how many permits in a row weren't used, and until is when to ask for others.
 	idle  int
 	until time.Time
@@ -384,7 +385,8 @@
 		switch {
 		case same && !waits: // it isn't newer than what was reported
 			r.told = term
-		case r.told < term && r.retellAt.Before(now):
+		case r.told < term && r.retell < term:
+			r.retell = term
 			r.retellAt = now.Add(b.part(key, retellTime))
 		case r.told == term && whole && !listed[key]:
 			b.end(key)
--- a/pkg/permit/book_test.go
+++ b/pkg/permit/book_test.go
@@ -212,6 +212,22 @@
 		}
 	})
 
+	It("is told to a new leader within a second and a call, whichever host it is", func() {
+		for seed := range uint64(50) {
+			granted(0, func(b *Book, clock *timer.Manual) {
+				b.seed = seed
+				b.Install(2, 1, true, nil)
+				told := false
+				for range 4 {
+					told = told || len(b.News().Words) > 0
+					clock.Advance(400 * time.Millisecond) // the call is held
+					b.Install(2, 1, false, nil)
+				}
+				Expect(told).To(BeTrue(), "seed %d", seed)
+			})
+		}
+	})
+
 	It("is learnt from the leader as well", func() {
 		withBook(func(b *Book, clock *timer.Manual) {
 			b.Install(1, 1, false, []Change{{Key: Key("e"), Service: "s", PerSecond: 8}})
--- a/pkg/permit/lender.go
+++ b/pkg/permit/lender.go
@@ -23,7 +23,7 @@
 // safe for use by several goroutines.
 //
 // Invariant: what is known is of one term. Who leads next begins with nothing, and what
-// the one before lent is over when it has lent as much again.
+// the one before lent is over soon.
 type Lender struct {
 	clock Clock
 
--- a/pkg/permit/lender_test.go
+++ b/pkg/permit/lender_test.go
@@ -196,6 +196,8 @@
 		{name: "named", words: []word{{0, 0, 8}}, limit: 8, at: 1},
 		{name: "falls", words: []word{{0, 0, 8}, {0.1, 0.2, 4}}, limit: 4, at: 1},
 		{name: "falls by a late word", words: []word{{0, 1, 8}, {0.1, 0.9, 4}}, limit: 4, at: 1},
+		{name: "doesn't fall by a word that is older", words: []word{{0, 0, 8}, {1, 1.1, 8}, {0.2, 0.3, 4}}, limit: 8, at: 2},
+		{name: "told by a host that heard it long ago", words: []word{{-300, -299, 8}}, limit: 8, at: 1},
 		{name: "rises", words: []word{{0, 0, 4}, {0.5, 0.6, 8}}, limit: 8, at: 1},
 		{name: "doesn't rise by a word that may be older", words: []word{{0, 0.6, 4}, {0.5, 0.8, 8}}, limit: 4, at: 1},
 		{name: "over", words: []word{{0, 0, 8}, {1, 1.1, -1}, {2.1, 2.2, -1}}, limit: -1, at: 3},
