--- a/pkg/permit/book.go
+++ b/pkg/permit/book.go
@@ -198,16 +198,26 @@
 func (b *Book) Take(ids ...string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.rows) == 0 {
+		return true
+	}
+	now := b.clock.Now()
+	needed := Table{}
 	for _, id := range ids {
-		if !b.may(id) {
+		key := Key(id)
+		r := b.rows[key]
+		if r == nil {
+			continue
+		}
+		needed[key]++
+		if b.drop(key, r, now) < needed[key] {
 			return false
 		}
 	}
-	for _, id := range ids {
-		if r := b.rows[Key(id)]; r != nil {
-			r.held = r.held[1:]
-			r.idle = 0
-		}
+	for key, n := range needed {
+		r := b.rows[key]
+		r.held = r.held[n:]
+		r.idle = 0
 	}
 	return true
 }
--- a/pkg/permit/book_test.go
+++ b/pkg/permit/book_test.go
@@ -83,6 +83,13 @@
 		})
 	})
 
+	It("are needed for each of two starts of one endpoint on a path", func() {
+		granted(1, func(b *Book, _ *timer.Manual) {
+			Expect(b.Take(fleet.IncarnationID("e", 1), fleet.IncarnationID("e", 2))).To(BeFalse())
+			Expect(b.Take("e")).To(BeTrue())
+		})
+	})
+
 	It("are wanted while requests come often enough, in turn, and not where the last ones weren't used", func() {
 		granted(1, func(b *Book, clock *timer.Manual) {
 			wanted := func() []uint32 {
