--- a/pkg/permit/account.go
+++ b/pkg/permit/account.go
@@ -7,8 +7,8 @@
 
 const (
 	// creditTime is the time whose calls may be lent at once, where nothing was lent
-	// before, and creditMore calls beyond these: 0.4 to 0.7 s pass between two calls of a
-	// host, and requests don't come evenly.
+	// before, and creditMore calls beyond these: 0.4 s pass between two calls of a host, and
+	// requests don't come evenly.
 	creditTime = 500 * time.Millisecond
 	creditMore = 2.5
 	// outTime is the time whose calls may be out as permits, and outMore calls beyond
