--- a/pkg/fleet/index.go
+++ b/pkg/fleet/index.go
@@ -11,6 +11,7 @@
 	routes   map[routeKey]*Route
 	services map[string]*Service
 	accounts map[string]*Account // by key
+	ranked   map[string]bool     // services whose requests differ in rank
 }
 
 // NewIndex returns the index of a valid configuration.
@@ -20,6 +21,7 @@
 		routes:   make(map[routeKey]*Route, len(cfg.Routes)),
 		services: make(map[string]*Service, len(cfg.Services)),
 		accounts: map[string]*Account{},
+		ranked:   rankedServices(cfg),
 	}
 	for i := range cfg.Routes {
 		r := &cfg.Routes[i]
@@ -75,6 +77,38 @@
 	return x.services[name]
 }
 
+// Ranked reports whether requests for a service differ in rank, by the priorities of its
+// routes or of the client accounts. Only then some of them can give way to others.
+func (x *Index) Ranked(service string) bool {
+	return x.ranked[service]
+}
+
+// rankedServices returns the services whose requests differ in rank.
+func rankedServices(cfg *Configuration) map[string]bool {
+	ranked := map[string]bool{}
+	accountsDiffer := false
+	for i := range cfg.Accounts {
+		accountsDiffer = accountsDiffer || cfg.Accounts[i].Priority != cfg.Accounts[0].Priority
+	}
+	priorities := map[string]int{}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		for _, share := range r.Split {
+			if share.Weight <= 0 {
+				continue
+			}
+			first, seen := priorities[share.Service]
+			if !seen {
+				priorities[share.Service] = r.Priority
+			}
+			if accountsDiffer || seen && first != r.Priority {
+				ranked[share.Service] = true
+			}
+		}
+	}
+	return ranked
+}
+
 // Services returns all services.
 func (x *Index) Services() []Service {
 	return x.cfg.Services
