--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -176,7 +176,8 @@
 func (p *process) start() {
 	p.group.Go(p.log.Run)
 	cfg := p.cfg.Load()
-	p.log.Event(eventlog.Started, eventlog.Str("role", p.role), eventlog.Str("version", version.String()),
+	p.set.Gauge("build", metrics.Label{Name: "commit", Value: version.Commit()}).Update(1)
+	p.log.Event(eventlog.Started, eventlog.Str("role", p.role), eventlog.Str("version", version.String()), eventlog.Str("commit", version.Commit()),
 		eventlog.Str("domain", cfg.Domain), eventlog.Str("ip", cfg.IP))
 }
 
