gateway: check whether the stages of a paused stream are alive

A stream through a lost engine was given another path only after the stall query, 0.3 s into the pause, which misses a pause goal of 0.25 s. Connections to the stages find a lost one earlier, and all its streams move at once.

--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -145,9 +145,10 @@
 // endpointClients returns the clients for endpoints.
 func endpointClients(ip string) platform.Clients {
 	return platform.Clients{
-		Requests: endpointClient(ip, 0),
-		Streams:  endpointClient(ip, streamIdleConns),
-		Reports:  endpointClient(ip, reportIdleConns),
+		Requests:    endpointClient(ip, 0),
+		Streams:     endpointClient(ip, streamIdleConns),
+		Reports:     endpointClient(ip, reportIdleConns),
+		Connections: netutil.Dialer(ip, endpointDialTimeout),
 	}
 }
 
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -21,7 +21,11 @@
 	. "github.com/onsi/gomega"
 )
 
+// suite is the test that runs the specs; synctest needs it.
+var suite *testing.T
+
 func TestGateway(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "gateway")
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -34,6 +34,7 @@
 	labels         *accountLabels
 	durations      *durationEstimator
 	querier        *stallQuerier
+	liveness       *livenessChecker
 	waits          *waitEstimator
 	retryAfters    *retryAfterEstimator
 	resumes        *resumption.Spreader
@@ -67,6 +68,7 @@
 		permitRequests: newPermitRequests(svc),
 	}
 	g.querier = newStallQuerier(g, client, svc)
+	g.liveness = newLivenessChecker(client, g, svc, set)
 	return g
 }
 
--- /dev/null
+++ b/pkg/gateway/liveness.go
@@ -0,0 +1,287 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+)
+
+const (
+	// secondDialDelay is the time between the two connection attempts of a check, so
+	// that one lost packet does not make an endpoint count as lost.
+	secondDialDelay = 25 * time.Millisecond
+	// dialVerdictDelay is how long after the second attempt an endpoint that has
+	// answered neither counts as lost.
+	dialVerdictDelay = 35 * time.Millisecond
+	// maxVerdictDelay is by how much the timer of the verdict may be late. If it is
+	// later, this host was suspended or had no processor time, and an answer may be
+	// there that has not been read yet.
+	maxVerdictDelay = 15 * time.Millisecond
+	// checkReuse is how long the result of a check is reused, and for how long an event
+	// shows that the endpoints on the path of its stream are alive.
+	checkReuse = 100 * time.Millisecond
+	// checkRetryInterval is the least time after which a stream asks again for a check
+	// that could not be made or had no result.
+	checkRetryInterval = 25 * time.Millisecond
+	// maxConcurrentChecks and maxChecksPerSecond bound the connections that a host opens
+	// when many streams pause at once.
+	maxConcurrentChecks = 64
+	maxChecksPerSecond  = 200
+	// maxKeptChecks is the number of checks from which on expired ones are deleted
+	// before another begins.
+	maxKeptChecks = 256
+)
+
+// checkResult is what a check of an endpoint found; the values are labels of the
+// counter liveness_checks.
+type checkResult string
+
+const (
+	checkRunning checkResult = ""
+	checkAlive   checkResult = "alive"
+	checkRefused checkResult = "refused"
+	checkSilent  checkResult = "silent"
+	// checkFailed is the result if the connection failed for another reason, such as too
+	// few file descriptors on this host, and checkLate if this host was suspended
+	// meanwhile. Neither says anything about the endpoint.
+	checkFailed checkResult = "failed"
+	checkLate   checkResult = "late"
+	// checkLimited counts checks that were not made because of the bounds.
+	checkLimited checkResult = "limited"
+)
+
+// lost reports whether the endpoint that was checked is lost.
+func (r checkResult) lost() bool {
+	return r == checkRefused || r == checkSilent
+}
+
+// conclusive reports whether the result says anything about the endpoint.
+func (r checkResult) conclusive() bool {
+	return r == checkAlive || r.lost()
+}
+
+// dialer opens a connection to an address and closes it.
+type dialer interface {
+	Dial(ctx context.Context, address string) error
+}
+
+// checkPolicy decides which endpoints may be checked, and learns which are lost.
+type checkPolicy interface {
+	// mayCheck reports whether a connection to an endpoint may be opened for a check.
+	mayCheck(id string) bool
+	// recordLost records that an endpoint is lost.
+	recordLost(id string, r checkResult)
+}
+
+// mayCheck implements checkPolicy. Endpoints in backoff or with a rate limit might count
+// a connection as a call.
+func (g *Gateway) mayCheck(id string) bool {
+	return g.backoffs.Remaining(id) == 0 && !g.permits.HasLimit(id)
+}
+
+// recordLost implements checkPolicy.
+func (g *Gateway) recordLost(id string, r checkResult) {
+	g.tracker.RecordFailure(id, "liveness check: "+string(r))
+}
+
+// livenessChecker finds lost endpoints by opening connections to them. A check serves
+// all streams whose paths contain the endpoint. It is safe for use by several
+// goroutines.
+type livenessChecker struct {
+	client  dialer
+	policy  checkPolicy
+	svc     timer.Service
+	metrics *metrics.Set
+	group   *group.Group // runs the checks, which outlive the streams that caused them
+
+	mu      sync.Mutex
+	checks  map[string]*livenessCheck          // the latest check, by endpoint ID
+	streams map[string]map[*livenessWatch]bool // the streams whose paths contain the endpoint, by its ID
+	running int
+	// starts holds the times of the latest checks; next is the index of the oldest.
+	starts [maxChecksPerSecond]time.Time
+	next   int
+}
+
+// livenessCheck is one check of an endpoint.
+type livenessCheck struct {
+	id        string
+	address   string
+	startedAt time.Time
+	result    checkResult
+}
+
+func newLivenessChecker(client dialer, policy checkPolicy, svc timer.Service, set *metrics.Set) *livenessChecker {
+	return &livenessChecker{
+		client:  client,
+		policy:  policy,
+		svc:     svc,
+		metrics: set,
+		group:   group.New(context.Background()),
+		checks:  map[string]*livenessCheck{},
+		streams: map[string]map[*livenessWatch]bool{},
+	}
+}
+
+// check makes sure that an endpoint is checked for a stream that has had no event since
+// lastEvent. It does not wait for the result: streams are notified of a lost endpoint.
+// It returns the time after which to call it again, or 0 if the endpoint was found alive
+// or must not be checked.
+func (c *livenessChecker) check(id, address string, lastEvent time.Time) time.Duration {
+	if !c.policy.mayCheck(id) {
+		return 0
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.svc.Now()
+	if k := c.checks[id]; k != nil {
+		age := now.Sub(k.startedAt)
+		switch {
+		case k.result == checkRunning:
+			return max(checkRetryInterval, secondDialDelay+dialVerdictDelay-age)
+		case k.result.conclusive() && k.startedAt.After(lastEvent):
+			return 0
+		case k.result.conclusive() && age < checkReuse:
+			return max(checkRetryInterval, checkReuse-age)
+		}
+	}
+	if c.running >= maxConcurrentChecks || now.Sub(c.starts[c.next]) < time.Second {
+		c.count(checkLimited)
+		return checkRetryInterval
+	}
+	if age, ok := c.recentEvent(id, now); ok {
+		return max(checkRetryInterval, checkReuse-age)
+	}
+	c.start(id, address, now)
+	return secondDialDelay + dialVerdictDelay + checkRetryInterval
+}
+
+// recentEvent returns the age of an event of a stream that passes through an endpoint,
+// if there is one that shows the endpoint to be alive. The caller holds c.mu.
+func (c *livenessChecker) recentEvent(id string, now time.Time) (time.Duration, bool) {
+	for w := range c.streams[id] {
+		at := w.lastEvent()
+		if age := now.Sub(at); !at.IsZero() && age < checkReuse {
+			return age, true
+		}
+	}
+	return 0, false
+}
+
+// start begins a check. The caller holds c.mu.
+func (c *livenessChecker) start(id, address string, now time.Time) {
+	if len(c.checks) >= maxKeptChecks {
+		for old, k := range c.checks {
+			if k.result != checkRunning && now.Sub(k.startedAt) >= checkReuse {
+				delete(c.checks, old)
+			}
+		}
+	}
+	c.starts[c.next] = now
+	c.next = (c.next + 1) % len(c.starts)
+	c.running++
+	k := &livenessCheck{
+		id:        id,
+		address:   address,
+		startedAt: now,
+	}
+	c.checks[id] = k
+	c.group.Go(func(ctx context.Context) {
+		c.complete(k, c.dial(ctx, address))
+	})
+}
+
+// dial tries to connect to an endpoint, a second time if there is no answer soon.
+func (c *livenessChecker) dial(ctx context.Context, address string) checkResult {
+	grp := group.New(ctx)
+	defer grp.Stop()
+	answers := make(chan error, 2)
+	attempt := func(ctx context.Context) {
+		answers <- c.client.Dial(ctx, address)
+	}
+	grp.Go(attempt)
+	second := c.svc.After(secondDialDelay)
+	var verdict <-chan time.Time
+	var due time.Time
+	for {
+		select {
+		case err := <-answers:
+			return resultOf(err)
+		case <-second:
+			second = nil
+			grp.Go(attempt)
+			due = c.svc.Now().Add(dialVerdictDelay)
+			verdict = c.svc.After(dialVerdictDelay)
+		case <-verdict:
+			if len(answers) > 0 {
+				return resultOf(<-answers)
+			}
+			if c.svc.Now().Sub(due) > maxVerdictDelay {
+				return checkLate
+			}
+			return checkSilent
+		}
+	}
+}
+
+// resultOf returns the result of a check whose attempt to connect ended with err.
+func resultOf(err error) checkResult {
+	switch {
+	case err == nil:
+		return checkAlive
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return checkRefused
+	default:
+		return checkFailed
+	}
+}
+
+// complete records the result of a check. If the endpoint is lost, it notifies the
+// streams that have had no event since the check began.
+func (c *livenessChecker) complete(k *livenessCheck, r checkResult) {
+	if r.lost() {
+		c.policy.recordLost(k.id, r) // before the streams look for other paths
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	k.result = r
+	c.running--
+	c.count(r)
+	if !r.lost() {
+		return
+	}
+	for w := range c.streams[k.id] {
+		if w.idleSince(k.startedAt) {
+			w.notify(k)
+		}
+	}
+}
+
+func (c *livenessChecker) count(r checkResult) {
+	c.metrics.Counter("liveness_checks", metrics.Label{Name: "result", Value: string(r)}).Inc(1)
+}
+
+// setStages replaces the endpoints of whose loss w is notified.
+func (c *livenessChecker) setStages(w *livenessWatch, ids []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range w.stages {
+		delete(c.streams[id], w)
+		if len(c.streams[id]) == 0 {
+			delete(c.streams, id)
+		}
+	}
+	w.stages = ids
+	for _, id := range ids {
+		if c.streams[id] == nil {
+			c.streams[id] = map[*livenessWatch]bool{}
+		}
+		c.streams[id][w] = true
+	}
+}
--- a/pkg/gateway/repath.go
+++ b/pkg/gateway/repath.go
@@ -68,6 +68,7 @@
 	s.g.log.Event(eventlog.StreamRepathed, eventlog.Str("request", s.j.req.ID), eventlog.Str("around", address), eventlog.Err(err))
 	if err == nil {
 		s.setPath(path)
+		s.liveness.followPath()
 		return true
 	}
 	call := &Call{
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -65,6 +65,7 @@
 	// permitAvailableIn is the time until one is available.
 	permitRequests    int
 	permitAvailableIn time.Duration
+	liveness          *livenessWatch // of the current send; nil before the first one
 }
 
 // outcome is how one send of a stream ended.
@@ -234,6 +235,9 @@
 func (s *streamRun) relay(ctx context.Context, r *answerReader) (outcome, error) {
 	w := newStallWatch(s)
 	l := newLeaveWatch(s)
+	v := newLivenessWatch(s)
+	defer v.stop()
+	s.liveness = v
 	for {
 		select {
 		case <-l.changed:
@@ -249,6 +253,13 @@
 				s.attempts++
 				return broken, err
 			}
+		case <-v.timer:
+			v.check(r)
+		case k := <-v.lost:
+			if err := v.replaceLost(ctx, k, r, w); err != nil {
+				s.attempts++
+				return broken, err
+			}
 		case <-ctx.Done():
 			return abandoned, ctx.Err()
 		}
@@ -265,6 +276,7 @@
 		return end, cause, true
 	}
 	w.sawEvent()
+	s.liveness.sawEvent()
 	s.g.waits.firstEvent(s.pending)
 	if err := s.forward(it.event); err != nil {
 		return abandoned, err, true
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -123,6 +123,9 @@
 	// Its error is a *RepathError if one endpoint of the path was the reason, or a
 	// *fleet.RejectedError.
 	Repath(ctx context.Context, address, requestID string, path []fleet.Stage) error
+	// Dial opens a connection to an endpoint and closes it at once. Its error is
+	// syscall.ECONNREFUSED if the endpoint refused the connection.
+	Dial(ctx context.Context, address string) error
 }
 
 // Output writes the answer to a caller.
