--- a/pkg/gateway/liveness_test.go
+++ b/pkg/gateway/liveness_test.go
@@ -89,6 +89,27 @@
 		}
 	})
 
+	It("moves again if its new stage is lost too", func() {
+		s := simulate(1, simGoal, func(s *simRun) {
+			s.source.change(func() {
+				s.source.endpoints["llm"] = append(s.source.endpoints["llm"], engineEndpoint("v", 2, 4))
+			})
+			s.engines.lose(s.lost.Address, refuses)
+			time.Sleep(500 * time.Millisecond)
+			s.engines.lose(s.engines.stage("r1").Address, refuses)
+		})
+		Expect(s.engines.repaths["r1"]).To(Equal(2))
+		Expect(s.pause).To(BeNumerically("<=", simGoal))
+	})
+
+	It("keeps its new path while the first endpoint still reports the old stage as stalled", func() {
+		s := simulate(1, simGoal, func(s *simRun) {
+			s.engines.prefill = simReportAge + 50*time.Millisecond
+			s.engines.lose(s.lost.Address, refuses)
+		})
+		Expect(s.engines.repaths["r1"]).To(Equal(1))
+	})
+
 	It("stays where it is if there is no other path, and ends as before", func() {
 		s := simulate(3, simGoal, func(s *simRun) {
 			s.source.change(func() {
