gateway: a silent endpoint that serves streams during its check is not lost

The host's own connections may fail to reach it, or its queue of connections may be full, while the engines before it on the path still reach it.

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -21,9 +21,6 @@
 	. "github.com/onsi/gomega"
 )
 
-// suite is the test that runs the specs; synctest needs it.
-var suite *testing.T
-
 func TestGateway(t *testing.T) {
 	suite = t
 	RegisterFailHandler(Fail)
--- a/pkg/gateway/liveness.go
+++ b/pkg/gateway/liveness.go
@@ -23,6 +23,9 @@
 	// later, this host was suspended or had no processor time, and an answer may be
 	// there that has not been read yet.
 	maxVerdictDelay = 15 * time.Millisecond
+	// inFlightTime is how long after the loss of an endpoint an event that it has passed
+	// on may still arrive through later stages: a few ms for each of them.
+	inFlightTime = 25 * time.Millisecond
 	// checkReuse is how long the result of a check is reused, and for how long an event
 	// shows that the endpoints on the path of its stream are alive.
 	checkReuse = 100 * time.Millisecond
@@ -114,6 +117,7 @@
 	id        string
 	address   string
 	startedAt time.Time
+	served    bool // a stream that has ended got an event meanwhile
 	result    checkResult
 }
 
@@ -245,6 +249,9 @@
 // complete records the result of a check. If the endpoint is lost, it notifies the
 // streams that have had no event since the check began.
 func (c *livenessChecker) complete(k *livenessCheck, r checkResult) {
+	if r == checkSilent && c.servedDuring(k) {
+		r = checkAlive // only the connections of this host do not reach it
+	}
 	if r.lost() {
 		c.policy.recordLost(k.id, r) // before the streams look for other paths
 	}
@@ -263,6 +270,26 @@
 	}
 }
 
+// servedDuring reports whether a stream that passes through the endpoint got an event
+// during a check, which the endpoint must have passed on after the check began.
+func (c *livenessChecker) servedDuring(k *livenessCheck) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.served {
+		return true
+	}
+	for w := range c.streams[k.id] {
+		if k.servedBy(w) {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *livenessCheck) servedBy(w *livenessWatch) bool {
+	return w.lastEvent().After(k.startedAt.Add(inFlightTime))
+}
+
 func (c *livenessChecker) count(r checkResult) {
 	c.metrics.Counter("liveness_checks", metrics.Label{Name: "result", Value: string(r)}).Inc(1)
 }
@@ -272,6 +299,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, id := range w.stages {
+		if k := c.checks[id]; k != nil && k.servedBy(w) {
+			k.served = true
+		}
 		delete(c.streams[id], w)
 		if len(c.streams[id]) == 0 {
 			delete(c.streams, id)
--- a/pkg/gateway/livenessfixture_test.go
+++ b/pkg/gateway/livenessfixture_test.go
@@ -21,6 +21,9 @@
 // Dial implements EndpointClient: every endpoint is there.
 func (b *fakeClient) Dial(context.Context, string) error { return nil }
 
+// suite is the test that runs the specs; synctest needs it.
+var suite *testing.T
+
 // bubbleTimer is a timer service by the clock of the synctest bubble it is used in.
 type bubbleTimer struct {
 	timer.System
@@ -220,7 +223,9 @@
 	total int // connections opened
 	moved int // streams with a repath
 	sends int
-	count func(r checkResult) int64
+	// silent is the number of checks with that result before the streams were ended.
+	silent int64
+	count  func(r checkResult) int64
 }
 
 // simulate runs a number of streams with a route's pause goal for at least 2 s on
@@ -321,6 +326,7 @@
 	for _, w := range watches {
 		s.pause = max(s.pause, w.longest)
 	}
+	s.silent = s.count(checkSilent)
 	for _, cancel := range s.cancel {
 		cancel()
 	}
