gateway: endpoints that rejected a stream for lack of capacity aren't candidates while full

Cause: the second search for a path allows avoided endpoints, and an interrupted stream forgot after 0.1 s which endpoints had refused it. Change: such endpoints are recorded as full and left out of every search. Interrupted streams and the most urgent rank may use them if there is no other path, but not one that rejected the same stream. An endpoint that says itself that it lacks capacity is no longer avoided beyond the time for which it is full.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -32,13 +32,15 @@
 }
 
 // candidates returns the endpoints that hold layers and may be called now, with their
-// load, except those for which skip returns true.
+// load, except those for which skip returns true. It includes full ones only if withFull
+// is set.
 func (s *streamRun) candidates(skip func(e *fleet.Endpoint) bool) []pathing.Candidate {
-	if !s.g.backoffs.HasAny() && !s.g.permits.HasLimits() {
+	skipFull := !s.withFull && s.g.full.HasAny()
+	if !skipFull && !s.g.backoffs.HasAny() && !s.g.permits.HasLimits() {
 		return s.allCandidates(skip)
 	}
 	return s.allCandidates(func(e *fleet.Endpoint) bool {
-		return s.g.backoffs.Remaining(e.ID) > 0 || !s.g.permits.MayCall(e.ID) || skip(e)
+		return skipFull && s.g.full.Remaining(e.ID) > 0 || s.g.backoffs.Remaining(e.ID) > 0 || !s.g.permits.MayCall(e.ID) || skip(e)
 	})
 }
 
@@ -131,14 +133,16 @@
 		return false
 	}
 	s.capacityWaited += capacityPollInterval
-	s.refusedIDs = map[string]bool{}
-	return timer.Sleep(ctx, s.g.svc, capacityPollInterval) == nil
+	err := timer.Sleep(ctx, s.g.svc, capacityPollInterval)
+	s.forgetRefusals()
+	return err == nil
 }
 
 // findPath returns a path without the endpoints that failed this request and those that
-// this host avoids. If there is none, it allows the avoided ones, and then endpoints in
-// backoff that may be called once nevertheless. If the links between failure domains
-// have no bandwidth left for the path, the path must stay in one failure domain.
+// this host avoids. If there is none, it allows the avoided ones, then full ones if the
+// stream may use those, and then endpoints in backoff that may be called once
+// nevertheless. If the links between failure domains have no bandwidth left for the path,
+// the path must stay in one failure domain.
 func (s *streamRun) findPath() ([]fleet.Stage, *failure.Error) {
 	e := s.j.service.Engine
 	if e == nil {
@@ -146,9 +150,14 @@
 	}
 	strict := s.candidates(func(p *fleet.Endpoint) bool { return s.failed(p.ID) || s.g.tracker.Avoided(p.ID) })
 	path := pathing.Choose(e, strict, s.demand(), s.jitter)
+	loose := func() []fleet.Stage {
+		return pathing.Choose(e, s.candidates(func(p *fleet.Endpoint) bool { return s.failed(p.ID) }), s.demand(), s.jitter)
+	}
 	if path == nil {
-		loose := s.candidates(func(p *fleet.Endpoint) bool { return s.failed(p.ID) })
-		path = pathing.Choose(e, loose, s.demand(), s.jitter)
+		path = loose()
+	}
+	if path == nil && s.mayUseFull() {
+		path = s.includingFull(loose)
 	}
 	if path == nil || !pathing.CoversAllLayers(e, path) {
 		path = s.lastChoicePath()
@@ -180,6 +189,9 @@
 // noPathError returns the failure for a request for which there is no path, with the
 // reason.
 func (s *streamRun) noPathError() *failure.Error {
+	if e := s.fullError(); e != nil {
+		return e
+	}
 	if left := s.backoffRemaining(); left > 0 {
 		return s.g.backoffError(left)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/resumption"
+	"github.com/larchwinch/larchwinch/pkg/shedding"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
@@ -41,6 +42,8 @@
 	backoffs       *backoff.Tracker
 	permits        *permit.Holder
 	permitRequests *permitRequests
+	full           *shedding.Tracker
+	ranks          *rankTracker
 }
 
 // New returns the gateway of an entry host in the given failure domain.
@@ -65,6 +68,8 @@
 		backoffs:       backoffs,
 		permits:        permit.NewHolder(svc, rand.Uint64()),
 		permitRequests: newPermitRequests(svc),
+		full:           shedding.New(svc),
+		ranks:          newRankTracker(svc),
 	}
 	g.querier = newStallQuerier(g, client, svc)
 	return g
--- a/pkg/gateway/limits.go
+++ b/pkg/gateway/limits.go
@@ -248,7 +248,7 @@
 		}
 		return s.g.lackingPermit(s.j.service.Name, tried), false
 	}
-	path := s.pathUsing(func(id string) bool { return s.g.backoffs.Remaining(id) == 0 && !s.refusedIDs[id] })
+	path := s.pathUsing(func(id string) bool { return s.g.backoffs.Remaining(id) == 0 && !s.refusedIDs[id] && !s.leftOut(id) })
 	for _, p := range path {
 		if !s.g.permits.MayCall(p.ID) {
 			ids = append(ids, p.ID)
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -28,6 +28,7 @@
 	switch {
 	case err == nil:
 		g.observeAnswer(j, c, a, sent)
+		g.observeCapacity(j, c, a)
 	case errors.As(err, &sendErr):
 		g.observeNotice(c.ID, sendErr.Notice)
 		g.observeLimit(j.service.Name, c.ID, sendErr.Notice.Limit, sent)
@@ -186,7 +187,9 @@
 	if s.sends > 0 || !s.g.backoffs.HasAny() {
 		return nil
 	}
-	path := s.pathUsing(func(id string) bool { return s.g.backoffs.MayCall(id) && s.g.permits.MayCall(id) })
+	path := s.pathUsing(func(id string) bool {
+		return s.g.backoffs.MayCall(id) && s.g.permits.MayCall(id) && !s.leftOut(id)
+	})
 	for _, p := range path {
 		if !s.g.acquireLastChoice(p.ID) {
 			return nil // another stream took the one call that was allowed
--- a/pkg/gateway/repath.go
+++ b/pkg/gateway/repath.go
@@ -25,11 +25,12 @@
 	s.exclude(s.path, address)
 	firstInBackoff := s.g.backoffs.Remaining(s.path[0].ID) > 0 // then it must not be called with a new path
 	for range repathTries {
-		path := s.pathAround(s.isExcluded)
-		if firstInBackoff {
-			path = nil
-		} else if path == nil || pathing.DomainCrossings(path) > pathing.DomainCrossings(s.path) {
-			path = s.pathFrom(&s.path[0])
+		var path []fleet.Stage
+		if !firstInBackoff {
+			path = s.replacementPath()
+		}
+		if path == nil && !firstInBackoff {
+			path = s.includingFull(s.replacementPath)
 		}
 		if s.betterElsewhere(path) {
 			return errResendElsewhere
@@ -41,6 +42,17 @@
 	return nil
 }
 
+// replacementPath returns a path without the endpoints that failed this request, which
+// keeps the other stages unless it would cross more failure domains. It returns nil if there
+// is none.
+func (s *streamRun) replacementPath() []fleet.Stage {
+	path := s.pathAround(s.isExcluded)
+	if path == nil || pathing.DomainCrossings(path) > pathing.DomainCrossings(s.path) {
+		path = s.pathFrom(&s.path[0])
+	}
+	return path
+}
+
 // repathTries is how many paths are offered at once. The first may be rejected because
 // an endpoint on it has no free capacity or was lost too.
 const repathTries = 2
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -49,6 +49,7 @@
 	callerLastEvent string          // ID after which the caller wanted to resume
 	failedIDs       map[string]bool // endpoints that failed this request
 	refusedIDs      map[string]bool // endpoints without free capacity for it at the moment
+	withFull        bool            // the search in progress may choose full endpoints
 	path            []fleet.Stage
 	releases        []func() // undo the load counted for the current path
 	// unsent says that the current send reached no endpoint.
@@ -91,6 +92,7 @@
 		return
 	}
 	g.retries.deposit(g.source.HostCount())
+	g.ranks.record(j.service.Name, j.priority)
 	defer s.release()
 	s.delayResume(ctx)
 	for {
@@ -266,6 +268,9 @@
 	}
 	w.sawEvent()
 	s.g.waits.firstEvent(s.pending)
+	if !s.gotEvent {
+		s.recordAccepted()
+	}
 	if err := s.forward(it.event); err != nil {
 		return abandoned, err, true
 	}
@@ -291,7 +296,9 @@
 	return finished, nil, false
 }
 
-// recordRefusal records which endpoint of the path refused the request.
+// recordRefusal records which endpoint of the path refused the request. An endpoint that
+// says itself that it lacks capacity works, so it isn't avoided beyond the time for which it
+// is full. A later stage that the first one names may have been lost.
 func (s *streamRun) recordRefusal(a *Answer) error {
 	stage := s.path[0]
 	for _, p := range s.path {
@@ -301,7 +308,9 @@
 	}
 	why := "status " + strconv.Itoa(a.Status)
 	s.refusedIDs[stage.ID] = true
-	s.g.tracker.RecordFailure(stage.ID, why)
+	if stage.ID != s.path[0].ID || s.g.full.Remaining(stage.ID) == 0 {
+		s.g.tracker.RecordFailure(stage.ID, why)
+	}
 	s.g.logFailedAttempt(s.j, stage.ID, why)
 	return errors.Errorf("endpoint %s: %s", stage.ID, why)
 }
