gateway: one question to admission control for each new stream of a ranked service

Change: a refused stream is answered at once with the cause and the retry-after time of the decision, and is logged with rank, share, length of the shortage and age of the figures. Admitted streams count as running until they end. A stream that only full endpoints could take gets its retry-after time from admission control, too. Also: a stream of a service without engines no longer panics at its end, where the estimate of its duration needed an engine's figures.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -11,7 +11,8 @@
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
-// demand estimates what the request needs.
+// demand estimates what the request needs. The caller's own figures are all that is known if
+// the service has no engines.
 func (s *streamRun) demand() pathing.Demand {
 	e := s.j.service.Engine
 	d := pathing.Demand{
@@ -19,10 +20,10 @@
 		Answer:     float64(s.j.req.AnswerTokensHint),
 		HomeDomain: s.g.domain,
 	}
-	if d.Prompt <= 0 {
+	if e != nil && d.Prompt <= 0 {
 		d.Prompt = float64(e.Prompt)
 	}
-	if d.Answer <= 0 {
+	if e != nil && d.Answer <= 0 {
 		d.Answer = float64(e.Answer)
 	}
 	if most := float64(s.j.req.MaxAnswerTokens); most > 0 {
--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -30,10 +30,13 @@
 }
 
 // withRetryAfter sets the retry-after time if the request is refused because layers are
-// missing. A request that is refused for lack of capacity keeps its time: capacity is
-// freed with every stream that ends, and callers that wait longer only retry together
-// with the next burst of callers.
+// missing, or because only full endpoints could take it. A request that is refused for
+// another lack of capacity keeps its time: capacity is freed with every stream that ends,
+// and callers that wait longer only retry together with the next burst of callers.
 func (s *streamRun) withRetryAfter(e *failure.Error) *failure.Error {
+	if e == s.fullFailure {
+		return s.refuseFull(e)
+	}
 	if e.Kind() != failure.NoChain {
 		return e
 	}
--- a/pkg/gateway/full.go
+++ b/pkg/gateway/full.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/shedding"
@@ -26,21 +27,6 @@
 		a.Notice.Backoff <= 0 && !a.Notice.Leaving
 }
 
-// observeCapacity records whether the answer to a call rejected it for lack of capacity. A
-// nil answer says nothing of an endpoint's capacity.
-func (g *Gateway) observeCapacity(j *job, c *Call, a *Answer) {
-	if j.service.Engine == nil {
-		return
-	}
-	subject := ""
-	if a != nil && lacksCapacity(a) {
-		subject = g.noticeSubject(j, c, a)
-	}
-	if subject != "" && !g.source.EndpointLeaving(subject) {
-		g.full.Record(subject)
-	}
-}
-
 // recordAccepted notes that every endpoint of the path has accepted the stream, because its
 // current send has brought an event.
 func (s *streamRun) recordAccepted() {
@@ -112,8 +98,9 @@
 	if longest == 0 {
 		return nil
 	}
-	return failure.New(failure.Overloaded, "all endpoints of layers %d to %d are full", first.From, first.To-1).
+	s.fullFailure = failure.New(failure.Overloaded, "%s", admission.FullText(first.From, first.To-1)).
 		WithRetryAfter(max(baseRetryAfter, lengthen(longest)))
+	return s.fullFailure
 }
 
 // layersAvailableIn returns for each layer when an endpoint that holds it may be used for the
@@ -142,7 +129,9 @@
 }
 
 // rankWindow is the time of which the demand tells the most urgent rank of a service.
-const rankWindow = time.Second
+// It is longer than the second that counts in admission control, because one host sees few
+// requests.
+const rankWindow = 2500 * time.Millisecond
 
 // rankTracker knows which ranks of each service were asked for lately. It is safe for use by
 // several goroutines.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/backoff"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
@@ -44,6 +45,8 @@
 	permitRequests *permitRequests
 	full           *shedding.Tracker
 	ranks          *rankTracker
+	admission      *admission.Controller
+	admitter       admitter // admission, which tests replace
 }
 
 // New returns the gateway of an entry host in the given failure domain.
@@ -71,6 +74,8 @@
 		full:           shedding.New(svc),
 		ranks:          newRankTracker(svc),
 	}
+	g.admission = admission.NewController(svc, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	g.admitter = g.admission
 	g.querier = newStallQuerier(g, client, svc)
 	return g
 }
@@ -95,7 +100,9 @@
 	service  *fleet.Service
 	account  string
 	priority int
-	deadline time.Time // the caller must have its answer by then
+	deadline time.Time           // the caller must have its answer by then
+	ranked   bool                // the service has engines and its requests differ in rank
+	decision *admission.Decision // of the refusal by admission control; nil if there is none
 
 	hasFingerprint    bool
 	cachedFingerprint quarantine.Fingerprint // valid if hasFingerprint
@@ -208,6 +215,7 @@
 		return nil, e
 	}
 	j.service = v.Index.Service(route.Pick(rand.Float64()))
+	j.ranked = j.service.Engine != nil && v.Index.Ranked(j.service.Name)
 	return j, nil
 }
 
@@ -266,6 +274,7 @@
 	}
 	if j != nil {
 		fields = append(fields, eventlog.Str("route", j.route.Name), eventlog.Str("account", j.account))
+		fields = append(fields, j.decisionFields()...)
 	}
 	if j != nil && (event == eventlog.RequestFailed || e.Kind() == failure.Quarantined) {
 		fields = append(fields, eventlog.Str("fingerprint", j.fingerprint().String()))
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -28,11 +28,11 @@
 	switch {
 	case err == nil:
 		g.observeAnswer(j, c, a, sent)
-		g.observeCapacity(j, c, a)
 	case errors.As(err, &sendErr):
 		g.observeNotice(c.ID, sendErr.Notice)
 		g.observeLimit(j.service.Name, c.ID, sendErr.Notice.Limit, sent)
 	}
+	g.observeCapacity(j, c, a)
 	return a, err
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
@@ -50,8 +51,13 @@
 	failedIDs       map[string]bool // endpoints that failed this request
 	refusedIDs      map[string]bool // endpoints without free capacity for it at the moment
 	withFull        bool            // the search in progress may choose full endpoints
-	path            []fleet.Stage
-	releases        []func() // undo the load counted for the current path
+	rejected        bool            // the latest refusal was for lack of capacity
+	// fullFailure is the latest failure because only full endpoints could take the stream.
+	fullFailure *failure.Error
+	admitted    *admission.Stream // by admission control; nil if that wasn't asked
+	mayHaveRun  bool              // an endpoint may have run the stream
+	path        []fleet.Stage
+	releases    []func() // undo the load counted for the current path
 	// unsent says that the current send reached no endpoint.
 	unsent bool
 	// retryPaid says that the next send is already charged to the retry budget.
@@ -91,8 +97,13 @@
 		s.fail(e)
 		return
 	}
-	g.retries.deposit(g.source.HostCount())
 	g.ranks.record(j.service.Name, j.priority)
+	if e := s.askAdmission(); e != nil {
+		s.fail(e)
+		return
+	}
+	defer s.endAdmission()
+	g.retries.deposit(g.source.HostCount())
 	defer s.release()
 	s.delayResume(ctx)
 	for {
@@ -100,7 +111,9 @@
 			s.fail(e)
 			return
 		}
-		switch end, cause := s.send(ctx); end {
+		end, cause := s.send(ctx)
+		s.mayHaveRun = s.mayHaveRun || end != notRun
+		switch end {
 		case finished:
 			g.recordAnswered(j)
 			g.durations.record(s.demand().Answer, g.svc.Now().Sub(j.req.Received))
@@ -112,7 +125,7 @@
 			return
 		case notRun:
 			if !s.mayRetry(cause) {
-				s.fail(failure.Wrap(cause, failure.Overloaded, "endpoints refused").WithRetryAfter(baseRetryAfter))
+				s.fail(s.rejectedError(cause))
 				return
 			}
 		case broken:
@@ -308,7 +321,8 @@
 	}
 	why := "status " + strconv.Itoa(a.Status)
 	s.refusedIDs[stage.ID] = true
-	if stage.ID != s.path[0].ID || s.g.full.Remaining(stage.ID) == 0 {
+	s.rejected = s.g.full.Remaining(stage.ID) > 0
+	if stage.ID != s.path[0].ID || !s.rejected {
 		s.g.tracker.RecordFailure(stage.ID, why)
 	}
 	s.g.logFailedAttempt(s.j, stage.ID, why)
