--- a/pkg/gateway/admission_test.go
+++ b/pkg/gateway/admission_test.go
@@ -343,8 +343,29 @@
 		}
 	})
 
+	It("doesn't count a stream as finished whose caller disconnects before it reached an endpoint", func() {
+		withAdmission(func(b *fixture, a *fakeAdmitter) {
+			b.client.answerCtx = func(ctx context.Context, _ int) (*Answer, error) {
+				<-ctx.Done()
+				return nil, &SendError{Cause: ctx.Err()}
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan bool, 1)
+			background(func() {
+				b.gateway.Serve(ctx, b.tokenRequest("stream"), &fakeOutput{})
+				done <- true
+			})
+			Eventually(func() int { return len(b.client.sent()) }, "5s").Should(Equal(1))
+			cancel()
+			Eventually(done, "5s").Should(Receive())
+			Expect(a.meter.InFlight("llm")).To(BeZero())
+			Expect(a.finished()).To(BeZero())
+		})
+	})
+
 	It("is told of each send, and which endpoints rejected for lack of capacity", func() {
 		withAdmission(func(b *fixture, a *fakeAdmitter) {
+			b.source.setEndpoints("llm", engineEndpoint("x", 0, 4), engineEndpoint("y", 0, 4), engineEndpoint("z", 0, 4))
 			answers := []*Answer{
 				refusedBy(""), // for lack of capacity
 				{Status: 421, Misdirected: true, Body: completeAnswer(421, "").Body},
@@ -353,7 +374,8 @@
 			b.client.answer = func(n int, _ *Call) (*Answer, error) { return answers[n-1], nil }
 			b.serve("stream")
 			_, sends, rejected := a.counts()
-			Expect(sends).To(Equal(len(b.client.sent())))
+			Expect(b.client.sent()).To(HaveLen(len(answers)))
+			Expect(sends).To(Equal(len(answers)))
 			Expect(rejected).To(Equal(1))
 		})
 	})
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -112,7 +112,7 @@
 			return
 		}
 		end, cause := s.send(ctx)
-		s.mayHaveRun = s.mayHaveRun || end != notRun
+		s.mayHaveRun = s.mayHaveRun || end != notRun && !s.unsent
 		switch end {
 		case finished:
 			g.recordAnswered(j)
@@ -211,6 +211,7 @@
 	s.sends++
 	s.sentAt = s.g.svc.Now()
 	s.gotEvent = false
+	s.rejected = false
 	call := &Call{
 		Request:    s.j.req,
 		ID:         s.path[0].ID,
--- a/pkg/timeline/timeline_test.go
+++ b/pkg/timeline/timeline_test.go
@@ -36,6 +36,17 @@
 		Expect(events).To(Equal([]string{"h1 control_lost", "c1 endpoint_silent", "h1 attempt_failed", "h1 request_refused"}))
 	})
 
+	It("shows why admission control refused a request", func() {
+		lines, err := Read(strings.NewReader(`{"time":"2026-01-01T00:00:10.000Z","host":"h1","event":"request_refused","request":"r1","kind":"overloaded",` +
+			`"why":"overloaded: no capacity for rank 1","after_ms":0,"retry_after_ms":2345,"route":"background","account":"acc",` +
+			`"rank":1,"share":"0.250","shortage_ms":2000,"figures_age_ms":300}`))
+		Expect(err).NotTo(HaveOccurred())
+		found := ForRequest(lines, "r1")
+		Expect(found).To(HaveLen(1))
+		Expect(found[0].Text()).To(Equal("account=acc after_ms=0 figures_age_ms=300 kind=overloaded rank=1 request=r1 " +
+			"retry_after_ms=2345 route=background share=0.250 shortage_ms=2000 why=overloaded: no capacity for rank 1"))
+	})
+
 	It("is empty for a request that no line names", func() {
 		lines, err := Read(strings.NewReader(logs))
 		Expect(err).NotTo(HaveOccurred())
