--- /dev/null
+++ b/pkg/admission/returns_test.go
@@ -0,0 +1,351 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// withCalendar runs f on a calendar of a host that admits the given number of tokens of service
+// s each second, and has done so for a second.
+func withCalendar(rate float64, f func(c *Calendar, advance func(d time.Duration))) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	c := NewCalendar(clock, seeded(1))
+	advance := func(d time.Duration) {
+		for ; d > 0; d -= 50 * time.Millisecond {
+			clock.Advance(50 * time.Millisecond)
+			c.Admit("s", rate/20)
+		}
+	}
+	advance(time.Second)
+	f(c, advance)
+}
+
+var _ = ginkgo.Describe("a booked time", func() {
+	ginkgo.It("is within a third of the remaining time, and not before the end of the shortage", func() {
+		r := rand.New(rand.NewPCG(1, 1))
+		withCalendar(10000, func(c *Calendar, advance func(time.Duration)) {
+			booked := 0
+			for range 5000 {
+				advance(time.Duration(r.IntN(4)) * 50 * time.Millisecond)
+				remaining := time.Duration(r.Int64N(int64(30 * time.Second)))
+				shortage := time.Duration(r.Int64N(int64(3 * time.Second)))
+				after, ok := c.Book("s", 1, 1+r.Float64()*50, shortage, remaining)
+				if ok {
+					booked++
+					Expect(after).To(BeNumerically("<=", remaining/3), "remaining %v", remaining)
+					Expect(after).To(BeNumerically("<", 9*time.Second))
+					Expect(after).To(BeNumerically(">=", max(shortage, time.Second)))
+					continue
+				}
+				Expect(after).To(BeNumerically(">=", max(shortage, time.Second, remaining/3)))
+				Expect(after).To(BeNumerically("<", max(shortage, time.Second, remaining/3)+2*time.Second))
+			}
+			Expect(booked).To(BeNumerically(">", 1000))
+		})
+	})
+
+	ginkgo.It("is promised only if there is time and space for it", func() {
+		cases := []struct {
+			name      string
+			rate      float64
+			shortage  time.Duration
+			remaining time.Duration
+			tokens    float64
+			booked    bool
+		}{
+			{"space", 10000, 0, 6 * time.Second, 100, true},
+			{"the waiting time ends before a slot begins", 10000, 0, 3 * time.Second, 100, false},
+			{"the shortage ends after the waiting time", 10000, 2500 * time.Millisecond, 6 * time.Second, 100, false},
+			{"the shortage ends within the waiting time", 10000, 1500 * time.Millisecond, 6 * time.Second, 100, true},
+			{"the remaining time isn't known", 10000, 0, 0, 100, false},
+			{"nothing is admitted", 0, 0, 6 * time.Second, 100, false},
+			{"a request above the part of two seconds", 1000, 0, 6 * time.Second, 400, false},
+			{"a request that several slots have space for", 1000, 0, 6 * time.Second, 200, true},
+		}
+		for _, c := range cases {
+			withCalendar(c.rate, func(calendar *Calendar, _ func(time.Duration)) {
+				_, ok := calendar.Book("s", 1, c.tokens, c.shortage, c.remaining)
+				Expect(ok).To(Equal(c.booked), c.name)
+			})
+		}
+	})
+
+	ginkgo.It("takes no more than the bookable part of the rate, over any time, on large and small hosts", func() {
+		// Guards against slots whose leftover is carried twice, and against all hosts booking
+		// the same slot when a shortage begins.
+		for _, rate := range []float64{300, 1000, 10000, 200000} {
+			withCalendar(rate, func(c *Calendar, advance func(time.Duration)) {
+				r := rand.New(rand.NewPCG(uint64(rate), 1))
+				const seconds, tokens = 60, 100.0
+				booked := map[int64]float64{} // by slot
+				total, now := 0.0, time.Duration(0)
+				for now < seconds*time.Second {
+					for range 20 {
+						shortage := time.Duration(r.Int64N(int64(1500 * time.Millisecond)))
+						after, ok := c.Book("s", 1, tokens, shortage, 6*time.Second)
+						if ok {
+							booked[int64((now+after)/calendarSlot)] += tokens
+							total += tokens
+						}
+					}
+					advance(50 * time.Millisecond)
+					now += 50 * time.Millisecond
+				}
+				part := bookedPart * rate
+				Expect(total).To(BeNumerically("<=", part*(seconds+2)+tokens), "rate %v", rate)
+				Expect(total).To(BeNumerically(">=", 0.9*part*seconds-tokens), "rate %v", rate)
+				for _, n := range booked {
+					Expect(n).To(BeNumerically("<=", max(tokens, maxSlotParts*part/4)), "rate %v", rate)
+				}
+			})
+		}
+	})
+
+	ginkgo.It("is booked by each rank and service for itself", func() {
+		withCalendar(1000, func(c *Calendar, _ func(time.Duration)) {
+			fill := func(service string, rank int) int {
+				booked := 0
+				for range 100 {
+					if _, ok := c.Book(service, rank, 100, 0, 6*time.Second); ok {
+						booked++
+					}
+				}
+				return booked
+			}
+			Expect(fill("s", 1)).To(BeNumerically(">", 0))
+			Expect(fill("s", 1)).To(BeZero())
+			Expect(fill("s", 2)).To(BeNumerically(">", 0))
+			Expect(fill("other", 1)).To(BeZero(), "nothing of it is admitted")
+		})
+	})
+
+	ginkgo.It("is kept for a bounded number of services and ranks", func() {
+		withCalendar(1000, func(c *Calendar, advance func(time.Duration)) {
+			for n := range 3 * maxCalendars {
+				c.Book(fmt.Sprintf("s%d", n), 0, 100, 0, 6*time.Second)
+				c.Admit(fmt.Sprintf("s%d", n), 100)
+			}
+			Expect(len(c.books)).To(Equal(maxCalendars))
+			advance(20 * time.Second)
+			_, ok := c.Book("s", 1, 100, 0, 6*time.Second)
+			Expect(ok).To(BeTrue())
+			Expect(len(c.books)).To(Equal(1))
+			c.Admit("another", 1)
+			Expect(len(c.admitted)).To(Equal(2))
+		})
+	})
+})
+
+var _ = ginkgo.Describe("late requests", func() {
+	ginkgo.It("are due as far as bookings of the current slot and the one before allow", func() {
+		cases := []struct {
+			name string
+			wait time.Duration // after the start of the booked slot
+			due  int
+		}{
+			{"before the slot", -50 * time.Millisecond, 0},
+			{"in the slot", 100 * time.Millisecond, 4},
+			{"in the next slot", 350 * time.Millisecond, 4},
+			{"later", 550 * time.Millisecond, 0},
+		}
+		for _, c := range cases {
+			// A slot's part is 220 tokens or a little less, of which a slot takes up to two.
+			withCalendar(220*4/bookedPart, func(calendar *Calendar, advance func(time.Duration)) {
+				for range 4 {
+					after, ok := calendar.Book("s", 1, 100, 0, 3500*time.Millisecond)
+					Expect(ok).To(BeTrue())
+					Expect(after).To(BeNumerically(">=", time.Second))
+					Expect(after).To(BeNumerically("<", 1250*time.Millisecond))
+				}
+				advance(time.Second + c.wait)
+				due := 0
+				for range 20 {
+					Expect(calendar.Redeem("s", 2, 100)).To(BeFalse(), "another rank")
+					if calendar.Redeem("s", 1, 100) {
+						due++
+					}
+				}
+				Expect(due).To(Equal(c.due), c.name)
+			})
+		}
+	})
+
+	ginkgo.It("use up as many tokens as are booked on average, if their sizes differ", func() {
+		// Guards against small hosts on which the one booking is of another size than the
+		// request that returns: the sum over all hosts would be too small, or too large.
+		r := rand.New(rand.NewPCG(1, 1))
+		booked, used := 0.0, 0.0
+		for range 3000 {
+			withCalendar(1000, func(c *Calendar, advance func(time.Duration)) {
+				c.random = r
+				tokens := 50 + 100*r.Float64()
+				if _, ok := c.Book("s", 1, tokens, 0, 6*time.Second); !ok {
+					return
+				}
+				booked += tokens
+				advance(time.Second)
+				for range 8 {
+					returned := 50 + 100*r.Float64()
+					if c.Redeem("s", 1, returned) {
+						used += returned
+					}
+					advance(calendarSlot)
+				}
+			})
+		}
+		Expect(used / booked).To(BeNumerically("~", 1, 0.03))
+	})
+
+	ginkgo.It("and bookings are safe for concurrent use", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		c := NewCalendar(clock, seeded(1))
+		d := NewDetector(clock)
+		group := sync.WaitGroup{}
+		for range 8 {
+			group.Go(func() {
+				for range 300 {
+					c.Admit("s", 1000)
+					c.Book("s", 1, 10, 0, 6*time.Second)
+					c.Redeem("s", 1, 10)
+					d.Observe("s", "r", time.Second)
+					d.NoteRefusal("s")
+					clock.Advance(time.Millisecond)
+				}
+			})
+		}
+		group.Wait()
+	})
+})
+
+// withDetector runs f on a detector that has seen first attempts with 8.5 to 10 s left.
+func withDetector(f func(d *Detector, clock *timer.Manual)) {
+	clock := timer.NewManual(time.Unix(1000, 0))
+	d := NewDetector(clock)
+	for range 20 {
+		for _, seconds := range []float64{10, 9.2, 8.5} {
+			d.Observe("s", "r", time.Duration(seconds*float64(time.Second)))
+		}
+		clock.Advance(500 * time.Millisecond)
+	}
+	f(d, clock)
+}
+
+var _ = ginkgo.Describe("the detector", func() {
+	const timeout = 10 * time.Second
+
+	ginkgo.It("recognizes retries of callers whose first remaining time is 0.85 to 1 of the time-out", func() {
+		for seed := range uint64(20) {
+			clock := timer.NewManual(time.Unix(1000, 0))
+			d := NewDetector(clock)
+			r := rand.New(rand.NewPCG(seed, 1))
+			first := func() time.Duration {
+				return time.Duration((0.85 + 0.15*r.Float64()) * float64(timeout))
+			}
+			for range 100 {
+				Expect(d.Observe("s", "r", first())).To(BeFalse())
+				clock.Advance(100 * time.Millisecond)
+			}
+			// A long shortage: retries must not lower what counts as a first attempt's time.
+			for range 600 {
+				d.NoteRefusal("s")
+				Expect(d.Observe("s", "r", first())).To(BeFalse())
+				retry := first() - time.Duration((2.5+0.5*r.Float64())*float64(time.Second))
+				Expect(d.Observe("s", "r", retry)).To(BeTrue())
+				clock.Advance(100 * time.Millisecond)
+			}
+		}
+	})
+
+	ginkgo.It("learns only while no refusal is less than 8 s old", func() {
+		cases := []struct {
+			name  string
+			after time.Duration // since the refusal
+			late  bool
+		}{
+			{"at once", 0, true},
+			{"after 7.9 s", 7900 * time.Millisecond, true},
+			{"after 8 s: the callers' time-out has changed", 8 * time.Second, false},
+		}
+		for _, c := range cases {
+			withDetector(func(d *Detector, clock *timer.Manual) {
+				d.NoteRefusal("other")
+				d.NoteRefusal("s")
+				clock.Advance(c.after)
+				d.NoteRefusal("other")
+				Expect(d.Observe("s", "r", 5*time.Second)).To(Equal(c.late), c.name)
+				Expect(d.Observe("s", "r", 7600*time.Millisecond)).To(Equal(c.late), c.name)
+				Expect(d.Observe("s", "r", 7700*time.Millisecond)).To(BeFalse(), c.name)
+			})
+		}
+	})
+
+	ginkgo.It("keeps the earlier value while there are no first attempts", func() {
+		withDetector(func(d *Detector, clock *timer.Manual) {
+			for range 60 {
+				d.NoteRefusal("s")
+				Expect(d.Observe("s", "r", 7*time.Second)).To(BeTrue())
+				Expect(d.Observe("s", "r", 8*time.Second)).To(BeFalse())
+				clock.Advance(time.Second)
+			}
+		})
+	})
+
+	ginkgo.It("forgets a lower value after 10 s with enough other requests", func() {
+		withDetector(func(d *Detector, clock *timer.Manual) {
+			d.Observe("s", "r", time.Second)
+			Expect(d.Observe("s", "r", 2*time.Second)).To(BeFalse())
+			for range 11 {
+				clock.Advance(time.Second)
+				d.Observe("s", "r", 9*time.Second)
+			}
+			Expect(d.Observe("s", "r", 8200*time.Millisecond)).To(BeFalse())
+			d.NoteRefusal("s")
+			Expect(d.Observe("s", "r", 7*time.Second)).To(BeTrue())
+		})
+	})
+
+	ginkgo.It("takes nobody as late on a route with few first attempts, nor without a known time", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		d := NewDetector(clock)
+		for range minFirst - 1 {
+			Expect(d.Observe("s", "r", 10*time.Second)).To(BeFalse())
+		}
+		d.NoteRefusal("s")
+		Expect(d.Observe("s", "r", time.Second)).To(BeFalse())
+		Expect(d.Observe("s", "new", time.Second)).To(BeFalse())
+		withDetector(func(d *Detector, _ *timer.Manual) {
+			d.NoteRefusal("s")
+			Expect(d.Observe("s", "r", 0)).To(BeFalse())
+			Expect(d.Observe("s", "r", time.Second)).To(BeTrue())
+			Expect(d.Observe("s", "other", time.Second)).To(BeFalse())
+		})
+	})
+
+	ginkgo.It("holds a bounded number of routes, times and services", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		d := NewDetector(clock)
+		for n := range 3 * maxRoutes {
+			d.Observe("s", fmt.Sprintf("r%d", n), time.Second)
+			clock.Advance(time.Millisecond)
+		}
+		Expect(len(d.routes)).To(Equal(maxRoutes))
+		Expect(d.routes).To(HaveKey(routeKey{service: "s", route: fmt.Sprintf("r%d", 3*maxRoutes-1)}))
+		for range 1000 {
+			d.Observe("s", "r", time.Second)
+			clock.Advance(3 * time.Second)
+			d.NoteRefusal("other")
+		}
+		Expect(len(d.routes[routeKey{service: "s", route: "r"}].slots)).To(BeNumerically("<=", minFirst+1))
+		for n := range 1000 {
+			d.NoteRefusal(fmt.Sprintf("s%d", n))
+			clock.Advance(time.Second)
+		}
+		Expect(len(d.refusedAt)).To(BeNumerically("<=", 9))
+	})
+})
