admission: retries at booked times are recognized and admitted by any host

Bookings were honoured only in their slot and the next one, by the host that made them. A host now honours bookings until they are used, and has an overdraft of eight requests for each rank; no time is booked at which a retry can't be told from a first attempt.

--- a/pkg/admission/detector.go
+++ b/pkg/admission/detector.go
@@ -19,6 +19,9 @@
 	// lateRatio is the part of the least remaining time of first attempts below which a
 	// request is late.
 	lateRatio = 0.9
+	// promisedRatio is the part of that time that a booked retry has left at most. It is lower
+	// than lateRatio, because the least times that hosts have observed differ a little.
+	promisedRatio = 0.88
 	// maxRoutes bounds the routes observed, at about 500 bytes each.
 	maxRoutes = 1024
 )
@@ -106,6 +109,21 @@
 	return t.isLate(remaining)
 }
 
+// MinWait returns how long the caller of a refused request must wait so that its retry is
+// recognized as late, 0 if this host can't tell.
+func (d *Detector) MinWait(service, route string, remaining time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.routes[routeKey{
+		service: service,
+		route:   route,
+	}]
+	if t == nil || t.count < minFirst {
+		return 0
+	}
+	return max(0, remaining-time.Duration(promisedRatio*float64(t.least)))
+}
+
 // add adds a route. If there are too many, it replaces the one that wasn't used for longest.
 func (d *Detector) add(key routeKey) *routeTimes {
 	if len(d.routes) >= maxRoutes {
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -65,6 +65,8 @@
 	Account   uint32 // AccountKey
 	Tokens    float64
 	Remaining time.Duration // until the caller's time-out; 0 if it isn't known
+	// MinWait is the time from which on a retry is recognized as late.
+	MinWait time.Duration
 	// Due is set for a late request that has a booked time. It goes ahead of the others of
 	// its rank.
 	Due bool
@@ -188,7 +190,7 @@
 		g.calendar.Admit(q.Service, q.Tokens)
 		return d
 	}
-	d.RetryAfter, d.Booked = g.calendar.Book(q.Service, q.Class.Rank, q.Tokens, d.Shortage, q.Remaining)
+	g.book(q, &d)
 	return d
 }
 
@@ -214,15 +216,26 @@
 	now := g.clock.Now()
 	d := g.service(q.Service, now).decision(q, now)
 	d.Reason = ReasonFull
-	d.RetryAfter, d.Booked = g.calendar.Book(q.Service, q.Class.Rank, q.Tokens, d.Shortage, q.Remaining)
+	g.book(q, &d)
 	return d
 }
 
-// Redeem reports whether a late request is due, and uses up that much of what is booked.
-func (g *Gate) Redeem(service string, rank int, tokens float64) bool {
-	g.mu.Lock() // serializes the use of random
-	defer g.mu.Unlock()
-	return g.calendar.Redeem(service, rank, tokens)
+// book sets after what time the caller of a refused request should retry.
+func (g *Gate) book(q Query, d *Decision) {
+	d.RetryAfter, d.Booked = g.calendar.Book(Refusal{
+		Service:   q.Service,
+		Rank:      q.Class.Rank,
+		Tokens:    q.Tokens,
+		Shortage:  d.Shortage,
+		Remaining: q.Remaining,
+		MinWait:   q.MinWait,
+		Late:      q.Class.Late,
+	})
+}
+
+// Redeem reports whether a late request is due, and uses up a booking if so.
+func (g *Gate) Redeem(service string, rank int) bool {
+	return g.calendar.Redeem(service, rank)
 }
 
 // decision returns the share that applies to a request, with the reason for which it may be
--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -8,21 +8,26 @@
 const (
 	calendarSlot  = 250 * time.Millisecond
 	calendarSlots = 32 // 8 s
-	// ringSlots also holds the slot before the current one, whose bookings may be used still.
-	ringSlots = calendarSlots + 1
 	// bookedPart is the part of the admitted tokens that can be booked, by each rank.
 	bookedPart = 0.15
 	// maxSlotParts bounds what one slot takes, in slots' parts, unless that is one request:
 	// when a shortage begins, all hosts book the same slots, and what earlier slots have
 	// left would all go into the first of them.
 	maxSlotParts = 2
-	// maxWaitPart is the part of its remaining time that a caller waits before its retry.
+	// A caller waits for at most its remaining time divided by waitDivisor before it retries.
 	// The platform publishes this rule.
-	maxWaitPart = 1.0 / 3
+	waitDivisor = 3
 	// minShortage is the least time for which a shortage is expected to last on.
 	minShortage = time.Second
 	// unbookedSpread is the time over which retries without a booking are spread.
 	unbookedSpread = 2 * time.Second
+	// minOverdraft is how many requests may be due on a host beyond its own bookings. Callers
+	// return to any host, so that a host gets as many as it booked on average only: without
+	// an overdraft, hosts with less than one booking a second refuse more than half of them.
+	minOverdraft = 8
+	// overdraftPart is the part of the bookings of the last 8 s (1 s) that is added to it, since
+	// the difference is larger on hosts that book more.
+	overdraftPart = 1.0 / 8
 	// maxCalendars bounds the pairs of service and rank that have bookings, at 600 bytes each.
 	// Services without recent requests are dropped from this number on.
 	maxCalendars = 256
@@ -48,15 +53,22 @@
 	rank    int
 }
 
-// book holds the bookings of one service and rank, in tokens.
+// book holds the bookings of one service and rank.
 //
-// Invariant: booked and open hold the slots from current-1 to current+calendarSlots-1, each
-// at its number modulo ringSlots. An entry of open is at most that of booked.
+// Invariant: tokens and requests hold the slots from current to current+calendarSlots-1, each at
+// its number modulo calendarSlots. The due requests of any time are at most the bookings whose
+// slots began in it or up to about 8 s before, and the overdraft.
 type book struct {
-	current int64
-	booked  [ringSlots]float64
-	open    [ringSlots]float64 // booked and not used
-	carried float64            // what slots before current left
+	current  int64
+	tokens   [calendarSlots]float64
+	requests [calendarSlots]int
+	carried  float64 // tokens that slots before current left
+	// balance is the number of bookings whose slots have begun, without the due requests.
+	balance float64
+	// begun is the number of bookings whose slots have begun, in about the last 8 s: it decays
+	// with each slot.
+	begun  float64
+	usedAt int64 // slot of the last booking or late request
 }
 
 // NewCalendar returns a calendar without bookings. It serializes its calls of random.
@@ -130,59 +142,70 @@
 // dropPast removes the books whose bookings have all passed.
 func (c *Calendar) dropPast(slot int64) {
 	for key, b := range c.books {
-		if slot-b.current > ringSlots {
+		if slot-b.current > calendarSlots {
 			delete(c.books, key)
 		}
 	}
 }
 
+// Refusal is a refused request whose caller needs a time for its retry.
+type Refusal struct {
+	Service   string
+	Rank      int
+	Tokens    float64
+	Shortage  time.Duration // how long it has lasted
+	Remaining time.Duration // until the caller's time-out; 0 if it isn't known
+	// MinWait is the time from which on the retry is recognized as late, and can be due.
+	MinWait time.Duration
+	// Late is set for a request that was refused before. Its caller doesn't retry again, so that
+	// nothing is booked.
+	Late bool
+}
+
 // Book returns after what time the caller of a refused request should retry, and whether
-// capacity is booked for it then. The shortage has lasted for the given time.
-func (c *Calendar) Book(service string, rank int, tokens float64, shortage, remaining time.Duration) (after time.Duration, isBooked bool) {
+// capacity is booked for it then.
+func (c *Calendar) Book(r Refusal) (after time.Duration, isBooked bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
 	// The shortage is expected to last as long again as it has lasted.
-	end := max(minShortage, shortage)
-	wait := time.Duration(maxWaitPart * float64(remaining))
-	b := c.bookOf(service, rank, now)
-	if b != nil && end <= wait {
-		n, ok := b.find(now.Add(end), now.Add(wait), tokens, c.slotPart(service, now))
+	end := max(minShortage, r.Shortage)
+	wait := r.Remaining / waitDivisor
+	b := c.bookOf(r.Service, r.Rank, now)
+	if from := max(end, r.MinWait); b != nil && !r.Late && from <= wait {
+		n, ok := b.find(now.Add(from), now.Add(wait), r.Tokens, c.slotPart(r.Service, now))
 		if ok {
 			start := slotStart(n)
 			space := min(calendarSlot, now.Add(wait).Sub(start))
-			b.booked[n%ringSlots] += tokens
-			b.open[n%ringSlots] += tokens
+			b.tokens[n%calendarSlots] += r.Tokens
+			b.requests[n%calendarSlots]++
+			b.usedAt = max(b.usedAt, n)
 			return start.Sub(now) + time.Duration(c.random.Float64()*float64(space)), true
 		}
 	}
 	return max(end, wait) + time.Duration(c.random.Float64()*float64(unbookedSpread)), false
 }
 
-// Redeem reports whether a late request is due: bookings of the current slot or the one
-// before it are open. It uses up that much of them. If they are open for a part of the request
-// only, it is due with that probability, so that the sum over all hosts is right.
-func (c *Calendar) Redeem(service string, rank int, tokens float64) bool {
+// Redeem reports whether a late request is due, and uses up a booking if so. Bookings can be
+// used from the beginning of their slot on.
+func (c *Calendar) Redeem(service string, rank int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := bookKey{
-		service: service,
-		rank:    rank,
-	}
-	if c.books[key] == nil {
+	b := c.bookOf(service, rank, c.clock.Now())
+	if b == nil {
 		return false
 	}
-	b := c.bookOf(service, rank, c.clock.Now())
-	before, current := &b.open[(b.current-1)%ringSlots], &b.open[b.current%ringSlots]
-	open := *before + *current
-	if open <= bookingSlack {
+	b.usedAt = max(b.usedAt, b.current)
+	if b.balance-1 < -b.overdraft() {
 		return false
 	}
-	used := min(tokens, open)
-	fromBefore := min(used, *before)
-	*before -= fromBefore
-	*current -= used - fromBefore
-	return open >= tokens-bookingSlack || c.random.Float64()*tokens < open
+	b.balance--
+	return true
+}
+
+// overdraft returns how many requests may be due beyond the bookings.
+func (b *book) overdraft() float64 {
+	return minOverdraft + overdraftPart*b.begun
 }
 
 func slotStart(n int64) time.Time {
@@ -193,25 +216,35 @@
 // booked, up to the parts of 8 s in total.
 func (b *book) advance(slot int64, part float64) {
 	most := part * calendarSlots
-	if passed := slot - b.current; passed > ringSlots {
-		for _, tokens := range b.booked {
+	if passed := slot - b.current; passed > calendarSlots {
+		for _, tokens := range b.tokens {
 			b.carried -= tokens
 		}
-		b.carried = min(most, b.carried+part*float64(passed))
-		b.booked = [ringSlots]float64{}
-		b.open = [ringSlots]float64{}
-		b.current = slot
-		return
+		*b = book{
+			current: slot,
+			carried: min(most, b.carried+part*float64(passed)),
+			usedAt:  b.usedAt,
+		}
 	}
 	for b.current < slot {
-		b.carried = min(most, b.carried+part-b.booked[b.current%ringSlots])
+		passed := b.current % calendarSlots
+		b.carried = min(most, b.carried+part-b.tokens[passed])
+		b.tokens[passed], b.requests[passed] = 0, 0 // from now on, this is the newest slot
 		b.current++
-		newest := (b.current + calendarSlots - 1) % ringSlots
-		b.booked[newest] = 0
-		b.open[newest] = 0
+		b.begin(float64(b.requests[b.current%calendarSlots]))
+	}
+	if slot-b.usedAt > calendarSlots {
+		b.balance = 0
 	}
 }
 
+// begin makes the bookings of the slot that begins usable. Those that aren't used are dropped in
+// the course of 8 s.
+func (b *book) begin(requests float64) {
+	b.begun += requests - b.begun/calendarSlots
+	b.balance = min(b.balance+requests, max(requests, b.begun))
+}
+
 // find returns the first slot with space for the tokens that starts between two times. The
 // current slot and those after it have one part each and what earlier ones left; a booking
 // takes from its own slot and those before it.
@@ -219,7 +252,7 @@
 	left := [calendarSlots]float64{} // in each slot, after its bookings and those before it
 	sum := b.carried
 	for i := range left {
-		sum += part - b.booked[(b.current+int64(i))%ringSlots]
+		sum += part - b.tokens[(b.current+int64(i))%calendarSlots]
 		left[i] = sum
 	}
 	for i := calendarSlots - 2; i >= 0; i-- {
@@ -234,7 +267,7 @@
 		if !start.Before(to) {
 			break
 		}
-		booked := b.booked[n%ringSlots]
+		booked := b.tokens[n%calendarSlots]
 		overfull := booked > 0 && booked+tokens > maxSlotParts*part
 		if !overfull && tokens <= left[i]+bookingSlack {
 			return n, true
