--- a/pkg/admission/credits.go
+++ b/pkg/admission/credits.go
@@ -14,8 +14,6 @@
 	// interrupted requests that aren't refused. It bounds how long others of the same class
 	// and account have to make up for these.
 	maxDebt = 4
-	// creditSlack makes up for rounding: ten shares of 0.1 must admit one request.
-	creditSlack = 1e-9
 )
 
 type creditKey struct {
@@ -36,7 +34,7 @@
 // request is admitted. One that must be admitted is charged to later requests' shares.
 func (c *credit) charge(share float64, must bool) bool {
 	c.value += share
-	if !must && c.value < 1-creditSlack {
+	if !must && c.value < 1 {
 		return false
 	}
 	c.value = max(-maxDebt, c.value-1)
--- a/pkg/admission/returns_test.go
+++ b/pkg/admission/returns_test.go
@@ -117,6 +117,20 @@
 		}
 	})
 
+	ginkgo.It("leaves what later slots have booked of the part of earlier ones", func() {
+		withCalendar(1000, func(c *Calendar, _ func(time.Duration)) {
+			// The slots up to the one that starts in 1.75 s have a part of 285 tokens.
+			late := refusalOf("s", 1, 270, 0, 6*time.Second)
+			late.MinWait = 1700 * time.Millisecond
+			_, ok := c.Book(late)
+			Expect(ok).To(BeTrue())
+			_, ok = c.Book(refusalOf("s", 1, 30, 0, 6*time.Second))
+			Expect(ok).To(BeFalse())
+			_, ok = c.Book(refusalOf("s", 1, 30, 0, 12*time.Second))
+			Expect(ok).To(BeTrue(), "there is space in slots after that one")
+		})
+	})
+
 	ginkgo.It("is booked by each rank and service for itself", func() {
 		withCalendar(1000, func(c *Calendar, _ func(time.Duration)) {
 			fill := func(service string, rank int) int {
