--- a/pkg/gateway/full_test.go
+++ b/pkg/gateway/full_test.go
@@ -36,6 +36,8 @@
 }
 
 var _ = Describe("an endpoint that rejected a stream for lack of capacity", func() {
+	// The search without avoided endpoints was followed by one with them, which sent the next
+	// streams to the endpoint some milliseconds after its rejection.
 	It("gets no other stream of a less urgent rank while it is full, also if there is no other path", func() {
 		withRankedGateway(func(b *fixture) {
 			b.source.setEndpoints("llm", engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4))
@@ -55,6 +57,7 @@
 		})
 	})
 
+	// An interrupted stream that waited for capacity forgot after 0.1 s who had refused it.
 	It("doesn't get the same stream again while it is full, although that was interrupted", func() {
 		withGateway(func(b *fixture) {
 			b.source.setEndpoints("llm", engineEndpoint("x", 0, 4), engineEndpoint("y", 0, 4))
@@ -117,6 +120,8 @@
 		}
 	})
 
+	// Streams never end the avoidance of an endpoint, so each rejection would lengthen it, up
+	// to 4 s, although the endpoint works.
 	It("is avoided after that only if another endpoint named it, which may have lost it", func() {
 		for _, fault := range []string{"", "y:1"} {
 			withGateway(func(b *fixture) {
