--- /dev/null
+++ b/pkg/admission/returns.go
@@ -0,0 +1,277 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	calendarSlot  = 250 * time.Millisecond
+	calendarSlots = 32 // 8 s
+	// bookedPart is the part of the admitted tokens that can be booked, by each rank.
+	bookedPart = 0.15
+	// maxSlotParts bounds what one slot takes, in slots' parts, unless that is one request:
+	// when a shortage begins, all hosts book the same slots, and what earlier slots have
+	// left would all go into the first of them.
+	maxSlotParts = 2
+	// A caller waits for at most its remaining time divided by waitDivisor before it retries.
+	// The platform publishes this rule.
+	waitDivisor = 3
+	// minShortage is the least time for which a shortage is expected to last on.
+	minShortage = time.Second
+	// unbookedSpread is the time over which retries without a booking are spread.
+	unbookedSpread = 2 * time.Second
+	// minOverdraft is how many requests may be due on a host beyond its own bookings. Callers
+	// return to any host, so that a host gets as many as it booked on average only: without
+	// an overdraft, hosts with less than one booking a second refuse more than half of them.
+	minOverdraft = 8
+	// overdraftPart is the part of the bookings of the last 8 s (1 s) that is added to it, since
+	// the difference is larger on hosts that book more.
+	overdraftPart = 1.0 / 8
+	// maxCalendars bounds the pairs of service and rank that have bookings, at 600 bytes each.
+	// Services without recent requests are dropped from this number on.
+	maxCalendars = 256
+	// bookingSlack makes up for rounding in sums of tokens.
+	bookingSlack = 1e-6
+)
+
+// Calendar books times for the retries of refused requests. It is safe for concurrent use.
+//
+// Invariant: what is booked of a service and rank over any time is at most bookedPart of what
+// this host admits of the service, and what up to 8 s before have left.
+type Calendar struct {
+	clock  Clock
+	random Random
+
+	mu       sync.Mutex
+	admitted map[string]*window // tokens, by service
+	books    map[bookKey]*book
+}
+
+type bookKey struct {
+	service string
+	rank    int
+}
+
+// book holds the bookings of one service and rank.
+//
+// Invariant: tokens and requests hold the slots from current to current+calendarSlots-1, each at
+// its number modulo calendarSlots. The due requests of any time are at most the bookings whose
+// slots began in it or up to about 8 s before, and the overdraft.
+type book struct {
+	current  int64
+	tokens   [calendarSlots]float64
+	requests [calendarSlots]int
+	carried  float64 // tokens that slots before current left
+	// balance is the number of bookings whose slots have begun, without the due requests.
+	balance float64
+	// begun is the number of bookings whose slots have begun, in about the last 8 s: it decays
+	// with each slot.
+	begun  float64
+	usedAt int64 // slot of the last booking or late request
+}
+
+// NewCalendar returns a calendar without bookings. It serializes its calls of random.
+func NewCalendar(clock Clock, random Random) *Calendar {
+	return &Calendar{
+		clock:    clock,
+		random:   random,
+		admitted: map[string]*window{},
+		books:    map[bookKey]*book{},
+	}
+}
+
+// Admit notes the tokens of a request that was admitted.
+func (c *Calendar) Admit(service string, tokens float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	w := c.admitted[service]
+	if w == nil {
+		if len(c.admitted) >= maxCalendars {
+			c.dropIdle(now)
+		}
+		w = &window{}
+		c.admitted[service] = w
+	}
+	w.add(now, tokens)
+}
+
+// dropIdle removes the services of which nothing was admitted in the last second.
+func (c *Calendar) dropIdle(now time.Time) {
+	for name, w := range c.admitted {
+		if w.sum(now) == 0 {
+			delete(c.admitted, name)
+		}
+	}
+}
+
+// slotPart returns how many tokens can be booked in one slot.
+func (c *Calendar) slotPart(service string, now time.Time) float64 {
+	w := c.admitted[service]
+	if w == nil {
+		return 0
+	}
+	return bookedPart * w.sum(now) * calendarSlot.Seconds()
+}
+
+// bookOf returns the bookings of a service and rank as of now, or nil if there are too many.
+func (c *Calendar) bookOf(service string, rank int, now time.Time) *book {
+	key := bookKey{
+		service: service,
+		rank:    rank,
+	}
+	slot := now.UnixNano() / int64(calendarSlot)
+	b := c.books[key]
+	if b == nil {
+		if len(c.books) >= maxCalendars {
+			c.dropPast(slot)
+		}
+		if len(c.books) >= maxCalendars {
+			return nil
+		}
+		b = &book{
+			current: slot,
+		}
+		c.books[key] = b
+	}
+	b.advance(slot, c.slotPart(service, now))
+	return b
+}
+
+// dropPast removes the books whose bookings have all passed.
+func (c *Calendar) dropPast(slot int64) {
+	for key, b := range c.books {
+		if slot-b.current > calendarSlots {
+			delete(c.books, key)
+		}
+	}
+}
+
+// Refusal is a refused request whose caller needs a time for its retry.
+type Refusal struct {
+	Service   string
+	Rank      int
+	Tokens    float64
+	Shortage  time.Duration // how long it has lasted
+	Remaining time.Duration // until the caller's time-out; 0 if it isn't known
+	// MinWait is the time from which on the retry is recognized as late, and can be due.
+	MinWait time.Duration
+	// Late is set for a request that was refused before. Its caller doesn't retry again, so that
+	// nothing is booked.
+	Late bool
+}
+
+// Book returns after what time the caller of a refused request should retry, and whether
+// capacity is booked for it then.
+func (c *Calendar) Book(r Refusal) (after time.Duration, isBooked bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	// The shortage is expected to last as long again as it has lasted.
+	end := max(minShortage, r.Shortage)
+	wait := r.Remaining / waitDivisor
+	b := c.bookOf(r.Service, r.Rank, now)
+	if from := max(end, r.MinWait); b != nil && !r.Late && from <= wait {
+		n, ok := b.find(now.Add(from), now.Add(wait), r.Tokens, c.slotPart(r.Service, now))
+		if ok {
+			start := slotStart(n)
+			space := min(calendarSlot, now.Add(wait).Sub(start))
+			b.tokens[n%calendarSlots] += r.Tokens
+			b.requests[n%calendarSlots]++
+			b.usedAt = max(b.usedAt, n)
+			return start.Sub(now) + time.Duration(c.random.Float64()*float64(space)), true
+		}
+	}
+	return max(end, wait) + time.Duration(c.random.Float64()*float64(unbookedSpread)), false
+}
+
+// Redeem reports whether a late request is due, and uses up a booking if so. Bookings can be
+// used from the beginning of their slot on.
+func (c *Calendar) Redeem(service string, rank int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.bookOf(service, rank, c.clock.Now())
+	if b == nil {
+		return false
+	}
+	b.usedAt = max(b.usedAt, b.current)
+	if b.balance-1 < -b.overdraft() {
+		return false
+	}
+	b.balance--
+	return true
+}
+
+// overdraft returns how many requests may be due beyond the bookings.
+func (b *book) overdraft() float64 {
+	return minOverdraft + overdraftPart*b.begun
+}
+
+func slotStart(n int64) time.Time {
+	return time.Unix(0, n*int64(calendarSlot))
+}
+
+// advance makes a slot the current one. Each slot that passes leaves the part that isn't
+// booked, up to the parts of 8 s in total.
+func (b *book) advance(slot int64, part float64) {
+	most := part * calendarSlots
+	if passed := slot - b.current; passed > calendarSlots {
+		for _, tokens := range b.tokens {
+			b.carried -= tokens
+		}
+		*b = book{
+			current: slot,
+			carried: min(most, b.carried+part*float64(passed)),
+			usedAt:  b.usedAt,
+		}
+	}
+	for b.current < slot {
+		passed := b.current % calendarSlots
+		b.carried = min(most, b.carried+part-b.tokens[passed])
+		b.tokens[passed], b.requests[passed] = 0, 0 // from now on, this is the newest slot
+		b.current++
+		b.begin(float64(b.requests[b.current%calendarSlots]))
+	}
+	if slot-b.usedAt > calendarSlots {
+		b.balance = 0
+	}
+}
+
+// begin makes the bookings of the slot that begins usable. Those that aren't used are dropped in
+// the course of 8 s.
+func (b *book) begin(requests float64) {
+	b.begun += requests - b.begun/calendarSlots
+	b.balance = min(b.balance+requests, max(requests, b.begun))
+}
+
+// find returns the first slot with space for the tokens that starts between two times. The
+// current slot and those after it have one part each and what earlier ones left; a booking
+// takes from its own slot and those before it.
+func (b *book) find(from, to time.Time, tokens, part float64) (int64, bool) {
+	left := [calendarSlots]float64{} // in each slot, after its bookings and those before it
+	sum := b.carried
+	for i := range left {
+		sum += part - b.tokens[(b.current+int64(i))%calendarSlots]
+		left[i] = sum
+	}
+	for i := calendarSlots - 2; i >= 0; i-- {
+		left[i] = min(left[i], left[i+1]) // a booking reduces what is left in all later slots
+	}
+	for i := range left {
+		n := b.current + int64(i)
+		start := slotStart(n)
+		if start.Before(from) {
+			continue
+		}
+		if !start.Before(to) {
+			break
+		}
+		booked := b.tokens[n%calendarSlots]
+		overfull := booked > 0 && booked+tokens > maxSlotParts*part
+		if !overfull && tokens <= left[i]+bookingSlack {
+			return n, true
+		}
+	}
+	return 0, false
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
@@ -49,8 +50,14 @@
 	callerLastEvent string          // ID after which the caller wanted to resume
 	failedIDs       map[string]bool // endpoints that failed this request
 	refusedIDs      map[string]bool // endpoints without free capacity for it at the moment
-	path            []fleet.Stage
-	releases        []func() // undo the load counted for the current path
+	withFull        bool            // the search in progress may choose full endpoints
+	rejected        bool            // the latest refusal was for lack of capacity
+	// fullFailure is the latest failure because only full endpoints could take the stream.
+	fullFailure *failure.Error
+	admitted    *admission.Stream // by admission control; nil if that wasn't asked
+	mayHaveRun  bool              // an endpoint may have run the stream
+	path        []fleet.Stage
+	releases    []func() // undo the load counted for the current path
 	// unsent says that the current send reached no endpoint.
 	unsent bool
 	// retryPaid says that the next send is already charged to the retry budget.
@@ -91,6 +98,12 @@
 		s.fail(e)
 		return
 	}
+	g.ranks.record(j.service.Name, j.priority)
+	if e := s.askAdmission(); e != nil {
+		s.fail(e)
+		return
+	}
+	defer s.endAdmission()
 	g.retries.deposit(g.source.HostCount())
 	defer s.release()
 	s.delayResume(ctx)
@@ -99,7 +112,9 @@
 			s.fail(e)
 			return
 		}
-		switch end, cause := s.send(ctx); end {
+		end, cause := s.send(ctx)
+		s.mayHaveRun = s.mayHaveRun || end != notRun && !s.unsent
+		switch end {
 		case finished:
 			g.recordAnswered(j)
 			g.durations.record(s.demand().Answer, g.svc.Now().Sub(j.req.Received))
@@ -111,7 +126,7 @@
 			return
 		case notRun:
 			if !s.mayRetry(cause) {
-				s.fail(failure.Wrap(cause, failure.Overloaded, "endpoints refused").WithRetryAfter(baseRetryAfter))
+				s.fail(s.rejectedError(cause))
 				return
 			}
 		case broken:
@@ -197,6 +212,7 @@
 	s.sends++
 	s.sentAt = s.g.svc.Now()
 	s.gotEvent = false
+	s.rejected = false
 	call := &Call{
 		Request:    s.j.req,
 		ID:         s.path[0].ID,
@@ -278,6 +294,9 @@
 	w.sawEvent()
 	s.liveness.sawEvent()
 	s.g.waits.firstEvent(s.pending)
+	if !s.gotEvent {
+		s.recordAccepted()
+	}
 	if err := s.forward(it.event); err != nil {
 		return abandoned, err, true
 	}
@@ -303,7 +322,9 @@
 	return finished, nil, false
 }
 
-// recordRefusal records which endpoint of the path refused the request.
+// recordRefusal records which endpoint of the path refused the request. An endpoint that
+// says itself that it lacks capacity works, so it isn't avoided beyond the time for which it
+// is full. A later stage that the first one names may have been lost.
 func (s *streamRun) recordRefusal(a *Answer) error {
 	stage := s.path[0]
 	for _, p := range s.path {
@@ -313,7 +334,10 @@
 	}
 	why := "status " + strconv.Itoa(a.Status)
 	s.refusedIDs[stage.ID] = true
-	s.g.tracker.RecordFailure(stage.ID, why)
+	s.rejected = s.g.full.Remaining(stage.ID) > 0
+	if stage.ID != s.path[0].ID || !s.rejected {
+		s.g.tracker.RecordFailure(stage.ID, why)
+	}
 	s.g.logFailedAttempt(s.j, stage.ID, why)
 	return errors.Errorf("endpoint %s: %s", stage.ID, why)
 }
