--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -319,14 +319,15 @@
 var _ = ginkgo.Describe("the gate, without a valid allocation", func() {
 	ginkgo.It("applies shares for 2 s, which then grow to 1 over 3 s", func() {
 		cases := []struct {
-			age   time.Duration
-			share float64
+			age      time.Duration
+			share    float64
+			shortage time.Duration
 		}{
-			{0, 0.4},
-			{2 * time.Second, 0.4},
-			{3500 * time.Millisecond, 0.7},
-			{5 * time.Second, 1},
-			{time.Hour, 1},
+			{0, 0.4, time.Second},
+			{2 * time.Second, 0.4, 3 * time.Second},
+			{3500 * time.Millisecond, 0.7, 4500 * time.Millisecond},
+			{5 * time.Second, 1, 0},
+			{time.Hour, 1, 0},
 		}
 		for _, received := range []time.Duration{0, 400 * time.Millisecond} {
 			for _, c := range cases {
@@ -337,6 +338,7 @@
 					d := g.Decide(queryOf(1, 1))
 					Expect(d.Share).To(BeNumerically("~", c.share, 1e-9), "%v", c.age)
 					Expect(d.Age).To(Equal(c.age))
+					Expect(d.Shortage).To(Equal(c.shortage), "%v", c.age)
 					Expect(g.status()[0].Classes[0].Share).To(BeNumerically("~", c.share, 1e-9))
 				})
 			}
--- a/pkg/admission/held.go
+++ b/pkg/admission/held.go
@@ -42,9 +42,10 @@
 	return now.Sub(h.madeAt)
 }
 
-// shortage returns how long the shortage has lasted, 0 if there is none.
+// shortage returns how long the shortage has lasted, 0 if there is none or the allocation no
+// longer tells.
 func (h *heldAllocation) shortage(now time.Time) time.Duration {
-	if h.allocation.Shortage == 0 {
+	if h.allocation.Shortage == 0 || h.age(now) >= trustedAge+growthTime {
 		return 0
 	}
 	return h.allocation.Shortage + h.age(now)
