admission: all ranks of a service share what can be booked

With 0.15 for each of three ranks, late retries took a third of the capacity in a trial while first attempts of the more urgent rank were refused.

--- a/pkg/admission/detector.go
+++ b/pkg/admission/detector.go
@@ -15,7 +15,7 @@
 	// minFirst is the least number of first attempts whose remaining times are compared,
 	// older ones included. Of one or two callers, both may start with more time than others
 	// that are not late.
-	minFirst = 8
+	minFirst = 5
 	// lateRatio is the part of the least remaining time of first attempts below which a
 	// request is late.
 	lateRatio = 0.9
--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -8,9 +8,11 @@
 const (
 	calendarSlot  = 250 * time.Millisecond
 	calendarSlots = 32 // 8 s
-	// bookedPart is the part of the tokens that finish that can be booked, by each rank. What is
-	// admitted isn't the measure: when a load begins, hosts admit more than engines can serve,
-	// and the retries booked by that were as many as the capacity in a trial with 11 hosts.
+	// bookedPart is the part of the tokens that finish that can be booked, by all ranks. Retries
+	// are mostly late, and go ahead of requests that can be on time: with this part for each of
+	// three ranks, they took a third of the capacity in a trial. What is admitted isn't the
+	// measure: when a load begins, hosts admit more than engines can serve, and the retries
+	// booked by that were as many as the capacity in a trial with 11 hosts.
 	bookedPart = 0.15
 	// maxSlotParts bounds what one slot takes, in slots' parts, unless that is one request:
 	// when a shortage begins, all hosts book the same slots, and what earlier slots have
@@ -30,39 +32,43 @@
 	// overdraftPart is the part of the bookings of the last 8 s (1 s) that is added to it, since
 	// the difference is larger on hosts that book more.
 	overdraftPart = 1.0 / 8
-	// maxCalendars bounds the pairs of service and rank that have bookings, at 600 bytes each.
-	maxCalendars = 256
+	// maxCalendars bounds the services that have bookings, and maxRanks the ranks of each, at
+	// 300 bytes for each of both.
+	maxCalendars = 64
+	maxRanks     = 32
 	// bookingSlack makes up for rounding in sums of tokens.
 	bookingSlack = 1e-6
 )
 
 // Calendar books times for the retries of refused requests. It is safe for concurrent use.
 //
-// Invariant: what is booked of a service and rank over any time is at most bookedPart of what
+// Invariant: what is booked of a service over any time is at most bookedPart of what
 // finishes of the service on this host, and what up to 8 s before have left.
 type Calendar struct {
 	clock  Clock
 	random Random
 
 	mu    sync.Mutex
-	books map[bookKey]*book
+	books map[string]*book // by service
 }
 
-type bookKey struct {
-	service string
-	rank    int
+// book holds the bookings of one service.
+//
+// Invariant: tokens holds the slots from current to current+calendarSlots-1, each at its number
+// modulo calendarSlots, as does rankBook.requests.
+type book struct {
+	current int64
+	tokens  [calendarSlots]float64
+	carried float64 // tokens that slots before current left
+	ranks   map[int]*rankBook
 }
 
-// book holds the bookings of one service and rank.
+// rankBook holds the bookings of one rank.
 //
-// Invariant: tokens and requests hold the slots from current to current+calendarSlots-1, each at
-// its number modulo calendarSlots. The due requests of any time are at most the bookings whose
-// slots began in it or up to about 8 s before, and the overdraft.
-type book struct {
-	current  int64
-	tokens   [calendarSlots]float64
+// Invariant: the due requests of any time are at most the bookings whose slots began in it or
+// up to about 8 s before, and the overdraft.
+type rankBook struct {
 	requests [calendarSlots]int
-	carried  float64 // tokens that slots before current left
 	// balance is the number of bookings whose slots have begun, without the due requests.
 	balance float64
 	// begun is the number of bookings whose slots have begun, in about the last 8 s: it decays
@@ -76,7 +82,7 @@
 	return &Calendar{
 		clock:  clock,
 		random: random,
-		books:  map[bookKey]*book{},
+		books:  map[string]*book{},
 	}
 }
 
@@ -85,28 +91,35 @@
 	return bookedPart * finishRate * calendarSlot.Seconds()
 }
 
-// bookOf returns the bookings of a service and rank as of now, or nil if there are too many.
-func (c *Calendar) bookOf(service string, rank int, part float64, now time.Time) *book {
-	key := bookKey{
-		service: service,
-		rank:    rank,
-	}
+// bookOf returns the bookings of a service and a rank as of now, or nil if there are too many.
+func (c *Calendar) bookOf(service string, rank int, part float64, now time.Time) (*book, *rankBook) {
 	slot := now.UnixNano() / int64(calendarSlot)
-	b := c.books[key]
+	b := c.books[service]
 	if b == nil {
 		if len(c.books) >= maxCalendars {
 			c.dropPast(slot)
 		}
 		if len(c.books) >= maxCalendars {
-			return nil
+			return nil, nil
 		}
 		b = &book{
 			current: slot,
+			ranks:   map[int]*rankBook{},
 		}
-		c.books[key] = b
+		c.books[service] = b
 	}
 	b.advance(slot, part)
-	return b
+	r := b.ranks[rank]
+	if r == nil {
+		if len(b.ranks) >= maxRanks {
+			return nil, nil
+		}
+		r = &rankBook{
+			usedAt: slot,
+		}
+		b.ranks[rank] = r
+	}
+	return b, r
 }
 
 // dropPast removes the books whose bookings have all passed.
@@ -143,15 +156,15 @@
 	end := max(minShortage, r.Shortage)
 	wait := r.Remaining / waitDivisor
 	part := slotPart(r.FinishRate)
-	b := c.bookOf(r.Service, r.Rank, part, now)
+	b, ranked := c.bookOf(r.Service, r.Rank, part, now)
 	if from := max(end, r.MinWait); b != nil && !r.Unpromised && from <= wait {
 		n, ok := b.find(now.Add(from), now.Add(wait), r.Tokens, part)
 		if ok {
 			start := slotStart(n)
 			space := min(calendarSlot, now.Add(wait).Sub(start))
 			b.tokens[n%calendarSlots] += r.Tokens
-			b.requests[n%calendarSlots]++
-			b.usedAt = max(b.usedAt, n)
+			ranked.requests[n%calendarSlots]++
+			ranked.usedAt = max(ranked.usedAt, n)
 			return start.Sub(now) + time.Duration(c.random.Float64()*float64(space)), true
 		}
 	}
@@ -164,21 +177,21 @@
 func (c *Calendar) Redeem(service string, rank int, finishRate float64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b := c.bookOf(service, rank, slotPart(finishRate), c.clock.Now())
+	b, ranked := c.bookOf(service, rank, slotPart(finishRate), c.clock.Now())
 	if b == nil {
 		return false
 	}
-	b.usedAt = max(b.usedAt, b.current)
-	if b.balance-1 < -b.overdraft() {
+	ranked.usedAt = max(ranked.usedAt, b.current)
+	if ranked.balance-1 < -ranked.overdraft() {
 		return false
 	}
-	b.balance--
+	ranked.balance--
 	return true
 }
 
 // overdraft returns how many requests may be due beyond the bookings.
-func (b *book) overdraft() float64 {
-	return minOverdraft + overdraftPart*b.begun
+func (r *rankBook) overdraft() float64 {
+	return minOverdraft + overdraftPart*r.begun
 }
 
 func slotStart(n int64) time.Time {
@@ -193,29 +206,33 @@
 		for _, tokens := range b.tokens {
 			b.carried -= tokens
 		}
-		*b = book{
-			current: slot,
-			carried: min(most, b.carried+part*float64(passed)),
-			usedAt:  b.usedAt,
-		}
+		b.carried = min(most, b.carried+part*float64(passed))
+		b.tokens = [calendarSlots]float64{}
+		b.current = slot
+		clear(b.ranks)
 	}
 	for b.current < slot {
 		passed := b.current % calendarSlots
 		b.carried = min(most, b.carried+part-b.tokens[passed])
-		b.tokens[passed], b.requests[passed] = 0, 0 // from now on, this is the newest slot
+		b.tokens[passed] = 0 // from now on, this is the newest slot
 		b.current++
-		b.begin(float64(b.requests[b.current%calendarSlots]))
+		for _, r := range b.ranks {
+			r.requests[passed] = 0
+			r.begin(float64(r.requests[b.current%calendarSlots]))
+		}
 	}
-	if slot-b.usedAt > calendarSlots {
-		b.balance = 0
+	for rank, r := range b.ranks {
+		if slot-r.usedAt > calendarSlots {
+			delete(b.ranks, rank)
+		}
 	}
 }
 
 // begin makes the bookings of the slot that begins usable. Those that aren't used are dropped in
 // the course of 8 s.
-func (b *book) begin(requests float64) {
-	b.begun += requests - b.begun/calendarSlots
-	b.balance = min(b.balance+requests, max(requests, b.begun))
+func (r *rankBook) begin(requests float64) {
+	r.begun += requests - r.begun/calendarSlots
+	r.balance = min(r.balance+requests, max(requests, r.begun))
 }
 
 // find returns the first slot with space for the tokens that starts between two times. The
