admission: capacity of a service and the leader's allocator

Cause: no component knows how much work a service can do on time, or divides it. The allocator sums the hosts' reports over 1 s and divides what may be admitted among classes in order, and max-min fairly among client accounts. Sums are divided by the time that reports cover, so that they don't swing when the calls of hosts are in step. A leader needs two reports of a host, because what finishes in a second can't be told from one.

--- /dev/null
+++ b/pkg/admission/allocator.go
@@ -0,0 +1,258 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// hostExpiry is how long after its last report a host's tokens count as in flight, three
+	// times the interval of its calls.
+	hostExpiry = 1200 * time.Millisecond
+	// reportInterval is the usual time between two calls of a host, which the first one is
+	// taken to cover.
+	reportInterval = 400 * time.Millisecond
+	// minReportedHosts is the part of the hosts from which the allocator must have reports. A
+	// new leader that knew of fewer would take the others' demand for none.
+	minReportedHosts = 0.9
+
+	// urgentTarget and otherTarget are the occupancies up to which the most urgent rank and
+	// the others are admitted. Capacity is a lower bound, because streams use only some layers
+	// of an endpoint; in simulation, waits began at an occupancy of 1.0 to 1.4.
+	urgentTarget = 1.2
+	otherTarget  = 1.0
+	// correctionTime is the time in which a difference from the target is to be made up. It
+	// is longer than the delay of reports and allocations, or occupancy would oscillate.
+	correctionTime = time.Second
+	// At least minOfFinished of the finished tokens, and minOfCapacity of the capacity a
+	// second, are admitted, so that never everyone is refused.
+	minOfFinished = 0.5
+	minOfCapacity = 0.05
+
+	// shortageOccupancy is the occupancy from which on a shortage may begin.
+	shortageOccupancy = 0.9
+	// accountsOccupancy is the occupancy from which on hosts report demand by account, so
+	// that it is known when a shortage begins.
+	accountsOccupancy = 0.6
+	// shortageEnd is how long no class must have been limited for a shortage to end.
+	shortageEnd = time.Second
+	// minShortage is what a shortage is said to have lasted when it begins: 0 means none.
+	minShortage = time.Millisecond
+)
+
+// Allocator is the leader's side: it sums up the reports of all hosts and allocates the
+// admitted shares. It is safe for use by several goroutines.
+//
+// Invariant: its state is from reports to this replica since it began to lead. It allocates
+// nothing before 0.9 of the hosts have reported twice, because rates need two reports.
+type Allocator struct {
+	clock Clock
+
+	mu       sync.Mutex
+	hosts    map[string]*hostReports
+	coverage coverage
+	services map[string]*serviceState
+}
+
+// hostReports is the state of one host, by its latest reports.
+type hostReports struct {
+	calls    int
+	at       time.Time
+	services map[string]hostService
+}
+
+type hostService struct {
+	inFlight float64
+	finished float64
+}
+
+// serviceState is the demand for a service, and its shortage.
+//
+// Invariant: shortageSince is zero if and only if there is no shortage.
+type serviceState struct {
+	demand        *recentDemand
+	shortageSince time.Time
+	limitedAt     time.Time // when a class was last limited
+}
+
+// NewAllocator returns an allocator that has no reports yet.
+func NewAllocator(clock Clock) *Allocator {
+	a := &Allocator{
+		clock: clock,
+	}
+	a.Reset()
+	return a
+}
+
+// Reset drops all state; it is called when the replica doesn't lead.
+func (a *Allocator) Reset() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.hosts = map[string]*hostReports{}
+	a.coverage = coverage{}
+	a.services = map[string]*serviceState{}
+}
+
+// Forget drops the tokens of a host that is gone. What it reported of demand stays for the
+// rest of the window, since its callers turn to other hosts.
+func (a *Allocator) Forget(host string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.hosts, host)
+}
+
+// Observe applies a report of a host. Services that it doesn't name have no streams there.
+func (a *Allocator) Observe(host string, reports []Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	h := a.hosts[host]
+	covered := span{
+		at:     now,
+		demand: reportInterval,
+	}
+	if h == nil {
+		h = &hostReports{
+			services: map[string]hostService{},
+		}
+		a.hosts[host] = h
+	} else {
+		covered.demand = min(window, now.Sub(h.at))
+		covered.finished = covered.demand
+	}
+	// After a pause, finished tokens of a longer time than the window arrive at once.
+	finishedScale := 1.0
+	if pause := now.Sub(h.at); h.calls > 0 && pause > window {
+		finishedScale = window.Seconds() / pause.Seconds()
+	}
+	h.calls++
+	h.at = now
+	a.coverage.expire(now)
+	a.coverage.add(covered)
+	for name, s := range h.services {
+		s.inFlight = 0
+		h.services[name] = s
+	}
+	for _, r := range reports {
+		finished := h.update(r) * finishedScale
+		s := a.service(r.Service)
+		s.demand.expire(now)
+		s.demand.add(recentReport{
+			at:       now,
+			finished: finished,
+			demand:   r.Demand,
+		})
+	}
+}
+
+// update stores a report's figures, and returns the tokens that finished since the previous
+// one; 0 for the first, whose count may be of a long time.
+func (h *hostReports) update(r Report) float64 {
+	previous, known := h.services[r.Service]
+	h.services[r.Service] = hostService{
+		inFlight: r.InFlight,
+		finished: r.Finished,
+	}
+	switch {
+	case !known:
+		return 0
+	case r.Finished < previous.finished:
+		return r.Finished // the host has restarted
+	}
+	return r.Finished - previous.finished
+}
+
+func (a *Allocator) service(name string) *serviceState {
+	s := a.services[name]
+	if s == nil {
+		s = &serviceState{
+			demand: newRecentDemand(),
+		}
+		a.services[name] = s
+	}
+	return s
+}
+
+// Allocate allocates the capacity of a service, in tokens, among its classes and client
+// accounts. The result is false while too few of the hosts that are present have reported. A
+// service without capacity isn't limited: its requests find no path.
+func (a *Allocator) Allocate(service string, capacity float64, hosts int) (Allocation, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	a.coverage.expire(now)
+	reported, active, inFlight := a.sumHosts(service, now)
+	if hosts <= 0 || float64(reported) < minReportedHosts*float64(hosts) {
+		return Allocation{}, false
+	}
+	s := a.service(service)
+	s.demand.expire(now)
+	al := Allocation{
+		Service:   service,
+		Capacity:  capacity,
+		InFlight:  inFlight,
+		ByAccount: inFlight >= accountsOccupancy*capacity,
+	}
+	if capacity <= 0 {
+		s.shortageSince = time.Time{}
+		return al, true
+	}
+	classes := s.demand.classes(perSecond(active, a.coverage.demand))
+	finished := s.demand.finished * perSecond(active, a.coverage.finished)
+	shares, limited := divide(classes, func(rank int) float64 {
+		target := otherTarget
+		if rank == classes[0].class.Rank {
+			target = urgentTarget
+		}
+		return admissibleRate(finished, inFlight, target, capacity)
+	})
+	if s.update(now, limited, inFlight/capacity) {
+		al.Shortage = max(minShortage, now.Sub(s.shortageSince))
+		al.Classes = shares
+	}
+	return al, true
+}
+
+// sumHosts returns how many hosts have reported often enough, how many have done so lately,
+// and the tokens that the latter have in flight.
+func (a *Allocator) sumHosts(service string, now time.Time) (reported, active int, inFlight float64) {
+	for _, h := range a.hosts {
+		if h.calls > 1 {
+			reported++
+		}
+		if now.Sub(h.at) < hostExpiry {
+			active++
+			inFlight += h.services[service].inFlight
+		}
+	}
+	return reported, active, inFlight
+}
+
+// perSecond returns what makes a rate of a sum over the time that hosts' reports cover.
+func perSecond(hosts int, covered time.Duration) float64 {
+	if covered <= 0 {
+		return 0
+	}
+	return float64(hosts) / covered.Seconds()
+}
+
+// admissibleRate returns how many tokens a second may be admitted: as many as finish, and the
+// difference from the target within correctionTime.
+func admissibleRate(finished, inFlight, target, capacity float64) float64 {
+	rate := finished + (target*capacity-inFlight)/correctionTime.Seconds()
+	return max(rate, minOfFinished*finished, minOfCapacity*capacity)
+}
+
+// update begins or ends the shortage, and reports whether there is one.
+func (s *serviceState) update(now time.Time, limited bool, occupancy float64) bool {
+	if limited {
+		s.limitedAt = now
+	}
+	switch {
+	case s.shortageSince.IsZero() && limited && occupancy >= shortageOccupancy:
+		s.shortageSince = now
+	case !s.shortageSince.IsZero() && now.Sub(s.limitedAt) >= shortageEnd:
+		s.shortageSince = time.Time{}
+	}
+	return !s.shortageSince.IsZero()
+}
--- /dev/null
+++ b/pkg/admission/shares.go
@@ -0,0 +1,196 @@
+package admission
+
+import (
+	"slices"
+)
+
+// maxAccountShares bounds the account shares of a service, over all classes, so that an
+// allocation takes less than 500 bytes.
+const maxAccountShares = 48
+
+// accountDemand is what one client account asks for; account 0 is several together.
+type accountDemand struct {
+	account uint32
+	tokens  float64
+}
+
+// classDemand is what the client accounts of one class ask for.
+type classDemand struct {
+	class    Class
+	accounts []accountDemand
+}
+
+func (c *classDemand) tokens() float64 {
+	sum := 0.0
+	for _, a := range c.accounts {
+		sum += a.tokens
+	}
+	return sum
+}
+
+// divide returns the shares of classes that are in the order of admission, and whether any
+// class is limited. The tokens admitted up to and including a rank are at most
+// admissible(rank), as far as the more urgent ranks leave any.
+func divide(classes []classDemand, admissible func(rank int) float64) (list []ClassShare, limited bool) {
+	admitted := 0.0
+	left := make([]float64, len(classes)) // for the classes that are admitted in part
+	for i := range classes {
+		c := &classes[i]
+		wanted := c.tokens()
+		available := max(0, admissible(c.class.Rank)-admitted)
+		share := ClassShare{
+			Class: c.class,
+			Share: 1,
+		}
+		if wanted > available {
+			share.Share = available / wanted
+			limited = true
+		}
+		if share.Share > 0 && share.Share < 1 {
+			left[i] = available
+		}
+		admitted += min(wanted, available)
+		list = append(list, share)
+	}
+	listed := largestAccounts(classes, left)
+	for i := range classes {
+		if left[i] > 0 {
+			list[i].divideAmongAccounts(classes[i].accounts, listed[i], left[i])
+		}
+	}
+	return list, limited
+}
+
+// largestAccounts returns, for each class with tokens left, the accounts that get a share of
+// their own: those that ask for most, maxAccountShares over all classes.
+func largestAccounts(classes []classDemand, left []float64) []map[uint32]bool {
+	type candidate struct {
+		class int
+		accountDemand
+	}
+	var all []candidate
+	listed := make([]map[uint32]bool, len(classes))
+	for i := range classes {
+		if left[i] <= 0 {
+			continue
+		}
+		listed[i] = map[uint32]bool{}
+		for _, a := range classes[i].accounts {
+			if a.account != 0 {
+				all = append(all, candidate{class: i, accountDemand: a})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b candidate) int {
+		return compareDemand(b.accountDemand, a.accountDemand)
+	})
+	for _, c := range all[:min(len(all), maxAccountShares)] {
+		listed[c.class][c.account] = true
+	}
+	return listed
+}
+
+// divideAmongAccounts divides tokens max-min fairly among the accounts of a class. Listed
+// accounts get shares of their own, and the others have the rest in common.
+func (s *ClassShare) divideAmongAccounts(accounts []accountDemand, listed map[uint32]bool, tokens float64) {
+	spread := spreadUnknown(accounts, listed)
+	level := fairLevel(spread, tokens)
+	shares := map[uint32]float64{}
+	for _, a := range spread {
+		if listed[a.account] {
+			shares[a.account] = min(1, level/a.tokens)
+			s.Accounts = append(s.Accounts, AccountShare{
+				Account: a.account,
+				Share:   shares[a.account],
+			})
+		}
+	}
+	others := 0.0
+	for _, a := range accounts {
+		if listed[a.account] {
+			tokens -= a.tokens * shares[a.account]
+		} else {
+			others += a.tokens
+		}
+	}
+	if others > 0 {
+		s.Share = min(1, max(0, tokens/others))
+	}
+	slices.SortFunc(s.Accounts, func(a, b AccountShare) int {
+		return compareKey(a.Account, b.Account)
+	})
+}
+
+// spreadUnknown returns the accounts without account 0, whose tokens are added to those of
+// the others in proportion: to those of the accounts that aren't listed, since hosts report
+// the smallest accounts together; or to all, if the others ask for less than account 0 and so
+// can't be what it consists of.
+func spreadUnknown(accounts []accountDemand, listed map[uint32]bool) []accountDemand {
+	unknown, known, unlisted := 0.0, 0.0, 0.0
+	for _, a := range accounts {
+		switch {
+		case a.account == 0:
+			unknown += a.tokens
+		case listed[a.account]:
+			known += a.tokens
+		default:
+			known += a.tokens
+			unlisted += a.tokens
+		}
+	}
+	if unknown == 0 || known == 0 {
+		return accounts
+	}
+	spread := make([]accountDemand, 0, len(accounts))
+	for _, a := range accounts {
+		switch {
+		case a.account == 0:
+			continue
+		case unlisted < unknown:
+			a.tokens += unknown * a.tokens / known
+		case !listed[a.account]:
+			a.tokens += unknown * a.tokens / unlisted
+		}
+		spread = append(spread, a)
+	}
+	return spread
+}
+
+// fairLevel returns the level at which accounts get tokens in sum if each gets what it asks
+// for, but at most the level. If all get what they ask for it is the largest demand.
+func fairLevel(accounts []accountDemand, tokens float64) float64 {
+	ascending := slices.Clone(accounts)
+	slices.SortFunc(ascending, compareDemand)
+	for i, a := range ascending {
+		level := tokens / float64(len(ascending)-i)
+		if a.tokens > level {
+			return level
+		}
+		tokens -= a.tokens
+	}
+	if len(ascending) == 0 {
+		return 0
+	}
+	return ascending[len(ascending)-1].tokens
+}
+
+// compareDemand orders accounts by what they ask for.
+func compareDemand(a, b accountDemand) int {
+	switch {
+	case a.tokens < b.tokens:
+		return -1
+	case a.tokens > b.tokens:
+		return 1
+	}
+	return compareKey(a.account, b.account)
+}
+
+func compareKey(a, b uint32) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
