--- a/pkg/admission/allocator_test.go
+++ b/pkg/admission/allocator_test.go
@@ -215,6 +215,13 @@
 		})
 	}
 
+	ginkgo.It("don't contain what finished before the first report to this leader", func() {
+		r := newReporter()
+		r.finished = 1e6
+		r.rounds(2, 1200, 200, wanted(1, 0, 400))
+		Expect(r.allocate().Classes[0].Share).To(BeNumerically("~", 0.5, 0.001))
+	})
+
 	ginkgo.It("lose no finished tokens with a lost call, nor count a long pause as 1 s", func() {
 		r := newReporter()
 		r.rounds(5, 1200, 200, wanted(1, 0, 400))
