admission: the first report of a host sets the baseline only

The time that it covers isn't known, and it may contain what was counted while no leader was there. Names that meet those of the meter are changed.

--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -6,12 +6,9 @@
 )
 
 const (
-	// hostExpiry is how long after its last report a host's tokens count as in flight, three
-	// times the interval of its calls.
+	// hostExpiry is how long after its last report a host's tokens count as in flight: three
+	// calls, which are 0.4 s apart.
 	hostExpiry = 1200 * time.Millisecond
-	// reportInterval is the usual time between two calls of a host, which the first one is
-	// taken to cover.
-	reportInterval = 400 * time.Millisecond
 	// minReportedHosts is the part of the hosts from which the allocator must have reports. A
 	// new leader that knew of fewer would take the others' demand for none.
 	minReportedHosts = 0.9
@@ -36,8 +33,8 @@
 	accountsOccupancy = 0.6
 	// shortageEnd is how long no class must have been limited for a shortage to end.
 	shortageEnd = time.Second
-	// minShortage is what a shortage is said to have lasted when it begins: 0 means none.
-	minShortage = time.Millisecond
+	// firstShortage is what a shortage is said to have lasted when it begins: 0 means none.
+	firstShortage = time.Millisecond
 )
 
 // Allocator is the leader's side: it sums up the reports of all hosts and allocates the
@@ -101,40 +98,42 @@
 	delete(a.hosts, host)
 }
 
-// Observe applies a report of a host. Services that it doesn't name have no streams there.
+// Observe applies a report of a host. Services that it doesn't name have no streams there. Of
+// the first report only the tokens in flight count, since the time that it covers isn't known.
 func (a *Allocator) Observe(host string, reports []Report) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.clock.Now()
 	h := a.hosts[host]
-	covered := span{
-		at:     now,
-		demand: reportInterval,
-	}
-	if h == nil {
+	first := h == nil
+	if first {
 		h = &hostReports{
 			services: map[string]hostService{},
 		}
 		a.hosts[host] = h
-	} else {
-		covered.demand = min(window, now.Sub(h.at))
-		covered.finished = covered.demand
-	}
-	// After a pause, finished tokens of a longer time than the window arrive at once.
-	finishedScale := 1.0
-	if pause := now.Sub(h.at); h.calls > 0 && pause > window {
-		finishedScale = window.Seconds() / pause.Seconds()
 	}
-	h.calls++
+	pause := now.Sub(h.at)
 	h.at = now
-	a.coverage.expire(now)
-	a.coverage.add(covered)
+	h.calls++
 	for name, s := range h.services {
 		s.inFlight = 0
 		h.services[name] = s
 	}
+	a.coverage.expire(now)
+	if !first {
+		a.coverage.add(span{
+			at:       now,
+			duration: min(sumWindow, pause),
+		})
+	}
 	for _, r := range reports {
-		finished := h.update(r) * finishedScale
+		finished := h.update(r)
+		if first {
+			continue
+		}
+		if pause > sumWindow {
+			finished *= sumWindow.Seconds() / pause.Seconds()
+		}
 		s := a.service(r.Service)
 		s.demand.expire(now)
 		s.demand.add(recentReport{
@@ -146,20 +145,18 @@
 }
 
 // update stores a report's figures, and returns the tokens that finished since the previous
-// one; 0 for the first, whose count may be of a long time.
+// one. The count of a service begins from 0 when the host restarts, and after a pause without
+// streams.
 func (h *hostReports) update(r Report) float64 {
-	previous, known := h.services[r.Service]
+	previous := h.services[r.Service].finished
 	h.services[r.Service] = hostService{
 		inFlight: r.InFlight,
 		finished: r.Finished,
 	}
-	switch {
-	case !known:
-		return 0
-	case r.Finished < previous.finished:
-		return r.Finished // the host has restarted
+	if r.Finished < previous {
+		return r.Finished
 	}
-	return r.Finished - previous.finished
+	return r.Finished - previous
 }
 
 func (a *Allocator) service(name string) *serviceState {
@@ -197,8 +194,9 @@
 		s.shortageSince = time.Time{}
 		return al, true
 	}
-	classes := s.demand.classes(perSecond(active, a.coverage.demand))
-	finished := s.demand.finished * perSecond(active, a.coverage.finished)
+	perSecond := a.coverage.perSecond(active)
+	classes := s.demand.classes(perSecond)
+	finished := s.demand.finished * perSecond
 	shares, limited := divide(classes, func(rank int) float64 {
 		target := otherTarget
 		if rank == classes[0].class.Rank {
@@ -207,7 +205,7 @@
 		return admissibleRate(finished, inFlight, target, capacity)
 	})
 	if s.update(now, limited, inFlight/capacity) {
-		al.Shortage = max(minShortage, now.Sub(s.shortageSince))
+		al.Shortage = max(firstShortage, now.Sub(s.shortageSince))
 		al.Classes = shares
 	}
 	return al, true
@@ -228,14 +226,6 @@
 	return reported, active, inFlight
 }
 
-// perSecond returns what makes a rate of a sum over the time that hosts' reports cover.
-func perSecond(hosts int, covered time.Duration) float64 {
-	if covered <= 0 {
-		return 0
-	}
-	return float64(hosts) / covered.Seconds()
-}
-
 // admissibleRate returns how many tokens a second may be admitted: as many as finish, and the
 // difference from the target within correctionTime.
 func admissibleRate(finished, inFlight, target, capacity float64) float64 {
--- a/pkg/admission/allocator_test.go
+++ b/pkg/admission/allocator_test.go
@@ -18,7 +18,10 @@
 	finished float64 // of each host so far
 }
 
-const reporterHosts = 10
+const (
+	reporterHosts  = 10
+	reportInterval = 400 * time.Millisecond
+)
 
 func newReporter() *reporter {
 	clock := timer.NewManual(time.Unix(1000, 0))
@@ -117,7 +120,7 @@
 	ginkgo.It("says how long a shortage has lasted, which ends 1 s after the last limit", func() {
 		r := newReporter()
 		r.rounds(5, 1200, 200, wanted(1, 0, 400))
-		Expect(r.allocate().Shortage).To(Equal(minShortage))
+		Expect(r.allocate().Shortage).To(Equal(firstShortage))
 		r.rounds(5, 1200, 200, wanted(1, 0, 400))
 		Expect(r.allocate().Shortage).To(Equal(2 * time.Second))
 		r.rounds(2, 500, 200, wanted(1, 0, 10))
@@ -211,7 +214,7 @@
 			al, ok := a.Allocate("s", 1000, reporterHosts)
 			Expect(ok).To(BeTrue())
 			Expect(al.InFlight).To(BeNumerically("~", 1000, 1e-6))
-			Expect(a.services["s"].demand.finished * perSecond(reporterHosts, a.coverage.finished)).To(BeNumerically("~", c.rate, 1e-6))
+			Expect(a.services["s"].demand.finished * a.coverage.perSecond(reporterHosts)).To(BeNumerically("~", c.rate, 1e-6))
 		})
 	}
 
@@ -234,7 +237,7 @@
 			r.clock.Advance(pause)
 			r.finished += 200 * pause.Seconds() / reporterHosts
 			r.round(1000, 200, wanted(1, 0, 400))
-			Expect(r.a.services["s"].demand.finished * perSecond(reporterHosts, r.a.coverage.finished)).To(BeNumerically("~", 200, 1))
+			Expect(r.a.services["s"].demand.finished * r.a.coverage.perSecond(reporterHosts)).To(BeNumerically("~", 200, 1))
 		}
 	})
 
@@ -256,15 +259,14 @@
 		for range 100 {
 			r.rounds(1, 1000, 0.3, wanted(1, 7, 0.1), wanted(2, 8, 0.7))
 		}
-		r.clock.Advance(window)
+		r.clock.Advance(sumWindow)
 		r.allocate()
 		d := r.a.services["s"].demand
 		Expect(d.sums).To(BeEmpty())
 		Expect(d.reports).To(BeEmpty())
 		Expect(d.finished).To(BeZero())
 		Expect(r.a.coverage.spans).To(BeEmpty())
-		Expect(r.a.coverage.demand).To(BeZero())
-		Expect(r.a.coverage.finished).To(BeZero())
+		Expect(r.a.coverage.sum).To(BeZero())
 	})
 })
 
--- a/pkg/admission/demand.go
+++ b/pkg/admission/demand.go
@@ -5,15 +5,9 @@
 	"time"
 )
 
-// window is the time over which demand and finished tokens are summed. Sums over a shorter one
-// vary with how many calls of a host happen to be in it.
-const window = time.Second
-
-// demandKey is a class and a client account; account 0 is several together.
-type demandKey struct {
-	class   Class
-	account uint32
-}
+// sumWindow is the time over which demand and finished tokens are summed. Sums over a shorter
+// one vary with how many calls of a host happen to be in it.
+const sumWindow = time.Second
 
 // demandSum is the sum of the reports in the window, and their number. The sum starts from 0
 // again when no report is left, so that rounding errors don't add up.
@@ -66,7 +60,7 @@
 // expire removes the reports that are older than the window.
 func (d *recentDemand) expire(now time.Time) {
 	n := 0
-	for ; n < len(d.reports) && now.Sub(d.reports[n].at) >= window; n++ {
+	for ; n < len(d.reports) && now.Sub(d.reports[n].at) >= sumWindow; n++ {
 		d.finished -= d.reports[n].finished
 		for _, wanted := range d.reports[n].demand {
 			d.subtract(wanted)
@@ -126,32 +120,37 @@
 // whose calls are 0.4 s apart has two or three of them in a window of 1 s; sums are divided by
 // coverage, so that they don't swing when the calls of many hosts are in step.
 //
-// Invariant: the sums are those of spans, none of which is older than the window once expire
-// has returned.
+// Invariant: sum is that of spans, none of which is older than the window once expire has
+// returned.
 type coverage struct {
-	spans    []span
-	demand   time.Duration
-	finished time.Duration
+	spans []span
+	sum   time.Duration
 }
 
-// span is the time that one call of a host covers.
+// span is the time from a host's previous call to one that arrived at a time.
 type span struct {
 	at       time.Time
-	demand   time.Duration
-	finished time.Duration
+	duration time.Duration
 }
 
 func (c *coverage) add(s span) {
 	c.spans = append(c.spans, s)
-	c.demand += s.demand
-	c.finished += s.finished
+	c.sum += s.duration
 }
 
 func (c *coverage) expire(now time.Time) {
 	n := 0
-	for ; n < len(c.spans) && now.Sub(c.spans[n].at) >= window; n++ {
-		c.demand -= c.spans[n].demand
-		c.finished -= c.spans[n].finished
+	for ; n < len(c.spans) && now.Sub(c.spans[n].at) >= sumWindow; n++ {
+		c.sum -= c.spans[n].duration
 	}
 	c.spans = c.spans[n:]
 }
+
+// perSecond returns what makes a rate, of so many hosts, of a sum over the reports that the
+// coverage is of.
+func (c *coverage) perSecond(hosts int) float64 {
+	if c.sum <= 0 {
+		return 0
+	}
+	return float64(hosts) / c.sum.Seconds()
+}
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"slices"
 )
 
@@ -117,7 +118,7 @@
 		s.Share = min(1, max(0, tokens/others))
 	}
 	slices.SortFunc(s.Accounts, func(a, b AccountShare) int {
-		return compareKey(a.Account, b.Account)
+		return cmp.Compare(a.Account, b.Account)
 	})
 }
 
@@ -176,21 +177,5 @@
 
 // compareDemand orders accounts by what they ask for.
 func compareDemand(a, b accountDemand) int {
-	switch {
-	case a.tokens < b.tokens:
-		return -1
-	case a.tokens > b.tokens:
-		return 1
-	}
-	return compareKey(a.account, b.account)
-}
-
-func compareKey(a, b uint32) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
+	return cmp.Or(cmp.Compare(a.tokens, b.tokens), cmp.Compare(a.account, b.account))
 }
