--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -19,15 +19,27 @@
 	urgentTarget = 1.2
 	otherTarget  = 1.0
 	// correctionTime is the time in which a difference from the target is to be made up. It
-	// is longer than the delay of reports and allocations, or occupancy would oscillate.
-	correctionTime = time.Second
+	// is twice the delay of reports, sums and allocations: with 1 s occupancy oscillates.
+	correctionTime = 2 * time.Second
 	// At least minOfFinished of the finished tokens, and minOfCapacity of the capacity a
 	// second, are admitted, so that never everyone is refused.
 	minOfFinished = 0.5
 	minOfCapacity = 0.05
+	// The most urgent rank may always fill urgentOccupancy of the capacity by itself. Without
+	// that, up to 8% of it is refused when a load begins: the others hold the capacity, and
+	// what finishes is as little as was admitted before. It is to be on time up to 0.8; the
+	// rest is for demand that varies within a second.
+	urgentOccupancy = 0.9
+	// maxOfFinished bounds what is expected to finish, as a multiple of what has finished in the
+	// last second: when endpoints stop working, that shows it at once.
+	maxOfFinished = 2
 
-	// shortageOccupancy is the occupancy from which on a shortage may begin.
+	// shortageOccupancy is the occupancy from which on a shortage may begin. It is that which
+	// is expected after reactionTime, half of the time between two calls of a host and the time
+	// between two allocations. Without that, a load of 3 times the capacity fills the reserve of
+	// the most urgent rank before it is limited.
 	shortageOccupancy = 0.9
+	reactionTime      = 400 * time.Millisecond
 	// accountsOccupancy is the occupancy from which on hosts report demand by account, so
 	// that it is known when a shortage begins.
 	accountsOccupancy = 0.6
@@ -68,6 +80,7 @@
 // Invariant: shortageSince is zero if and only if there is no shortage.
 type serviceState struct {
 	demand        *recentDemand
+	residence     residence
 	shortageSince time.Time
 	limitedAt     time.Time // when a class was last limited
 }
@@ -197,14 +210,21 @@
 	perSecond := a.coverage.perSecond(active)
 	classes := s.demand.classes(perSecond)
 	finished := s.demand.finished * perSecond
+	s.residence.update(now, inFlight, finished)
+	finishing := min(s.residence.expected(capacity), maxOfFinished*finished)
 	shares, limited := divide(classes, func(rank int) float64 {
-		target := otherTarget
 		if rank == classes[0].class.Rank {
-			target = urgentTarget
+			rate := admissibleRate(finishing, inFlight, urgentTarget, capacity)
+			return max(rate, s.residence.rate(urgentOccupancy*capacity))
 		}
-		return admissibleRate(finished, inFlight, target, capacity)
+		return admissibleRate(finishing, inFlight, otherTarget, capacity)
 	})
-	if s.update(now, limited, inFlight/capacity) {
+	wanted := 0.0
+	for i := range classes {
+		wanted += classes[i].tokens()
+	}
+	expected := inFlight + max(0, wanted-finished)*reactionTime.Seconds()
+	if s.update(now, limited, expected/capacity) {
 		al.Shortage = max(firstShortage, now.Sub(s.shortageSince))
 		al.Classes = shares
 	}
@@ -228,9 +248,9 @@
 
 // admissibleRate returns how many tokens a second may be admitted: as many as finish, and the
 // difference from the target within correctionTime.
-func admissibleRate(finished, inFlight, target, capacity float64) float64 {
-	rate := finished + (target*capacity-inFlight)/correctionTime.Seconds()
-	return max(rate, minOfFinished*finished, minOfCapacity*capacity)
+func admissibleRate(finishing, inFlight, target, capacity float64) float64 {
+	rate := finishing + (target*capacity-inFlight)/correctionTime.Seconds()
+	return max(rate, minOfFinished*finishing, minOfCapacity*capacity)
 }
 
 // update begins or ends the shortage, and reports whether there is one.
