fleetentry: reports demand and full endpoints, and applies the leader's allocations

The age of allocations counts from when the leader stopped holding the call open. An endpoint that is full is reported once, unless it stays full for longer.

--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -11,12 +12,14 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/cmds/cmdutil"
 	"github.com/larchwinch/larchwinch/pkg/config"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/fleetcontrol"
 	"github.com/larchwinch/larchwinch/pkg/fleetentry"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
+	"github.com/larchwinch/larchwinch/pkg/shedding"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	"github.com/larchwinch/larchwinch/platform"
 	"github.com/oklog/run"
@@ -86,7 +89,14 @@
 		Window: cfg.Bounds.RetryWindow.Or(time.Second),
 	}
 	g := gateway.New(cfg.Domain, platform.NewEndpointClient(endpointClients(cfg.IP)), f, budget, p.svc, p.log, p.set)
-	f.SetSources(g.Tracker(), g.Quarantine(), g.Backoffs(), g.Permits())
+	f.SetSources(fleetentry.Sources{
+		Loads:      g.Tracker(),
+		Quarantine: g.Quarantine(),
+		Backoffs:   g.Backoffs(),
+		Permits:    g.Permits(),
+		Admission:  admission.NewController(p.svc, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		Full:       shedding.New(p.svc),
+	})
 	grace := cfg.Bounds.Grace.Or(time.Second)
 	host := fleetentry.NewHost(f, grace, p.svc, p.log)
 	maxAge := min(directoryMaxAge, cfg.Bounds.DirectoryMaxAge.Or(directoryMaxAge))
--- a/pkg/fleetentry/apply.go
+++ b/pkg/fleetentry/apply.go
@@ -51,6 +51,7 @@
 	c.applyQuarantine(reply)
 	c.applyBackoffs(reply)
 	c.applyLimits(reply, sent)
+	c.applyAdmission(reply, sent, now)
 	c.inFlight = syncReport{}
 	if list := reply.GetReplicas(); len(list) > 0 {
 		c.replicas = list
--- a/pkg/fleetentry/controlclient.go
+++ b/pkg/fleetentry/controlclient.go
@@ -78,16 +78,21 @@
 	enforcer      Quarantine
 	backoffs      Backoffs
 	permits       Permits
+	admission     Admission
+	full          FullEndpoints
 	limitObserved chan struct{} // buffers one signal: a rate limit must be reported to the leader
 
 	// content is the active configuration as the operator sent it, to which patches are
 	// applied. wantFull says that a patch couldn't be used, so that the full configuration
 	// is requested, and mayAskReplicas that the leader may refer this host to another
-	// replica for a large one. Only Run's goroutine uses these three and inFlight.
+	// replica for a large one. Only Run's goroutine uses these three, inFlight
+	// and reportedFull.
 	content        []byte
 	wantFull       bool
 	mayAskReplicas bool
 	inFlight       syncReport // sent with the current call
+	// reportedFull is when the full endpoints that the leader was told of end.
+	reportedFull map[uint32]time.Time
 
 	mu               sync.Mutex
 	index            *fleet.Index
@@ -125,6 +130,7 @@
 		endpoints:      map[string]fleet.Endpoint{},
 		byService:      map[string][]fleet.Endpoint{},
 		leavingSince:   map[string]time.Time{},
+		reportedFull:   map[uint32]time.Time{},
 		peerLoads:      map[uint32]gateway.Load{},
 		changed:        make(chan struct{}),
 		confirmed:      make(chan struct{}),
@@ -133,14 +139,25 @@
 	}
 }
 
-// SetSources sets the sources of what this host reports to the control hosts: its loads,
-// requests that crash endpoints, endpoints in backoff, and rate limits with their permits.
-// It must be called before Run.
-func (c *ControlClient) SetSources(loads Loads, quarantine Quarantine, backoffs Backoffs, permits Permits) {
-	c.loads = loads
-	c.enforcer = quarantine
-	c.backoffs = backoffs
-	c.permits = permits
+// Sources are the sources of what this host reports to the control hosts, which also take
+// what the replies tell. Every field must be set.
+type Sources struct {
+	Loads      Loads
+	Quarantine Quarantine // of requests that crash endpoints
+	Backoffs   Backoffs
+	Permits    Permits // and rate limits
+	Admission  Admission
+	Full       FullEndpoints
+}
+
+// SetSources sets the sources. It must be called before Run.
+func (c *ControlClient) SetSources(s Sources) {
+	c.loads = s.Loads
+	c.enforcer = s.Quarantine
+	c.backoffs = s.Backoffs
+	c.permits = s.Permits
+	c.admission = s.Admission
+	c.full = s.Full
 }
 
 // Run polls the control hosts until ctx ends.
@@ -250,6 +267,8 @@
 	c.addNotices(q, address)
 	c.addQuarantineReport(q)
 	c.addLimitReport(q)
+	c.addAdmissionReport(q)
+	c.addFullReport(q)
 	c.reportedLoads = c.loads.Loads()
 	for id, l := range c.reportedLoads {
 		q.Loads.Endpoints = append(q.Loads.Endpoints, fleet.LoadKey(id))
--- a/pkg/fleetentry/controlclient_test.go
+++ b/pkg/fleetentry/controlclient_test.go
@@ -120,10 +120,22 @@
 		Client:             &http.Client{},
 		Timer:              clock,
 	})
-	client.SetSources(&fakeLoads{}, quarantine.NewEnforcer(clock), backoff.New(clock), permit.NewHolder(clock, 1))
+	client.SetSources(newTestSources(clock))
 	return client
 }
 
+// newTestSources returns sources that have nothing to report but the load of fakeLoads.
+func newTestSources(clock timer.Service) Sources {
+	return Sources{
+		Loads:      &fakeLoads{},
+		Quarantine: quarantine.NewEnforcer(clock),
+		Backoffs:   backoff.New(clock),
+		Permits:    permit.NewHolder(clock, 1),
+		Admission:  &fakeAdmission{},
+		Full:       &fakeFull{},
+	}
+}
+
 func document(version uint64) *rpc.Document {
 	text, err := json.Marshal(&fleet.Configuration{Version: version})
 	Expect(err).NotTo(HaveOccurred())
@@ -204,7 +216,9 @@
 		clock := timer.NewManual(time.Unix(1000, 0))
 		client := newTestClient(clock)
 		own := &fakeLoads{requests: 2}
-		client.SetSources(own, quarantine.NewEnforcer(clock), backoff.New(clock), permit.NewHolder(clock, 1))
+		sources := newTestSources(clock)
+		sources.Loads = own
+		client.SetSources(sources)
 		client.syncRequest("10.0.0.9:80")
 		reply := confirmedReply(1)
 		reply.Hosts = 3
--- a/pkg/fleetentry/limits_test.go
+++ b/pkg/fleetentry/limits_test.go
@@ -5,11 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/larchwinch/larchwinch/pkg/backoff"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/permit"
-	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	. "github.com/onsi/ginkgo/v2"
@@ -45,7 +43,9 @@
 		clock := timer.NewManual(time.Unix(1000, 0))
 		client := newTestClient(clock)
 		holder := permit.NewHolder(clock, 1)
-		client.SetSources(&fakeLoads{}, quarantine.NewEnforcer(clock), backoff.New(clock), holder)
+		sources := newTestSources(clock)
+		sources.Permits = holder
+		client.SetSources(sources)
 		first := confirmedReply(3)
 		first.LimitsTerm = 1
 		first.LimitsVersion = 1
--- a/pkg/fleetentry/notices_test.go
+++ b/pkg/fleetentry/notices_test.go
@@ -6,8 +6,6 @@
 	"github.com/larchwinch/larchwinch/pkg/backoff"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
-	"github.com/larchwinch/larchwinch/pkg/permit"
-	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	. "github.com/onsi/ginkgo/v2"
@@ -32,7 +30,10 @@
 	clock := timer.NewManual(time.Unix(1000, 0))
 	client := newTestClient(clock)
 	backoffs := backoff.New(clock)
-	client.SetSources(&suspectingLoads{list: []string{"e1", "e2"}}, quarantine.NewEnforcer(clock), backoffs, permit.NewHolder(clock, 1))
+	sources := newTestSources(clock)
+	sources.Loads = &suspectingLoads{list: []string{"e1", "e2"}}
+	sources.Backoffs = backoffs
+	client.SetSources(sources)
 	client.applyReply("c", confirmedReply(3), clock.Now())
 	f(client, backoffs, clock)
 }
--- a/pkg/fleetentry/quarantine.go
+++ b/pkg/fleetentry/quarantine.go
@@ -28,6 +28,7 @@
 	crashes []quarantine.Crash
 	served  int
 	limits  []permit.LimitReport
+	full    map[uint32]time.Time
 }
 
 // addQuarantineReport adds the crashes and served requests that the leader of the last
