--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -19,7 +19,6 @@
 	"github.com/larchwinch/larchwinch/pkg/fleetcontrol"
 	"github.com/larchwinch/larchwinch/pkg/fleetentry"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
-	"github.com/larchwinch/larchwinch/pkg/shedding"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	"github.com/larchwinch/larchwinch/platform"
 	"github.com/oklog/run"
@@ -95,7 +94,7 @@
 		Backoffs:   g.Backoffs(),
 		Permits:    g.Permits(),
 		Admission:  admission.NewController(p.svc, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
-		Full:       shedding.New(p.svc),
+		Full:       g.FullEndpoints(),
 	})
 	grace := cfg.Bounds.Grace.Or(time.Second)
 	host := fleetentry.NewHost(f, grace, p.svc, p.log)
