fleetcontrol: the leader allocates capacity and passes on full endpoints

A shortage that begins or ends completes the long polls, is logged as admission_changed, and is measured. Full endpoints are sent to each host once, without those that only it reported.

--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -57,6 +57,7 @@
 	StorageRecovered Event = "storage_recovered"
 	RequestHeld      Event = "request_held"
 	RequestReleased  Event = "request_released"
+	AdmissionChanged Event = "admission_changed"
 	OrderSent        Event = "order_sent"
 	OrderFailed      Event = "order_failed"
 	Unexpected       Event = "unexpected"
@@ -70,7 +71,7 @@
 	EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
 	ConfigInForce, ConfigAccepted, ConfigRefused, ConfigFailed,
 	ControlLost, ControlRegained, ReadyChanged, RoleChanged, ReplicasChanged, ReplicaJoining,
-	StorageFailed, StorageRecovered, RequestHeld, RequestReleased, OrderSent, OrderFailed, Unexpected,
+	StorageFailed, StorageRecovered, RequestHeld, RequestReleased, AdmissionChanged, OrderSent, OrderFailed, Unexpected,
 }
 
 const (
--- a/pkg/fleetcontrol/documents.go
+++ b/pkg/fleetcontrol/documents.go
@@ -12,9 +12,10 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// decode returns the decoded configuration, and caches it by version. Only lead may
-// call it, as the cache is not locked.
+// decode returns the decoded configuration, and caches it by version.
 func (s *Server) decode(doc *rpc.Document) (*fleet.Configuration, error) {
+	s.decodeMu.Lock()
+	defer s.decodeMu.Unlock()
 	if s.decodedConfig != nil && s.decodedConfig.Version == doc.GetVersion() {
 		return s.decodedConfig, nil
 	}
--- a/pkg/fleetcontrol/hosts.go
+++ b/pkg/fleetcontrol/hosts.go
@@ -85,17 +85,20 @@
 	}
 }
 
-// expire removes the hosts that have not called for hostTimeout.
-func (h *hosts) expire(now time.Time) {
+// expire removes the hosts that have not called for hostTimeout, and returns their names.
+func (h *hosts) expire(now time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	var gone []string
 	for name, entry := range h.entries {
 		if now.Sub(entry.at) > hostTimeout {
 			delete(h.entries, name)
 			h.totals.replace(entry.loads, nil)
 			h.updateReady(entry.info, &rpc.FleetHost{})
+			gone = append(gone, name)
 		}
 	}
+	return gone
 }
 
 // reset removes all hosts. It is called while this replica doesn't lead.
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
@@ -77,7 +78,14 @@
 	probes      *probeSchedule
 	coordinator *quarantineCoordinator
 	granter     *permit.Granter
-	// decodedConfig caches the configuration that lead decoded last.
+	admission   *admissionControl
+	full        *fullEndpoints
+	// admissionIndex caches the index of admissionConfig for updateAdmission.
+	admissionIndex  *fleet.Index
+	admissionConfig *fleet.Configuration
+
+	decodeMu sync.Mutex
+	// decodedConfig caches the configuration that was decoded last.
 	decodedConfig *fleet.Configuration
 
 	mu      sync.Mutex
@@ -139,7 +147,9 @@
 		probes:       newProbeSchedule(),
 		coordinator:  newQuarantineCoordinator(cfg.Timer),
 		granter:      permit.NewGranter(cfg.Timer),
+		full:         newFullEndpoints(),
 	}
+	s.admission = newAdmissionControl(admission.NewAllocator(cfg.Timer), s.table, cfg.Log, cfg.Metrics)
 	s.replica = &Replica{
 		folder:          cfg.Folder,
 		ip:              cfg.IP,
@@ -181,6 +191,7 @@
 	g.Go(s.propagateAnnounced)
 	g.Go(s.lead)
 	g.Go(s.runQuarantine)
+	g.Go(s.runAdmission)
 	s.replica.Run(ctx)
 	return nil
 }
@@ -206,6 +217,13 @@
 	return s.replica.handleJoin(ctx, q)
 }
 
+// expireHosts forgets the entry hosts that are gone.
+func (s *Server) expireHosts(now time.Time) {
+	gone := s.hosts.expire(now)
+	s.admission.forget(gone)
+	s.full.forget(gone)
+}
+
 // lead runs the leader's periodic work: it expires entry hosts and rate limits, probes
 // endpoints, and reconciles their placement with the configuration.
 func (s *Server) lead(ctx context.Context) {
@@ -219,7 +237,7 @@
 			return
 		}
 		since := s.recordLeading(term, now)
-		s.hosts.expire(now)
+		s.expireHosts(now)
 		s.logLimitChanges(s.granter.Expire())
 		if now.Sub(since) < settleHeartbeats*s.cfg.Heartbeat {
 			return
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -41,6 +41,8 @@
 	s.probeSuspected(q.GetSuspects())
 	s.observeCrashes(q, machine, term)
 	s.observeLimits(q, term)
+	s.admission.observe(q, term)
+	s.full.observe(began, q)
 	wait := min(maxLongPoll, time.Duration(q.GetWaitMs())*time.Millisecond)
 	if first && q.GetEpoch() == 0 {
 		wait = 0 // the host has just started and serves no requests yet
@@ -72,6 +74,7 @@
 		endpoints := s.table.Changed()
 		document := machine.Changed()
 		limits := s.granter.Changed()
+		shortages := s.admission.Changed()
 		if s.hasChanges(q, term, machine) {
 			return nil
 		}
@@ -79,6 +82,7 @@
 		case <-endpoints:
 		case <-document:
 		case <-limits:
+		case <-shortages:
 		case <-end:
 			return nil
 		case <-ctx.Done():
@@ -103,6 +107,7 @@
 		epochOf(term, s.settled(term)) != q.GetEpoch() ||
 		s.coordinator.current(machine).digest != q.GetSuspectsDigest() ||
 		!s.granter.UpToDate(q.GetLimitsTerm(), q.GetLimitsVersion()) ||
+		s.admission.hasChanges(q, term, s.cfg.Timer.Now()) ||
 		machine.Document().GetVersion() > q.GetDocumentVersion() &&
 			s.hosts.documentDue(s.cfg.Timer.Now(), q.GetHost().GetName())
 }
@@ -135,6 +140,8 @@
 	s.addDecisions(q, reply, machine)
 	s.addBackoffs(q, reply)
 	s.addLimits(q, reply, term)
+	s.admission.addTo(reply, q, term, now)
+	s.addFull(q, reply, now)
 	doc := machine.Document()
 	reply.Newest = doc.GetVersion()
 	if doc.GetVersion() > q.GetDocumentVersion() && s.hosts.allowDocument(now, name) {
