--- a/pkg/admission/wire.go
+++ b/pkg/admission/wire.go
@@ -12,8 +12,10 @@
 	sharePrecision = 1000
 	// maxWireClass bounds the position of a class. Endpoints distinguish ten ranks.
 	maxWireClass = 255
-	// maxWireDemands bounds the demands of a report, and maxWireAccounts the account shares
-	// of an allocation, so that a faulty sender can't exhaust the receiver.
+	// maxWireServices bounds the services of a message, maxWireDemands the demands of a
+	// report, and maxWireAccounts the account shares of a class, so that a faulty sender
+	// can't exhaust the receiver.
+	maxWireServices = 64
 	maxWireDemands  = 256
 	maxWireAccounts = 256
 	// maxWireStreams bounds the streams of one demand, and maxWireFinished the tokens that
@@ -40,7 +42,7 @@
 				Class:   uint32(d.Class.Index()),
 				Account: d.Account,
 				Tokens:  tokensToWire(d.Tokens),
-				Streams: uint32(min(max(0, d.Streams), maxWireStreams)),
+				Streams: streamsToWire(d.Streams),
 			})
 		}
 		list = append(list, w)
@@ -53,7 +55,7 @@
 func ReportsFromWire(list []*rpc.AdmissionReport) []Report {
 	reports := make([]Report, 0, len(list))
 	for _, w := range list {
-		if w.GetService() == "" || w.GetFinishedTokens() > maxWireFinished {
+		if w.GetService() == "" || w.GetFinishedTokens() > maxWireFinished || len(reports) == maxWireServices {
 			continue
 		}
 		r := Report{
@@ -65,14 +67,14 @@
 			if len(r.Demand) == maxWireDemands {
 				break
 			}
-			if d.GetClass() > maxWireClass || d.GetStreams() == 0 || d.GetStreams() > maxWireStreams {
+			if d.GetClass() > maxWireClass || d.GetTokens() == 0 || d.GetStreams() > maxWireStreams {
 				continue
 			}
 			r.Demand = append(r.Demand, Demand{
 				Class:   ClassAt(int(d.GetClass())),
 				Account: d.GetAccount(),
 				Tokens:  float64(d.GetTokens()),
-				Streams: int(d.GetStreams()),
+				Streams: int(max(1, d.GetStreams())),
 			})
 		}
 		reports = append(reports, r)
@@ -120,7 +122,7 @@
 func AllocationsFromWire(list []*rpc.Admission) []Allocation {
 	allocations := make([]Allocation, 0, len(list))
 	for _, w := range list {
-		if w.GetService() == "" {
+		if w.GetService() == "" || len(allocations) == maxWireServices {
 			continue
 		}
 		a := Allocation{
@@ -181,6 +183,15 @@
 	return float64(share) / sharePrecision
 }
 
+// streamsToWire returns the streams of a demand; 0 stands for one, which is the most frequent
+// number of a client account on a host, and takes no bytes.
+func streamsToWire(streams int) uint32 {
+	if streams <= 1 {
+		return 0
+	}
+	return uint32(min(streams, maxWireStreams))
+}
+
 func tokensToWire(tokens float64) uint32 {
 	return uint32(bounded(tokens, math.MaxUint32))
 }
--- a/pkg/fleetcontrol/admission.go
+++ b/pkg/fleetcontrol/admission.go
@@ -22,6 +22,9 @@
 	// maxAllocationAge is the age up to which allocations are sent. Hosts count the age
 	// from the reply on, so it must stay well below the 2 s for which they trust one.
 	maxAllocationAge = 3 * allocateInterval
+	// idleInterval is how often a host is sent allocations while there is enough capacity for
+	// all: with every third call, and twice in the 2 s for which hosts trust them.
+	idleInterval = 900 * time.Millisecond
 )
 
 // allocator divides the capacity of services among the demand that hosts report.
@@ -51,11 +54,18 @@
 	valid       bool
 	wire        []*rpc.Admission
 	madeAt      time.Time
-	// version increases when a shortage begins or ends, which closes changed; sent is the
-	// version of the last reply to each host.
+	idle        bool // there is enough capacity for all
+	// version increases when a shortage begins or ends, which closes changed.
 	version uint64
 	changed chan struct{}
-	sent    map[string]uint64
+	sent    map[string]sentAllocations // by host
+}
+
+// sentAllocations is what a host was last sent.
+type sentAllocations struct {
+	version uint64
+	idle    bool
+	at      time.Time
 }
 
 // capacities is the capacity of each service under admission control, for one version of
@@ -75,7 +85,7 @@
 		demand:      map[string]*demandWindow{},
 		allocations: map[string]admission.Allocation{},
 		changed:     make(chan struct{}),
-		sent:        map[string]uint64{},
+		sent:        map[string]sentAllocations{},
 	}
 }
 
@@ -150,7 +160,7 @@
 	}
 	c.demand = map[string]*demandWindow{}
 	c.allocations = map[string]admission.Allocation{}
-	c.sent = map[string]uint64{}
+	c.sent = map[string]sentAllocations{}
 	c.invalidate()
 }
 
@@ -178,6 +188,7 @@
 	}
 	next := map[string]admission.Allocation{}
 	list := make([]admission.Allocation, 0, len(c.allocations))
+	idle := true
 	for _, service := range admitted(index) {
 		if c.demand[service] == nil {
 			c.demand[service] = &demandWindow{}
@@ -188,12 +199,21 @@
 			return
 		}
 		next[service] = a
-		list = append(list, compact(a))
+		if isIdle(a) {
+			// The figures take 10 bytes, and hosts don't need them now.
+			a = admission.Allocation{
+				Service: service,
+			}
+		} else {
+			idle = false
+		}
+		list = append(list, a)
 	}
 	c.recordChanges(next)
 	c.allocations = next
 	c.wire = admission.AllocationsToWire(list)
 	c.valid = true
+	c.idle = idle
 	c.madeAt = now
 	for service, w := range c.demand {
 		if _, known := next[service]; !known {
@@ -204,15 +224,9 @@
 	}
 }
 
-// compact leaves out the figures that hosts only need while a shortage lasts or is near.
-// Without them a call is 10 bytes smaller, at all other times.
-func compact(a admission.Allocation) admission.Allocation {
-	if a.ByAccount || isShortage(a) {
-		return a
-	}
-	return admission.Allocation{
-		Service: a.Service,
-	}
+// isIdle reports whether no shortage lasts or is near.
+func isIdle(a admission.Allocation) bool {
+	return !a.ByAccount && !isShortage(a)
 }
 
 // isShortage reports whether an allocation may refuse requests.
@@ -258,7 +272,7 @@
 func (c *admissionControl) hasChanges(q *rpc.SyncRequest, term uint64, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.maySend(q, term, now) && c.sent[q.GetHost().GetName()] != c.version
+	return c.maySend(q, term, now) && c.sent[q.GetHost().GetName()].version != c.version
 }
 
 // maySend reports whether a host may be sent the allocations: they are those of the term,
@@ -274,16 +288,26 @@
 	return c.changed
 }
 
-// addTo adds the allocations of the term to a reply, if there are any.
+// addTo adds the allocations of the term to a reply, if there are any. While there is
+// enough capacity for all, most replies go without: the host keeps what it holds.
 func (c *admissionControl) addTo(reply *rpc.SyncReply, q *rpc.SyncRequest, term uint64, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.maySend(q, term, now) {
 		return
 	}
+	name := q.GetHost().GetName()
+	last := c.sent[name]
+	if c.idle && last.idle && last.version == c.version && now.Sub(last.at) < idleInterval {
+		return
+	}
 	reply.Admission = c.wire
 	reply.AdmissionValid = true
-	c.sent[q.GetHost().GetName()] = c.version
+	c.sent[name] = sentAllocations{
+		version: c.version,
+		idle:    c.idle,
+		at:      now,
+	}
 }
 
 // runAdmission regularly computes allocations while this replica leads.
