--- a/pkg/admission/suite_test.go
+++ b/pkg/admission/suite_test.go
@@ -4,10 +4,10 @@
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega"
 )
 
 func TestAdmission(t *testing.T) {
-	RegisterFailHandler(ginkgo.Fail)
+	gomega.RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "admission")
 }
