--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -12,7 +11,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/cmds/cmdutil"
 	"github.com/larchwinch/larchwinch/pkg/config"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
@@ -93,7 +91,7 @@
 		Quarantine: g.Quarantine(),
 		Backoffs:   g.Backoffs(),
 		Permits:    g.Permits(),
-		Admission:  admission.NewController(p.svc, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		Admission:  g.Admission(),
 		Full:       g.FullEndpoints(),
 	})
 	grace := cfg.Bounds.Grace.Or(time.Second)
