--- a/pkg/fleetcontrol/shortage.go
+++ b/pkg/fleetcontrol/shortage.go
@@ -106,7 +106,7 @@
 			name += " late"
 		}
 		if len(s.Accounts) > 0 {
-			name += fmt.Sprintf(" (%d accounts apart)", len(s.Accounts))
+			name += fmt.Sprintf(" (accounts apart: %d)", len(s.Accounts))
 		}
 		list = append(list, fmt.Sprintf("%s: %.3f", name, s.Share))
 	}
