--- a/pkg/fleetcontrol/admission_fixture_test.go
+++ b/pkg/fleetcontrol/admission_fixture_test.go
@@ -114,6 +114,7 @@
 			Name:     prefix,
 			Host:     "h",
 			Prefix:   prefix,
+			Timeout:  time.Second,
 			Priority: priority,
 			Split:    []fleet.Share{{Service: service, Weight: 1}},
 		})
--- a/pkg/fleetcontrol/admission_test.go
+++ b/pkg/fleetcontrol/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/admission"
@@ -118,6 +119,26 @@
 		})
 	})
 
+	It("are made by the leader of a cluster, and by the next one after it has stopped", func() {
+		withCluster(func(c *cluster) {
+			text, err := json.Marshal(admissionConfig(1, true))
+			Expect(err).NotTo(HaveOccurred())
+			ip := c.leader()
+			c.replaceConfig(ip, text)
+			valid := func() bool {
+				q := admissionRequest(1, 600)
+				q.WaitMs = 100
+				reply, err := c.hosts[ip].server.Sync(context.Background(), q)
+				return err == nil && reply.GetConfirmed() && reply.GetAdmissionValid()
+			}
+			Eventually(valid, "10s", "50ms").Should(BeTrue())
+			c.stop(ip)
+			ip = c.leader()
+			Expect(valid()).To(BeFalse(), "the new leader doesn't know all hosts yet")
+			Eventually(valid, "10s", "50ms").Should(BeTrue())
+		})
+	})
+
 	It("are withheld again when too few of the hosts have reported, or the configuration can't be read", func() {
 		withAdmission(func(x *admissionFixture) {
 			x.settle()
