--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -86,7 +86,14 @@
 		Window: cfg.Bounds.RetryWindow.Or(time.Second),
 	}
 	g := gateway.New(cfg.Domain, platform.NewEndpointClient(endpointClients(cfg.IP)), f, budget, p.svc, p.log, p.set)
-	f.SetSources(g.Tracker(), g.Quarantine(), g.Backoffs(), g.Permits())
+	f.SetSources(fleetentry.Sources{
+		Loads:      g.Tracker(),
+		Quarantine: g.Quarantine(),
+		Backoffs:   g.Backoffs(),
+		Permits:    g.Permits(),
+		Admission:  g.Admission(),
+		Full:       g.FullEndpoints(),
+	})
 	grace := cfg.Bounds.Grace.Or(time.Second)
 	host := fleetentry.NewHost(f, grace, p.svc, p.log)
 	maxAge := min(directoryMaxAge, cfg.Bounds.DirectoryMaxAge.Or(directoryMaxAge))
