--- a/pkg/fleetcontrol/admission.go
+++ b/pkg/fleetcontrol/admission.go
@@ -25,6 +25,9 @@
 	// idleInterval is how often a host is sent allocations while there is enough capacity for
 	// all: with every third call, and twice in the 2 s for which hosts trust them.
 	idleInterval = 900 * time.Millisecond
+	// idleRepeats is how many replies in a row say that there is enough for all before some go
+	// without: one that is lost must not leave a host with the shares of a past shortage.
+	idleRepeats = 2
 )
 
 // allocator divides the capacity of services among the demand that hosts report.
@@ -64,7 +67,7 @@
 // sentAllocations is what a host was last sent.
 type sentAllocations struct {
 	version uint64
-	idle    bool
+	idle    int // replies in a row that said that there is enough for all
 	at      time.Time
 }
 
@@ -298,16 +301,19 @@
 	}
 	name := q.GetHost().GetName()
 	last := c.sent[name]
-	if c.idle && last.idle && last.version == c.version && now.Sub(last.at) < idleInterval {
+	if c.idle && last.idle >= idleRepeats && last.version == c.version && now.Sub(last.at) < idleInterval {
 		return
 	}
 	reply.Admission = c.wire
 	reply.AdmissionValid = true
-	c.sent[name] = sentAllocations{
+	next := sentAllocations{
 		version: c.version,
-		idle:    c.idle,
 		at:      now,
 	}
+	if c.idle {
+		next.idle = last.idle + 1
+	}
+	c.sent[name] = next
 }
 
 // runAdmission regularly computes allocations while this replica leads.
--- a/pkg/fleetcontrol/admission_test.go
+++ b/pkg/fleetcontrol/admission_test.go
@@ -165,12 +165,12 @@
 			x.report(1)
 			x.update()
 			var sent []bool
-			for range 7 {
+			for range 8 {
 				sent = append(sent, x.reply(admissionRequest(0, 0)).GetAdmissionValid())
 				x.clock.Advance(callInterval)
 				x.update()
 			}
-			Expect(sent).To(Equal([]bool{true, false, false, true, false, false, true}))
+			Expect(sent).To(Equal([]bool{true, true, false, false, true, false, false, true}))
 			x.allocator.set(admission.Allocation{Capacity: 8000, InFlight: 5000, ByAccount: true})
 			x.update()
 			for range 3 {
@@ -178,7 +178,9 @@
 			}
 			x.allocator.set(admission.Allocation{Capacity: 8000, InFlight: 100})
 			x.update()
-			Expect(x.reply(admissionRequest(0, 0)).GetAdmissionValid()).To(BeTrue(), "accounts need no longer be told apart")
+			for range idleRepeats {
+				Expect(x.reply(admissionRequest(0, 0)).GetAdmissionValid()).To(BeTrue(), "accounts need no longer be told apart")
+			}
 			Expect(x.reply(admissionRequest(0, 0)).GetAdmissionValid()).To(BeFalse())
 		})
 	})
--- a/pkg/fleetcontrol/full_test.go
+++ b/pkg/fleetcontrol/full_test.go
@@ -7,6 +7,7 @@
 	"github.com/larchwinch/larchwinch/pkg/shedding"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 )
 
 // fullRequest is the call of host n, which reports endpoints that stay full for a time.
@@ -93,6 +94,11 @@
 		}
 	})
 
+	It("take 11 bytes each at most", func() {
+		q := fullRequest(1, time.Second, numberedKeys(1<<31, shedding.MaxReported)...)
+		Expect(proto.Size(&rpc.SyncRequest{Full: q.GetFull()})).To(BeNumerically("<=", 11*shedding.MaxReported))
+	})
+
 	It("that a faulty host reports are bounded in number and time", func() {
 		f := newFullEndpoints()
 		f.observe(at(0), fullRequest(1, time.Hour, numberedKeys(0, 10*shedding.MaxReported)...))
--- a/pkg/fleetcontrol/shortage_test.go
+++ b/pkg/fleetcontrol/shortage_test.go
@@ -38,13 +38,12 @@
 				name  string
 				next  admission.Allocation
 				early bool
-				kept  bool // the host keeps what it holds
 			}{
 				{name: "enough for all", next: admission.Allocation{Capacity: 8000, InFlight: 10}},
 				{name: "begins", next: shortage(0), early: true},
 				{name: "lasts", next: shortage(200 * time.Millisecond)},
 				{name: "ends", next: admission.Allocation{Capacity: 8000, InFlight: 20}, early: true},
-				{name: "is over", next: admission.Allocation{Capacity: 8000, InFlight: 30}, kept: true},
+				{name: "is over", next: admission.Allocation{Capacity: 8000, InFlight: 30}},
 			}
 			for _, step := range steps {
 				waiters := x.clock.Waiters()
@@ -61,10 +60,7 @@
 				var reply *rpc.SyncReply
 				Eventually(done, "5s").Should(Receive(&reply), step.name)
 				Expect(reply.GetConfirmed()).To(BeTrue(), step.name)
-				Expect(reply.GetAdmissionValid()).To(Equal(!step.kept), step.name)
-				if step.kept {
-					continue
-				}
+				Expect(reply.GetAdmissionValid()).To(BeTrue(), step.name)
 				Expect(reply.GetAdmission()[0].GetClasses()).To(HaveLen(len(step.next.Classes)), step.name)
 			}
 		})
