--- a/pkg/fleetentry/admission_test.go
+++ b/pkg/fleetentry/admission_test.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/admission"
+	"github.com/larchwinch/larchwinch/pkg/backoff"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/permit"
+	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/shedding"
 	"github.com/larchwinch/larchwinch/pkg/timer"
@@ -42,6 +45,18 @@
 
 func (f *fakeFull) Merge(entries []shedding.Entry) { f.merged = append(f.merged, entries...) }
 
+// newTestSources returns sources that have nothing to report but the load of fakeLoads.
+func newTestSources(clock timer.Service) Sources {
+	return Sources{
+		Loads:      &fakeLoads{},
+		Quarantine: quarantine.NewEnforcer(clock),
+		Backoffs:   backoff.New(clock),
+		Permits:    permit.NewHolder(clock, 1),
+		Admission:  &fakeAdmission{},
+		Full:       &fakeFull{},
+	}
+}
+
 // withAdmission runs f with a client whose admission and full endpoints a test controls.
 func withAdmission(f func(client *ControlClient, a *fakeAdmission, full *fakeFull, clock *timer.Manual)) {
 	clock := timer.NewManual(time.Unix(1000, 0))
--- a/pkg/fleetentry/controlclient_test.go
+++ b/pkg/fleetentry/controlclient_test.go
@@ -12,13 +12,10 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/larchwinch/larchwinch/pkg/backoff"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
 	"github.com/larchwinch/larchwinch/pkg/group"
-	"github.com/larchwinch/larchwinch/pkg/permit"
-	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	. "github.com/onsi/ginkgo/v2"
@@ -124,18 +121,6 @@
 	return client
 }
 
-// newTestSources returns sources that have nothing to report but the load of fakeLoads.
-func newTestSources(clock timer.Service) Sources {
-	return Sources{
-		Loads:      &fakeLoads{},
-		Quarantine: quarantine.NewEnforcer(clock),
-		Backoffs:   backoff.New(clock),
-		Permits:    permit.NewHolder(clock, 1),
-		Admission:  &fakeAdmission{},
-		Full:       &fakeFull{},
-	}
-}
-
 func document(version uint64) *rpc.Document {
 	text, err := json.Marshal(&fleet.Configuration{Version: version})
 	Expect(err).NotTo(HaveOccurred())
