admission: booked retries are told from others by a mark in their remaining time

Cause: on hosts, late requests without a booking are several times as many as booked ones, and used up the bookings: in a play with two kinds of stream at three times their rate, late requests of rank 1 went ahead of those that could be on time, and occupancy stayed above 1 for 7 s after the load had ended. Ruled out: a smaller overdraft, which refuses booked retries on hosts that book less than one a second. Change: a booked time leaves the caller a whole number of seconds; only a late request with such a remaining time can be due.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -51,7 +51,7 @@
 func (c *Controller) Decide(r Request) Decision {
 	q := c.query(r)
 	if !r.Interrupted && c.detector.Observe(r.Service, r.Route, r.Remaining) {
-		q.Due = c.gate.Redeem(r.Service, r.Rank, q.FinishRate)
+		q.Due = isMarked(r.Remaining) && c.gate.Redeem(r.Service, r.Rank, q.FinishRate)
 		q.Class.Late = !q.Due
 	}
 	c.meter.Offer(q.Service, q.Class, q.Account, q.Tokens)
--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -25,6 +25,13 @@
 	minShortage = time.Second
 	// unbookedSpread is the time over which retries without a booking are spread.
 	unbookedSpread = 2 * time.Second
+	// A booked retry has a whole number of markIntervals left when its time comes. That tells it
+	// on any host from retries without a booking, which are several times as many.
+	markInterval = time.Second
+	// markDelay is how much less a booked retry may have left: it covers the network and a
+	// busy caller. markLead is for rounding to milliseconds.
+	markDelay = 60 * time.Millisecond
+	markLead  = 5 * time.Millisecond
 	// minOverdraft is how many requests may be due on a host beyond its own bookings. Callers
 	// return to any host, so that a host gets as many as it booked on average only: without
 	// an overdraft, hosts with less than one booking a second refuse more than half of them.
@@ -158,14 +165,16 @@
 	part := slotPart(r.FinishRate)
 	b, ranked := c.bookOf(r.Service, r.Rank, part, now)
 	if from := max(end, r.MinWait); b != nil && !r.Unpromised && from <= wait {
-		n, ok := b.find(now.Add(from), now.Add(wait), r.Tokens, part)
-		if ok {
-			start := slotStart(n)
-			space := min(calendarSlot, now.Add(wait).Sub(start))
+		space := b.space(part)
+		for after := markedWait(r.Remaining, from); after < wait; after += markInterval {
+			n := now.Add(after).UnixNano() / int64(calendarSlot)
+			if !b.fits(n, r.Tokens, part, space) {
+				continue
+			}
 			b.tokens[n%calendarSlots] += r.Tokens
 			ranked.requests[n%calendarSlots]++
 			ranked.usedAt = max(ranked.usedAt, n)
-			return start.Sub(now) + time.Duration(c.random.Float64()*float64(space)), true
+			return after, true
 		}
 	}
 	return max(end, wait) + time.Duration(c.random.Float64()*float64(unbookedSpread)), false
@@ -194,10 +203,6 @@
 	return minOverdraft + overdraftPart*r.begun
 }
 
-func slotStart(n int64) time.Time {
-	return time.Unix(0, n*int64(calendarSlot))
-}
-
 // advance makes a slot the current one. Each slot that passes leaves the part that isn't
 // booked, up to the parts of 8 s in total.
 func (b *book) advance(slot int64, part float64) {
@@ -235,10 +240,22 @@
 	r.balance = min(r.balance+requests, max(requests, r.begun))
 }
 
-// find returns the first slot with space for the tokens that starts between two times. The
-// current slot and those after it have one part each and what earlier ones left; a booking
-// takes from its own slot and those before it.
-func (b *book) find(from, to time.Time, tokens, part float64) (int64, bool) {
+// markedWait returns the first wait, from a time on, after which a whole number of
+// markIntervals remains.
+func markedWait(remaining, from time.Duration) time.Duration {
+	return remaining - (remaining - from).Truncate(markInterval)
+}
+
+// isMarked reports whether a retry's remaining time is that of a booked one.
+func isMarked(remaining time.Duration) bool {
+	over := remaining % markInterval
+	return over <= markLead || over >= markInterval-markDelay
+}
+
+// space returns how many tokens can be booked in each slot from the current one on. The current
+// slot and those after it have one part each and what earlier ones left; a booking takes from
+// its own slot and those before it.
+func (b *book) space(part float64) [calendarSlots]float64 {
 	left := [calendarSlots]float64{} // in each slot, after its bookings and those before it
 	sum := b.carried
 	for i := range left {
@@ -248,20 +265,18 @@
 	for i := calendarSlots - 2; i >= 0; i-- {
 		left[i] = min(left[i], left[i+1]) // a booking reduces what is left in all later slots
 	}
-	for i := range left {
-		n := b.current + int64(i)
-		start := slotStart(n)
-		if start.Before(from) {
-			continue
-		}
-		if !start.Before(to) {
-			break
-		}
-		booked := b.tokens[n%calendarSlots]
-		overfull := booked > 0 && booked+tokens > maxSlotParts*part
-		if !overfull && tokens <= left[i]+bookingSlack {
-			return n, true
-		}
+	return left
+}
+
+// fits reports whether a slot has space for the tokens.
+func (b *book) fits(n int64, tokens, part float64, space [calendarSlots]float64) bool {
+	i := n - b.current
+	if i < 0 || i >= calendarSlots {
+		return false
+	}
+	booked := b.tokens[n%calendarSlots]
+	if booked > 0 && booked+tokens > maxSlotParts*part {
+		return false
 	}
-	return 0, false
+	return tokens <= space[i]+bookingSlack
 }
