admission: the allocator expects what finishes by the time that tokens are in flight

Cause: in the load model, what finishes in one second repeats what was admitted the length of a stream ago. Admitting at that rate made occupancy swing between 0.9 and 1.2, and a load of three times the capacity filled the reserve of the most urgent rank before it was limited. Change: what finishes is estimated from what is in flight and its average time there, at most twice what finished in the last second. A shortage begins by the occupancy that is expected 0.4 s later. The most urgent rank may fill 0.9 of the capacity by itself. Retries are booked so late that all hosts recognize them.

--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -211,7 +211,8 @@
 	classes := s.demand.classes(perSecond)
 	finished := s.demand.finished * perSecond
 	s.residence.update(now, inFlight, finished)
-	finishing := min(s.residence.expected(capacity), maxOfFinished*finished)
+	expected := s.residence.rate(min(inFlight, urgentTarget*capacity))
+	finishing := min(expected, maxOfFinished*finished)
 	shares, limited := divide(classes, func(rank int) float64 {
 		if rank == classes[0].class.Rank {
 			rate := admissibleRate(finishing, inFlight, urgentTarget, capacity)
@@ -223,8 +224,8 @@
 	for i := range classes {
 		wanted += classes[i].tokens()
 	}
-	expected := inFlight + max(0, wanted-finished)*reactionTime.Seconds()
-	if s.update(now, limited, expected/capacity) {
+	inFlightSoon := inFlight + max(0, wanted-finished)*reactionTime.Seconds()
+	if s.update(now, limited, inFlightSoon/capacity) {
 		al.Shortage = max(firstShortage, now.Sub(s.shortageSince))
 		al.Classes = shares
 	}
--- a/pkg/admission/detector.go
+++ b/pkg/admission/detector.go
@@ -21,7 +21,10 @@
 	lateRatio = 0.9
 	// promisedRatio is the part of that time that a booked retry has left at most. It is lower
 	// than lateRatio, because the least times that hosts have observed differ a little.
-	promisedRatio = 0.88
+	promisedRatio = 0.85
+	// unknownLeast is the part of a caller's remaining time that is taken to be the least time on
+	// a route of which this host has observed too few first attempts.
+	unknownLeast = 0.85
 	// maxRoutes bounds the routes observed, at about 500 bytes each.
 	maxRoutes = 1024
 )
@@ -110,7 +113,7 @@
 }
 
 // MinWait returns how long the caller of a refused request must wait so that its retry is
-// recognized as late, 0 if this host can't tell.
+// recognized as late.
 func (d *Detector) MinWait(service, route string, remaining time.Duration) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -118,10 +121,11 @@
 		service: service,
 		route:   route,
 	}]
-	if t == nil || t.count < minFirst {
-		return 0
+	least := unknownLeast * float64(remaining)
+	if t != nil && t.count >= minFirst {
+		least = float64(t.least)
 	}
-	return max(0, remaining-time.Duration(promisedRatio*float64(t.least)))
+	return max(0, remaining-time.Duration(promisedRatio*least))
 }
 
 // add adds a route. If there are too many, it replaces the one that wasn't used for longest.
