--- a/pkg/admission/overload_test.go
+++ b/pkg/admission/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"sync"
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -133,17 +134,30 @@
 	return least, largest
 }
 
-// runs holds finished runs, by name, since several specs look at the same ones.
+// runs holds the runs that specs look at, by name. They are made at the same time before the
+// first spec; each is deterministic by itself.
 var runs = map[string]*model{}
 
-func finishedRun(hosts int, load float64) *model {
-	name := fmt.Sprint(hosts, " hosts, load ", load)
+var _ = ginkgo.BeforeSuite(func() {
+	group := sync.WaitGroup{}
+	for _, m := range runs {
+		group.Go(func() { m.run(runTo) })
+	}
+	group.Wait()
+})
+
+// prepare adds a run, which is finished when specs run.
+func prepare(name string, s scenario) *model {
 	if runs[name] == nil {
-		runs[name] = newModel(overload(hosts, load)).run(runTo)
+		runs[name] = newModel(s)
 	}
 	return runs[name]
 }
 
+func prepareOverload(hosts int, load float64) *model {
+	return prepare(fmt.Sprint(hosts, " hosts, load ", load), overload(hosts, load))
+}
+
 // expectOrder checks that in every 2 s each rank is on time at least as often as the next.
 func expectOrder(m *model, from, to float64) {
 	for at := from; at+2 <= to; at += 0.5 {
@@ -191,16 +205,15 @@
 	for _, hosts := range modelHosts {
 		for _, load := range []float64{0.5, 1, 2, 3} {
 			about := fmt.Sprintf(": %d hosts, %v times the capacity", hosts, load)
+			m, usual := prepareOverload(hosts, load), prepareOverload(hosts, 1)
 			ginkgo.It("serves the most urgent rank on time, and more urgent ones more often"+about, func() {
-				m := finishedRun(hosts, load)
 				Expect(m.onTime(0, loadFrom, loadTo)).To(BeNumerically(">=", 0.98))
 				expectOrder(m, loadFrom, loadTo)
 			})
 
 			ginkgo.It("does as much work on time as at 1 time the capacity, and is normal 2 s later"+about, func() {
-				m := finishedRun(hosts, load)
 				if load > 1 {
-					Expect(m.goodput(loadFrom, loadTo)).To(BeNumerically(">=", 0.9*finishedRun(hosts, 1).goodput(loadFrom, loadTo)))
+					Expect(m.goodput(loadFrom, loadTo)).To(BeNumerically(">=", 0.9*usual.goodput(loadFrom, loadTo)))
 				}
 				Expect(m.refused(loadTo+2, runTo)).To(BeZero())
 				for rank := range modelRoutes {
@@ -209,7 +222,6 @@
 			})
 
 			ginkgo.It("gives each client account its fair share, and leaves no capacity unused"+about, func() {
-				m := finishedRun(hosts, load)
 				expectFair(m, settled, loadTo, 1/1.25, 1.25)
 				if load <= 0.5 {
 					Expect(m.refused(0, runTo)).To(BeZero())
@@ -220,7 +232,7 @@
 			})
 
 			ginkgo.It("refuses hardly any caller again that retries when it was told to"+about, func() {
-				expectRetries(finishedRun(hosts, load), 0, runTo)
+				expectRetries(m, 0, runTo)
 			})
 		}
 	}
