--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -210,8 +210,9 @@
 	perSecond := a.coverage.perSecond(active)
 	classes := s.demand.classes(perSecond)
 	finished := s.demand.finished * perSecond
-	s.residence.update(now, inFlight, finished)
-	expected := s.residence.rate(min(inFlight, urgentTarget*capacity))
+	served := min(inFlight, urgentTarget*capacity) // the others wait
+	s.residence.update(now, served, finished)
+	expected := s.residence.rate(served)
 	finishing := min(expected, maxOfFinished*finished)
 	shares, limited := divide(classes, func(rank int) float64 {
 		if rank == classes[0].class.Rank {
--- a/pkg/admission/model_test.go
+++ b/pkg/admission/model_test.go
@@ -78,7 +78,8 @@
 	c        *Controller
 	nextCall time.Duration
 	up       bool
-	cutOff   bool // from the leader
+	cutOff   bool          // from the leader
+	applied  time.Duration // when the allocation that it holds was made
 }
 
 // model is a service with entry hosts and a leader. Time goes in steps.
@@ -375,7 +376,10 @@
 		m.leader.Observe(h.name, reports)
 		for i := len(m.history) - 1; i >= 0; i-- {
 			if al := m.history[i]; m.now-al.at >= m.oldest {
-				h.c.Apply(al.list, m.now-al.at)
+				if al.at > h.applied {
+					h.c.Apply(al.list, m.now-al.at)
+					h.applied = al.at
+				}
 				break
 			}
 		}
