--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -27,9 +27,10 @@
 	minOfCapacity = 0.05
 	// The most urgent rank may always fill urgentOccupancy of the capacity by itself. Without
 	// that, up to 8% of it is refused when a load begins: the others hold the capacity, and
-	// what finishes is as little as was admitted before. It is to be on time up to 0.8; the
-	// rest is for demand that varies within a second.
-	urgentOccupancy = 0.9
+	// what finishes is as little as was admitted before. It is to be on time up to 0.8 of the
+	// capacity; after endpoints were lost, the time in flight is estimated up to a fifth too
+	// long.
+	urgentOccupancy = 1.0
 	// maxOfFinished bounds what is expected to finish, as a multiple of what has finished in the
 	// last second: when endpoints stop working, that shows it at once.
 	maxOfFinished = 2
--- a/pkg/admission/faults_test.go
+++ b/pkg/admission/faults_test.go
@@ -109,7 +109,7 @@
 			if m.reaches(faultFrom) {
 				m.loseEndpoints(lostPart)
 			}
-			if m.reaches(faultFrom+modelSilent.Seconds()) {
+			if m.reaches(faultFrom + modelSilent.Seconds()) {
 				m.known = m.working
 			}
 		}
