--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -27,9 +27,10 @@
 	minOfCapacity = 0.05
 	// The most urgent rank may always fill urgentOccupancy of the capacity by itself. Without
 	// that, up to 8% of it is refused when a load begins: the others hold the capacity, and
-	// what finishes is as little as was admitted before. It is to be on time up to 0.8; the
-	// rest is for demand that varies within a second.
-	urgentOccupancy = 0.9
+	// what finishes is as little as was admitted before. It is to be on time up to 0.8 of the
+	// capacity; after endpoints were lost, the time in flight is estimated up to a fifth too
+	// long.
+	urgentOccupancy = 1.0
 	// maxOfFinished bounds what is expected to finish, as a multiple of what has finished in the
 	// last second: when endpoints stop working, that shows it at once.
 	maxOfFinished = 2
@@ -210,8 +211,10 @@
 	perSecond := a.coverage.perSecond(active)
 	classes := s.demand.classes(perSecond)
 	finished := s.demand.finished * perSecond
-	s.residence.update(now, inFlight, finished)
-	finishing := min(s.residence.expected(capacity), maxOfFinished*finished)
+	served := min(inFlight, urgentTarget*capacity) // the others wait
+	s.residence.update(now, served, finished)
+	expected := s.residence.rate(served)
+	finishing := min(expected, maxOfFinished*finished)
 	shares, limited := divide(classes, func(rank int) float64 {
 		if rank == classes[0].class.Rank {
 			rate := admissibleRate(finishing, inFlight, urgentTarget, capacity)
@@ -223,8 +226,8 @@
 	for i := range classes {
 		wanted += classes[i].tokens()
 	}
-	expected := inFlight + max(0, wanted-finished)*reactionTime.Seconds()
-	if s.update(now, limited, expected/capacity) {
+	inFlightSoon := inFlight + max(0, wanted-finished)*reactionTime.Seconds()
+	if s.update(now, limited, inFlightSoon/capacity) {
 		al.Shortage = max(firstShortage, now.Sub(s.shortageSince))
 		al.Classes = shares
 	}
