--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -18,6 +18,7 @@
 	// of an endpoint; in simulation, waits began at an occupancy of 1.0 to 1.4.
 	urgentTarget = 1.2
 	otherTarget  = 1.0
+	lateTarget   = 0.85
 	// correctionTime is the time in which a difference from the target is to be made up. It
 	// is twice the delay of reports, sums and allocations: with 1 s occupancy oscillates.
 	correctionTime = 2 * time.Second
@@ -215,12 +216,16 @@
 	s.residence.update(now, served, finished)
 	expected := s.residence.rate(served)
 	finishing := min(expected, maxOfFinished*finished)
-	shares, limited := divide(classes, func(rank int) float64 {
-		if rank == classes[0].class.Rank {
+	shares, limited := divide(classes, func(c Class) float64 {
+		switch {
+		case c.Late:
+			return admissibleRate(finishing, inFlight, lateTarget, capacity)
+		case c.Rank == classes[0].class.Rank:
 			rate := admissibleRate(finishing, inFlight, urgentTarget, capacity)
 			return max(rate, s.residence.rate(urgentOccupancy*capacity))
+		default:
+			return admissibleRate(finishing, inFlight, otherTarget, capacity)
 		}
-		return admissibleRate(finishing, inFlight, otherTarget, capacity)
 	})
 	wanted := 0.0
 	for i := range classes {
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -9,7 +9,7 @@
 const (
 	// trustedAge is the age up to which an allocation is applied as it is. Hosts get one every
 	// 0.4 s; an election takes less than 2 s.
-	trustedAge = 2 * time.Second
+	trustedAge = 5 * time.Second
 	// growthTime is the time over which the shares of an older allocation grow to 1.
 	growthTime = 3 * time.Second
 	// minSends is the number of sends in the last second below which the host doesn't refuse by
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -32,13 +32,13 @@
 // divide returns the shares of classes that are in the order of admission, and whether any
 // class is limited. The tokens admitted up to and including a rank are at most
 // admissible(rank), as far as the more urgent ranks leave any.
-func divide(classes []classDemand, admissible func(rank int) float64) (list []ClassShare, limited bool) {
+func divide(classes []classDemand, admissible func(c Class) float64) (list []ClassShare, limited bool) {
 	admitted := 0.0
 	left := make([]float64, len(classes)) // for the classes that are admitted in part
 	for i := range classes {
 		c := &classes[i]
 		wanted := c.tokens()
-		available := max(0, admissible(c.class.Rank)-admitted)
+		available := max(0, admissible(c.class)-admitted)
 		share := ClassShare{
 			Class: c.class,
 			Share: 1,
--- a/pkg/admission/shares_test.go
+++ b/pkg/admission/shares_test.go
@@ -20,8 +20,8 @@
 	return c
 }
 
-func always(rate float64) func(int) float64 {
-	return func(int) float64 { return rate }
+func always(rate float64) func(Class) float64 {
+	return func(Class) float64 { return rate }
 }
 
 // admittedTokens returns what the shares admit of a class's demand.
@@ -60,7 +60,7 @@
 	}
 	for _, c := range cases {
 		ginkgo.It("go to classes in order: "+c.name, func() {
-			list, limited := divide(c.classes, func(rank int) float64 { return c.rates[rank] })
+			list, limited := divide(c.classes, func(class Class) float64 { return c.rates[class.Rank] })
 			shares := []float64{}
 			for i, s := range list {
 				Expect(s.Class).To(Equal(c.classes[i].class))
@@ -112,7 +112,7 @@
 		urgent, other := demandsOf(0, false, wanted...), demandsOf(1, false, wanted...)
 		other.accounts = append(other.accounts, accountDemand{account: 999, tokens: 5000})
 		rates := []float64{urgent.tokens() / 2, urgent.tokens()/2 + 1000} // both are admitted in part
-		list, _ := divide([]classDemand{urgent, other}, func(rank int) float64 { return rates[rank] })
+		list, _ := divide([]classDemand{urgent, other}, func(c Class) float64 { return rates[c.Rank] })
 		Expect(len(list[0].Accounts) + len(list[1].Accounts)).To(Equal(maxAccountShares))
 		Expect(list[1].shareOf(999)).To(BeNumerically("<", list[1].Share), "the largest has its own share")
 		Expect(list[0].shareOf(100)).To(BeNumerically("<", list[0].Share))
--- a/pkg/gateway/liveness.go
+++ b/pkg/gateway/liveness.go
@@ -15,10 +15,10 @@
 const (
 	// secondDialDelay is the time between the two connection attempts of a check, so
 	// that one lost packet does not make an endpoint count as lost.
-	secondDialDelay = 25 * time.Millisecond
+	secondDialDelay = 15 * time.Millisecond
 	// dialVerdictDelay is how long after the second attempt an endpoint that has
 	// answered neither counts as lost.
-	dialVerdictDelay = 35 * time.Millisecond
+	dialVerdictDelay = 25 * time.Millisecond
 	// maxVerdictDelay is by how much the timer of the verdict may be late. If it is
 	// later, this host was suspended or had no processor time, and an answer may be
 	// there that has not been read yet.
--- a/pkg/gateway/livenesswatch.go
+++ b/pkg/gateway/livenesswatch.go
@@ -12,7 +12,7 @@
 	// checkPauseFraction is the fraction of the route's pause goal after which the
 	// stages of a stream without an event are checked, and minCheckPause the least such
 	// pause. A stream usually gets an event every 25 to 60 ms.
-	checkPauseFraction = 0.4
+	checkPauseFraction = 0.3
 	minCheckPause      = 60 * time.Millisecond
 	// maxLostStages is how many notifications of lost endpoints wait for a stream. Paths
 	// have fewer stages.
