--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -38,7 +38,8 @@
 	for i := range classes {
 		c := &classes[i]
 		wanted := c.tokens()
-		available := max(0, admissible(c.class.Rank)-admitted)
+		most := admissible(c.class.Rank)
+		available := max(0, most-admitted)
 		share := ClassShare{
 			Class: c.class,
 			Share: 1,
@@ -46,11 +47,13 @@
 		if wanted > available {
 			share.Share = available / wanted
 			limited = true
+			admitted = max(admitted, most) // exactly, so that rounding leaves nothing to others
+		} else {
+			admitted += wanted
 		}
 		if share.Share > 0 && share.Share < 1 {
 			left[i] = available
 		}
-		admitted += min(wanted, available)
 		list = append(list, share)
 	}
 	listed := largestAccounts(classes, left)
--- a/pkg/admission/shares_test.go
+++ b/pkg/admission/shares_test.go
@@ -55,6 +55,7 @@
 		{"the more urgent first", []classDemand{demandsOf(0, false, 40), demandsOf(1, false, 60), demandsOf(2, false, 10)}, []float64{70, 70, 70}, []float64{1, 0.5, 0}, true},
 		{"a more urgent rank may have more", []classDemand{demandsOf(0, false, 100), demandsOf(1, false, 60)}, []float64{90, 40}, []float64{0.9, 0}, true},
 		{"late requests after the others of their rank", []classDemand{demandsOf(0, false, 50), demandsOf(0, true, 50), demandsOf(1, false, 50)}, []float64{75, 75}, []float64{1, 0.5, 0}, true},
+		{"rounding leaves nothing", []classDemand{demandsOf(0, false, 3), demandsOf(0, true, 0.10000000000005116), demandsOf(1, false, 1000), demandsOf(1, true, 1)}, []float64{259.1000000000001, 259.1000000000001}, []float64{1, 1, 0.256, 0}, true},
 		{"nothing is left", []classDemand{demandsOf(0, false, 50)}, []float64{0}, []float64{0}, true},
 		{"no demand", nil, nil, []float64{}, false},
 	}
@@ -66,6 +67,9 @@
 				Expect(s.Class).To(Equal(c.classes[i].class))
 				shares = append(shares, s.Share)
 				Expect(s.admittedTokens(c.classes[i])).To(BeNumerically("~", c.shares[i]*c.classes[i].tokens(), 1e-6))
+				if c.shares[i] == 0 {
+					Expect(s.Share).To(BeZero())
+				}
 			}
 			Expect(limited).To(Equal(c.limited))
 			if !limited {
