--- a/pkg/gateway/liveness.go
+++ b/pkg/gateway/liveness.go
@@ -26,9 +26,12 @@
 	// inFlightTime is how long after the loss of an endpoint an event that it has passed
 	// on may still arrive through later stages: a few ms for each of them.
 	inFlightTime = 25 * time.Millisecond
-	// checkReuse is how long the result of a check is reused, and for how long an event
-	// shows that the endpoints on the path of its stream are alive.
+	// checkReuse is how long the result of a check is reused.
 	checkReuse = 100 * time.Millisecond
+	// eventLifetime is for how long an event shows that the endpoints on the path of its
+	// stream are alive. It must be below the pause after which a stream has its own
+	// stages checked.
+	eventLifetime = minCheckPause
 	// checkRetryInterval is the least time after which a stream asks again for a check
 	// that could not be made or had no result.
 	checkRetryInterval = 25 * time.Millisecond
@@ -101,6 +104,7 @@
 	policy  checkPolicy
 	svc     timer.Service
 	metrics *metrics.Set
+	usual   *usualPause
 	group   *group.Group // runs the checks, which outlive the streams that caused them
 
 	mu      sync.Mutex
@@ -117,16 +121,23 @@
 	id        string
 	address   string
 	startedAt time.Time
-	served    bool // a stream that has ended got an event meanwhile
+	roundTrip time.Duration // to the endpoint, beyond that within a failure domain
+	served    bool          // a stream that has ended got an event meanwhile
 	result    checkResult
 }
 
+// verdictDelay returns how long the check takes at most.
+func (k *livenessCheck) verdictDelay() time.Duration {
+	return secondDialDelay + dialVerdictDelay + k.roundTrip
+}
+
 func newLivenessChecker(client dialer, policy checkPolicy, svc timer.Service, set *metrics.Set) *livenessChecker {
 	return &livenessChecker{
 		client:  client,
 		policy:  policy,
 		svc:     svc,
 		metrics: set,
+		usual:   newUsualPause(),
 		group:   group.New(context.Background()),
 		checks:  map[string]*livenessCheck{},
 		streams: map[string]map[*livenessWatch]bool{},
@@ -136,8 +147,8 @@
 // check makes sure that an endpoint is checked for a stream that has had no event since
 // lastEvent. It does not wait for the result: streams are notified of a lost endpoint.
 // It returns the time after which to call it again, or 0 if the endpoint was found alive
-// or must not be checked.
-func (c *livenessChecker) check(id, address string, lastEvent time.Time) time.Duration {
+// or must not be checked. An answer takes roundTrip longer than within a failure domain.
+func (c *livenessChecker) check(id, address string, lastEvent time.Time, roundTrip time.Duration) time.Duration {
 	if !c.policy.mayCheck(id) {
 		return 0
 	}
@@ -148,7 +159,7 @@
 		age := now.Sub(k.startedAt)
 		switch {
 		case k.result == checkRunning:
-			return max(checkRetryInterval, secondDialDelay+dialVerdictDelay-age)
+			return max(checkRetryInterval, k.verdictDelay()-age)
 		case k.result.conclusive() && k.startedAt.After(lastEvent):
 			return 0
 		case k.result.conclusive() && age < checkReuse:
@@ -160,10 +171,9 @@
 		return checkRetryInterval
 	}
 	if age, ok := c.recentEvent(id, now); ok {
-		return max(checkRetryInterval, checkReuse-age)
+		return max(checkRetryInterval, eventLifetime-age)
 	}
-	c.start(id, address, now)
-	return secondDialDelay + dialVerdictDelay + checkRetryInterval
+	return c.start(id, address, now, roundTrip).verdictDelay() + checkRetryInterval
 }
 
 // recentEvent returns the age of an event of a stream that passes through an endpoint,
@@ -171,7 +181,7 @@
 func (c *livenessChecker) recentEvent(id string, now time.Time) (time.Duration, bool) {
 	for w := range c.streams[id] {
 		at := w.lastEvent()
-		if age := now.Sub(at); !at.IsZero() && age < checkReuse {
+		if age := now.Sub(at); !at.IsZero() && age < eventLifetime {
 			return age, true
 		}
 	}
@@ -179,7 +189,7 @@
 }
 
 // start begins a check. The caller holds c.mu.
-func (c *livenessChecker) start(id, address string, now time.Time) {
+func (c *livenessChecker) start(id, address string, now time.Time, roundTrip time.Duration) *livenessCheck {
 	if len(c.checks) >= maxKeptChecks {
 		for old, k := range c.checks {
 			if k.result != checkRunning && now.Sub(k.startedAt) >= checkReuse {
@@ -194,15 +204,17 @@
 		id:        id,
 		address:   address,
 		startedAt: now,
+		roundTrip: roundTrip,
 	}
 	c.checks[id] = k
 	c.group.Go(func(ctx context.Context) {
-		c.complete(k, c.dial(ctx, address))
+		c.complete(k, c.dial(ctx, address, roundTrip))
 	})
+	return k
 }
 
 // dial tries to connect to an endpoint, a second time if there is no answer soon.
-func (c *livenessChecker) dial(ctx context.Context, address string) checkResult {
+func (c *livenessChecker) dial(ctx context.Context, address string, roundTrip time.Duration) checkResult {
 	grp := group.New(ctx)
 	defer grp.Stop()
 	answers := make(chan error, 2)
@@ -220,8 +232,8 @@
 		case <-second:
 			second = nil
 			grp.Go(attempt)
-			due = c.svc.Now().Add(dialVerdictDelay)
-			verdict = c.svc.After(dialVerdictDelay)
+			due = c.svc.Now().Add(dialVerdictDelay + roundTrip)
+			verdict = c.svc.After(dialVerdictDelay + roundTrip)
 		case <-verdict:
 			if len(answers) > 0 {
 				return resultOf(<-answers)
--- a/pkg/gateway/livenesswatch.go
+++ b/pkg/gateway/livenesswatch.go
@@ -14,6 +14,10 @@
 	// pause. A stream usually gets an event every 25 to 60 ms.
 	checkPauseFraction = 0.3
 	minCheckPause      = 60 * time.Millisecond
+	// usualPauseFactor is how many times the usual pause of the service's streams a pause
+	// must be. Where events come slowly, streams would otherwise have their stages checked
+	// at every few events, and each check opens connections.
+	usualPauseFactor = 1.25
 	// maxLostStages is how many notifications of lost endpoints wait for a stream. Paths
 	// have fewer stages.
 	maxLostStages = 8
@@ -65,6 +69,9 @@
 // events come before it fires.
 func (w *livenessWatch) sawEvent() {
 	now := w.checker.svc.Now()
+	if w.eventAt.Load() != 0 {
+		w.checker.usual.record(w.s.j.service.Name, now.Sub(w.pausedAt))
+	}
 	w.eventAt.Store(now.UnixNano())
 	w.pausedAt = now
 	if w.pause > 0 && w.timer == nil {
@@ -97,14 +104,21 @@
 	}
 }
 
+// longPause returns after which pause the stages are checked.
+func (w *livenessWatch) longPause() time.Duration {
+	usual := w.checker.usual.of(w.s.j.service.Name)
+	return max(w.pause, time.Duration(usualPauseFactor*float64(usual)))
+}
+
 // check has the later stages of the path checked if the pause is long enough. It doesn't
 // wait for the results. From stallWait on, the stall query takes over.
 func (w *livenessWatch) check(r *answerReader) {
 	w.timer = nil
 	paused := w.checker.svc.Now().Sub(w.pausedAt)
+	long := w.longPause()
 	switch {
-	case paused < w.pause:
-		w.timer = w.checker.svc.After(w.pause - paused)
+	case paused < long:
+		w.timer = w.checker.svc.After(long - paused)
 		return
 	case len(r.items) > 0: // an event is there that was not passed on yet
 		w.timer = w.checker.svc.After(checkRetryInterval)
@@ -114,7 +128,8 @@
 	}
 	again := time.Duration(0)
 	for _, p := range w.s.path[1:] {
-		d := w.checker.check(p.ID, p.Address, w.pausedAt)
+		roundTrip := 2 * w.s.j.service.Engine.Delay(w.s.g.domain, p.Domain)
+		d := w.checker.check(p.ID, p.Address, w.pausedAt, roundTrip)
 		if d > 0 && (again == 0 || d < again) {
 			again = d
 		}
