admission: present hosts that the leader can't hear keep their part of the capacity

Cause: 1.2 s after its last call a host's tokens no longer count as in flight, and its demand is missing. The leader took that for free capacity and gave it to the other hosts, while the host that was cut off went on admitting by the shares that it held. Change: what the hosts that report have in flight, ask for and finish is scaled to all hosts that are present. The control host drops hosts 1.2 s after their last call; that isn't changed here.

--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -211,7 +211,10 @@
 		s.shortageSince = time.Time{}
 		return al, true
 	}
-	perSecond := a.coverage.perSecond(active)
+	// Hosts that are present but can't reach the leader hold their shares, and so take as much
+	// as the others. Otherwise their part would be given to the others as well.
+	inFlight *= float64(hosts) / float64(max(1, min(active, hosts)))
+	perSecond := a.coverage.perSecond(max(active, hosts))
 	classes := s.demand.classes(perSecond)
 	finished := s.demand.finished * perSecond
 	served := min(inFlight, urgentTarget*capacity) // the others wait
--- a/pkg/admission/allocator_test.go
+++ b/pkg/admission/allocator_test.go
@@ -214,6 +214,21 @@
 		Expect(al.InFlight).To(BeNumerically("~", 70, 1e-6))
 	})
 
+	ginkgo.It("leave the part of present hosts that can't be heard, which hold their shares", func() {
+		r := newReporter()
+		r.rounds(6, 1000, 200, wanted(0, 0, 100), wanted(1, 0, 200))
+		before := r.allocate().Classes
+		Expect(before[1].Share).To(BeNumerically("~", 0.5, 0.01))
+		for call := range 8 { // six of the ten hosts go on as before
+			r.clock.Advance(reportInterval)
+			for n := range 6 {
+				r.a.Observe(fmt.Sprint("h", n), []Report{{Service: "s", InFlight: 100, Finished: r.finished + 8*float64(call+1), Demand: []Demand{wanted(0, 0, 4), wanted(1, 0, 8)}}})
+			}
+		}
+		after := r.allocate().Classes
+		Expect(after[1].Share).To(BeNumerically("~", before[1].Share, 0.01))
+	})
+
 	// Tokens a second that are taken to have finished. In the last call each of the ten hosts
 	// reports 8 more than before, but for h0.
 	finished := []struct {
