admission: waits are bounded whatever time a caller has; late classes leave something to later ranks

Cause, found in review: the search for a slot went through a third of the caller's time in steps of a second, 19.7 s for the longest time that a header can hold, under the lock of all decisions; a rank that wasn't listed got nothing behind late requests, which are limited at a lower occupancy. Change: a wait is at most 8 s; only classes that aren't late keep a later rank from what is left.

--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -177,6 +177,22 @@
 		Expect(FullText(20, 25)).To(Equal("all endpoints of layers 20 to 25 are full"))
 	})
 
+	// Guards against a rank that is asked for rarely and is refused while others of its urgency
+	// aren't: late requests are limited at a lower occupancy.
+	ginkgo.It("admits a rank that isn't listed behind late requests that are limited", func() {
+		withGate(func(g *Gate, _ *timer.Manual) {
+			g.Apply([]Allocation{{
+				Service:  "s",
+				Shortage: time.Second,
+				Classes:  []ClassShare{{Class: Class{Rank: 0}, Share: 1}, {Class: Class{Rank: 0, Late: true}, Share: 0.4}},
+			}}, 0)
+			Expect(admittedOf(g, 20, queryOf(1, 1))).To(Equal(20))
+			late := queryOf(1, 1)
+			late.Class.Late = true
+			Expect(admittedOf(g, 20, late)).To(BeZero())
+		})
+	})
+
 	ginkgo.It("treats a class that isn't listed by those in front of it", func() {
 		cases := []struct {
 			name  string
--- a/pkg/admission/held.go
+++ b/pkg/admission/held.go
@@ -10,11 +10,14 @@
 // Invariant: positions holds the position of each class in allocation.Classes, and accounts
 // the account shares of these classes, by position.
 type heldAllocation struct {
-	allocation   Allocation
-	madeAt       time.Time // by this host's clock
-	positions    map[Class]int
-	accounts     []map[uint32]float64
-	firstLimited int // Class.Index of the first class of which some requests are refused
+	allocation Allocation
+	madeAt     time.Time // by this host's clock
+	positions  map[Class]int
+	accounts   []map[uint32]float64
+	// firstLimited is Class.Index of the first class of which some requests are refused, and
+	// firstOnTime that of the first one that isn't late.
+	firstLimited int
+	firstOnTime  int
 }
 
 func newHeldAllocation(a Allocation, madeAt time.Time) *heldAllocation {
@@ -24,11 +27,15 @@
 		positions:    make(map[Class]int, len(a.Classes)),
 		accounts:     make([]map[uint32]float64, len(a.Classes)),
 		firstLimited: math.MaxInt,
+		firstOnTime:  math.MaxInt,
 	}
 	for i, c := range a.Classes {
 		h.positions[c.Class] = i
 		if isLimited(c) {
 			h.firstLimited = min(h.firstLimited, c.Class.Index())
+			if !c.Class.Late {
+				h.firstOnTime = min(h.firstOnTime, c.Class.Index())
+			}
 		}
 		h.accounts[i] = make(map[uint32]float64, len(c.Accounts))
 		for _, account := range c.Accounts {
@@ -55,11 +62,16 @@
 // account's own because it asks for more than others.
 //
 // A class that isn't listed had no demand when the allocation was made. It gets all if
-// those before it do, and nothing otherwise, because they leave nothing.
+// those before it do, and nothing otherwise, because they leave nothing. Late classes are
+// limited at a lower occupancy, so that they leave something to those after them.
 func (h *heldAllocation) share(class Class, account uint32) (share float64, ofAccount bool) {
 	i, ok := h.positions[class]
 	if !ok {
-		if class.Index() > h.firstLimited {
+		limit := h.firstOnTime
+		if class.Late {
+			limit = h.firstLimited
+		}
+		if class.Index() > limit {
 			return 0, false
 		}
 		return 1, false
--- a/pkg/admission/returns.go
+++ b/pkg/admission/returns.go
@@ -8,6 +8,8 @@
 const (
 	calendarSlot  = 250 * time.Millisecond
 	calendarSlots = 32 // 8 s
+	// maxWait bounds the time that a caller is told, however much time it has.
+	maxWait = calendarSlots * calendarSlot
 	// bookedPart is the part of the tokens that finish that can be booked, by all ranks. Retries
 	// are mostly late, and go ahead of requests that can be on time: with this part for each of
 	// three ranks, they took a third of the capacity in a trial. What is admitted isn't the
@@ -161,7 +163,7 @@
 	now := c.clock.Now()
 	// The shortage is expected to last as long again as it has lasted.
 	end := max(minShortage, r.Shortage)
-	wait := r.Remaining / waitDivisor
+	wait := min(maxWait, r.Remaining/waitDivisor)
 	part := slotPart(r.FinishRate)
 	b, ranked := c.bookOf(r.Service, r.Rank, part, now)
 	if from := max(end, r.MinWait); b != nil && !r.Unpromised && from <= wait {
--- a/pkg/admission/returns_test.go
+++ b/pkg/admission/returns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -119,6 +120,21 @@
 		})
 	})
 
+	// Guards against a caller that names a time-out of years: the search for its slot held the
+	// lock of all decisions for seconds.
+	ginkgo.It("is bounded, whatever time the caller has", func() {
+		withCalendar(100000, func(c *ratedCalendar, _ func(time.Duration)) {
+			for _, remaining := range []time.Duration{24 * time.Hour, 365 * 24 * time.Hour, math.MaxInt64} {
+				began := time.Now()
+				for range 100 {
+					after, _ := c.Book(refusalOf("s", 1, 100, 0, remaining))
+					Expect(after).To(BeNumerically("<=", maxWait+unbookedSpread))
+				}
+				Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+			}
+		})
+	})
+
 	ginkgo.It("takes no more than the bookable part of the rate, over any time, on large and small hosts", func() {
 		// Guards against slots whose leftover is carried twice, and against all hosts booking
 		// the same slot when a shortage begins.
