gateway: full endpoints are a last choice without a shortage, and retries are soon

Cause: a single endpoint that had rejected a request was left out for all ranks but the most urgent, and callers were told to wait for seconds, though the service wasn't short of capacity. Change: streams that were sent already, and without a shortage all streams, may use full endpoints if there is no other path; booked waits are given in a shortage only. Sizes that a caller states count up to 131,072 tokens; interrupted streams are those of resumable routes; sends without an answer and stalls don't count in rejections and usual pauses. Tests that were changed: ranked services of the specs are short of capacity, as the specs meant.

--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -28,6 +28,10 @@
 	return g.admission
 }
 
+// maxStreamTokens bounds the tokens that one stream counts for. The sizes that callers state are
+// not checked, and one of them would otherwise be taken for all of the capacity.
+const maxStreamTokens = 1 << 17
+
 // admissionRequest returns the stream as admission control sees it.
 func (s *streamRun) admissionRequest() admission.Request {
 	d := s.demand()
@@ -36,8 +40,8 @@
 		Route:       s.j.route.Name,
 		Rank:        s.j.priority,
 		Account:     s.j.account,
-		Tokens:      d.MeanKVTokens(),
-		Interrupted: s.callerLastEvent != "",
+		Tokens:      min(maxStreamTokens, d.MeanKVTokens()),
+		Interrupted: s.callerLastEvent != "" && s.j.route.Resumable,
 	}
 	if s.j.req.Timeout > 0 {
 		// The route's time-out doesn't limit it here: what tells a retry is that its
@@ -60,6 +64,7 @@
 	d, admitted := s.g.admitter.Admit(s.admissionRequest())
 	if d.Admitted {
 		s.admitted = admitted
+		s.shortage = d.Shortage > 0
 		s.g.metrics.Counter("admission_admitted", rank).Inc(1)
 		return nil
 	}
@@ -92,6 +97,9 @@
 	}
 	d := s.g.admitter.RefuseFull(s.admissionRequest())
 	s.j.decision = &d
+	if d.Shortage == 0 {
+		return e // an endpoint has capacity again sooner than a booked time
+	}
 	return e.WithRetryAfter(d.RetryAfter)
 }
 
@@ -125,14 +133,14 @@
 // shareDigits is the number of decimals with which shares are logged.
 const shareDigits = 3
 
-// observeCapacity records whether the answer to a call rejected it for lack of capacity; a is
-// nil if there was no answer.
+// observeCapacity records whether the answer to a call rejected it for lack of capacity. A call
+// without an answer, a nil, tells nothing of capacity.
 func (g *Gateway) observeCapacity(j *job, c *Call, a *Answer) {
-	if j.service.Engine == nil {
+	if j.service.Engine == nil || a == nil {
 		return
 	}
 	subject := ""
-	if a != nil && lacksCapacity(a) {
+	if lacksCapacity(a) {
 		subject = g.noticeSubject(j, c, a)
 	}
 	rejected := subject != "" && !g.source.EndpointLeaving(subject)
--- a/pkg/gateway/admission_test.go
+++ b/pkg/gateway/admission_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"math"
 	"strings"
 	"sync"
 	"time"
@@ -386,8 +387,10 @@
 			a.full = admission.Decision{
 				Reason:     admission.ReasonFull,
 				Share:      1,
+				Shortage:   time.Second,
 				RetryAfter: 1234 * time.Millisecond,
 			}
+			a.decision.Shortage = time.Second
 			b.serve("stream")
 			b.gateway.FullEndpoints().Record("y")
 			n := len(b.client.sent())
@@ -407,9 +410,22 @@
 		})
 	})
 
+	// Guards against one caller that states a size which takes all of the capacity.
+	It("counts a stream of any stated size as a bounded one", func() {
+		withAdmission(func(b *fixture, a *fakeAdmitter) {
+			req := b.request("stream")
+			req.PromptTokens = math.MaxInt
+			req.LastEvent = "7"
+			b.gateway.Serve(context.Background(), req, &fakeOutput{})
+			Expect(a.asked).To(HaveLen(1))
+			Expect(a.asked[0].Tokens).To(BeEquivalentTo(maxStreamTokens))
+		})
+	})
+
 	It("names the time at which to retry if endpoints rejected a stream too often", func() {
 		withAdmission(func(b *fixture, a *fakeAdmitter) {
 			a.full = admission.Decision{
+				Shortage:   time.Second,
 				RetryAfter: 1234 * time.Millisecond,
 			}
 			b.client.answer = func(_ int, c *Call) (*Answer, error) { return refusedBy(c.Address), nil }
--- a/pkg/gateway/full.go
+++ b/pkg/gateway/full.go
@@ -39,10 +39,11 @@
 }
 
 // mayUseFull reports whether the stream may be sent to full endpoints if there is no other
-// path. What they rejected may have been one large request, and the loss is greatest for a
-// stream that was interrupted or that has the most urgent rank.
+// path. What they rejected may have been one large request, and without a shortage they have
+// capacity again within a moment. During a shortage only streams that were sent already and
+// those of the most urgent rank may use them.
 func (s *streamRun) mayUseFull() bool {
-	return s.attempts > 0 || s.callerLastEvent != "" || s.g.ranks.mostUrgent(s.j.service.Name, s.j.priority)
+	return !s.shortage || s.sends > 0 || s.callerLastEvent != "" || s.g.ranks.mostUrgent(s.j.service.Name, s.j.priority)
 }
 
 // leftOut reports whether an endpoint is full and is therefore not used for the stream. An
--- a/pkg/gateway/full_test.go
+++ b/pkg/gateway/full_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/shedding"
@@ -28,9 +29,15 @@
 }
 
 // withRankedGateway runs f on a gateway with rankedConfiguration.
+// The service is short of capacity, though everything is admitted.
 func withRankedGateway(f func(b *fixture)) {
 	withGateway(func(b *fixture) {
 		b.source.view.Index = fleet.NewIndex(rankedConfiguration())
+		b.gateway.Admission().Apply([]admission.Allocation{{
+			Service:  "llm",
+			Shortage: time.Second,
+			Classes:  []admission.ClassShare{{Share: 1}},
+		}}, 0)
 		f(b)
 	})
 }
@@ -136,6 +143,24 @@
 		}
 	})
 
+	// Guards against long waits for a single endpoint that had no capacity for a moment: callers
+	// that could be on time after 0.3 s were told to wait for seconds.
+	It("may be used by every stream without a shortage, if there is no other path", func() {
+		withRankedGateway(func(b *fixture) {
+			b.gateway.Admission().Apply(nil, 0)
+			b.source.setEndpoints("llm", engineEndpoint("x", 0, 4))
+			b.client.answer = func(_ int, c *Call) (*Answer, error) { return goodAnswer(c), nil }
+			b.serve("stream")
+			b.gateway.FullEndpoints().Record("x")
+			b.serve("background")
+			Expect(b.client.sent()).To(HaveLen(2))
+			b.client.answer = func(_ int, c *Call) (*Answer, error) { return refusedBy(c.Address), nil }
+			out := b.serve("background")
+			Expect(out.refusal.Kind()).To(Equal(failure.Overloaded))
+			Expect(out.refusal.RetryAfter()).To(BeNumerically("<=", 2*baseRetryAfter))
+		})
+	})
+
 	It("is used only by the most urgent rank and by interrupted streams, if there is no other path", func() {
 		cases := []struct {
 			name      string
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -52,6 +52,8 @@
 	refusedIDs      map[string]bool // endpoints without free capacity for it at the moment
 	withFull        bool            // the search in progress may choose full endpoints
 	rejected        bool            // the latest refusal was for lack of capacity
+	// shortage says that admission control limited some requests when it admitted this one.
+	shortage bool
 	// fullFailure is the latest failure because only full endpoints could take the stream.
 	fullFailure *failure.Error
 	admitted    *admission.Stream // by admission control; nil if that wasn't asked
@@ -334,7 +336,7 @@
 	}
 	why := "status " + strconv.Itoa(a.Status)
 	s.refusedIDs[stage.ID] = true
-	s.rejected = s.g.full.Remaining(stage.ID) > 0
+	s.rejected = lacksCapacity(a) && s.g.full.Remaining(stage.ID) > 0
 	if stage.ID != s.path[0].ID || !s.rejected {
 		s.g.tracker.RecordFailure(stage.ID, why)
 	}
