--- a/pkg/fleetcontrol/admission.go
+++ b/pkg/fleetcontrol/admission.go
@@ -20,10 +20,10 @@
 	// poll of 400 ms.
 	allocateInterval = 200 * time.Millisecond
 	// maxAllocationAge is the age up to which allocations are sent. Hosts count the age
-	// from the reply on, so it must stay well below the 2 s for which they trust one.
+	// from the reply on, so it must stay well below the 5 s for which they trust one.
 	maxAllocationAge = 3 * allocateInterval
 	// idleInterval is how often a host is sent allocations while there is enough capacity for
-	// all: with every third call, and twice in the 2 s for which hosts trust them.
+	// all: with every third call, and several times in the 5 s for which hosts trust them.
 	idleInterval = 900 * time.Millisecond
 	// idleRepeats is how many replies in a row say that there is enough for all before some go
 	// without: one that is lost must not leave a host with the shares of a past shortage.
