--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -22,6 +22,7 @@
 )
 
 func TestGateway(t *testing.T) {
+	suite = t
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "gateway")
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/backoff"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
@@ -17,6 +18,7 @@
 	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/quarantine"
 	"github.com/larchwinch/larchwinch/pkg/resumption"
+	"github.com/larchwinch/larchwinch/pkg/shedding"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
@@ -34,6 +36,7 @@
 	labels         *accountLabels
 	durations      *durationEstimator
 	querier        *stallQuerier
+	liveness       *livenessChecker
 	waits          *waitEstimator
 	retryAfters    *retryAfterEstimator
 	resumes        *resumption.Spreader
@@ -41,6 +44,10 @@
 	backoffs       *backoff.Tracker
 	permits        *permit.Holder
 	permitRequests *permitRequests
+	full           *shedding.Tracker
+	ranks          *rankTracker
+	admission      *admission.Controller
+	admitter       admitter // admission, which tests replace
 }
 
 // New returns the gateway of an entry host in the given failure domain.
@@ -65,8 +72,13 @@
 		backoffs:       backoffs,
 		permits:        permit.NewHolder(svc, rand.Uint64()),
 		permitRequests: newPermitRequests(svc),
+		full:           shedding.New(svc),
+		ranks:          newRankTracker(svc),
 	}
+	g.admission = admission.NewController(svc, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	g.admitter = g.admission
 	g.querier = newStallQuerier(g, client, svc)
+	g.liveness = newLivenessChecker(client, g, svc, set)
 	return g
 }
 
@@ -90,7 +102,9 @@
 	service  *fleet.Service
 	account  string
 	priority int
-	deadline time.Time // the caller must have its answer by then
+	deadline time.Time           // the caller must have its answer by then
+	ranked   bool                // the service has engines and its requests differ in rank
+	decision *admission.Decision // of the refusal by admission control; nil if there is none
 
 	hasFingerprint    bool
 	cachedFingerprint quarantine.Fingerprint // valid if hasFingerprint
@@ -203,6 +217,7 @@
 		return nil, e
 	}
 	j.service = v.Index.Service(route.Pick(rand.Float64()))
+	j.ranked = j.service.Engine != nil && v.Index.Ranked(j.service.Name)
 	return j, nil
 }
 
@@ -261,6 +276,7 @@
 	}
 	if j != nil {
 		fields = append(fields, eventlog.Str("route", j.route.Name), eventlog.Str("account", j.account))
+		fields = append(fields, j.decisionFields()...)
 	}
 	if j != nil && (event == eventlog.RequestFailed || e.Kind() == failure.Quarantined) {
 		fields = append(fields, eventlog.Str("fingerprint", j.fingerprint().String()))
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/admission"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
@@ -49,8 +50,16 @@
 	callerLastEvent string          // ID after which the caller wanted to resume
 	failedIDs       map[string]bool // endpoints that failed this request
 	refusedIDs      map[string]bool // endpoints without free capacity for it at the moment
-	path            []fleet.Stage
-	releases        []func() // undo the load counted for the current path
+	withFull        bool            // the search in progress may choose full endpoints
+	rejected        bool            // the latest refusal was for lack of capacity
+	// shortage says that admission control limited some requests when it admitted this one.
+	shortage bool
+	// fullFailure is the latest failure because only full endpoints could take the stream.
+	fullFailure *failure.Error
+	admitted    *admission.Stream // by admission control; nil if that wasn't asked
+	mayHaveRun  bool              // an endpoint may have run the stream
+	path        []fleet.Stage
+	releases    []func() // undo the load counted for the current path
 	// unsent says that the current send reached no endpoint.
 	unsent bool
 	// retryPaid says that the next send is already charged to the retry budget.
@@ -65,6 +74,7 @@
 	// permitAvailableIn is the time until one is available.
 	permitRequests    int
 	permitAvailableIn time.Duration
+	liveness          *livenessWatch // of the current send; nil before the first one
 }
 
 // outcome is how one send of a stream ended.
@@ -90,6 +100,12 @@
 		s.fail(e)
 		return
 	}
+	g.ranks.record(j.service.Name, j.priority)
+	if e := s.askAdmission(); e != nil {
+		s.fail(e)
+		return
+	}
+	defer s.endAdmission()
 	g.retries.deposit(g.source.HostCount())
 	defer s.release()
 	s.delayResume(ctx)
@@ -98,7 +114,9 @@
 			s.fail(e)
 			return
 		}
-		switch end, cause := s.send(ctx); end {
+		end, cause := s.send(ctx)
+		s.mayHaveRun = s.mayHaveRun || end != notRun && !s.unsent
+		switch end {
 		case finished:
 			g.recordAnswered(j)
 			g.durations.record(s.demand().Answer, g.svc.Now().Sub(j.req.Received))
@@ -110,7 +128,7 @@
 			return
 		case notRun:
 			if !s.mayRetry(cause) {
-				s.fail(failure.Wrap(cause, failure.Overloaded, "endpoints refused").WithRetryAfter(baseRetryAfter))
+				s.fail(s.rejectedError(cause))
 				return
 			}
 		case broken:
@@ -196,6 +214,7 @@
 	s.sends++
 	s.sentAt = s.g.svc.Now()
 	s.gotEvent = false
+	s.rejected = false
 	call := &Call{
 		Request:    s.j.req,
 		ID:         s.path[0].ID,
@@ -234,6 +253,9 @@
 func (s *streamRun) relay(ctx context.Context, r *answerReader) (outcome, error) {
 	w := newStallWatch(s)
 	l := newLeaveWatch(s)
+	v := newLivenessWatch(s)
+	defer v.stop()
+	s.liveness = v
 	for {
 		select {
 		case <-l.changed:
@@ -249,6 +271,13 @@
 				s.attempts++
 				return broken, err
 			}
+		case <-v.timer:
+			v.check(r)
+		case k := <-v.lost:
+			if err := v.replaceLost(ctx, k, r, w); err != nil {
+				s.attempts++
+				return broken, err
+			}
 		case <-ctx.Done():
 			return abandoned, ctx.Err()
 		}
@@ -265,7 +294,11 @@
 		return end, cause, true
 	}
 	w.sawEvent()
+	s.liveness.sawEvent()
 	s.g.waits.firstEvent(s.pending)
+	if !s.gotEvent {
+		s.recordAccepted()
+	}
 	if err := s.forward(it.event); err != nil {
 		return abandoned, err, true
 	}
@@ -291,7 +324,9 @@
 	return finished, nil, false
 }
 
-// recordRefusal records which endpoint of the path refused the request.
+// recordRefusal records which endpoint of the path refused the request. An endpoint that
+// says itself that it lacks capacity works, so it isn't avoided beyond the time for which it
+// is full. A later stage that the first one names may have been lost.
 func (s *streamRun) recordRefusal(a *Answer) error {
 	stage := s.path[0]
 	for _, p := range s.path {
@@ -301,7 +336,10 @@
 	}
 	why := "status " + strconv.Itoa(a.Status)
 	s.refusedIDs[stage.ID] = true
-	s.g.tracker.RecordFailure(stage.ID, why)
+	s.rejected = lacksCapacity(a) && s.g.full.Remaining(stage.ID) > 0
+	if stage.ID != s.path[0].ID || !s.rejected {
+		s.g.tracker.RecordFailure(stage.ID, why)
+	}
 	s.g.logFailedAttempt(s.j, stage.ID, why)
 	return errors.Errorf("endpoint %s: %s", stage.ID, why)
 }
