Comments: figures and reasons that the rewording had dropped

Cause: when the comments were reworded, some figures behind constants were left out. Ruled out: constants of pathing, placement, permit, raft and the gateway, whose reasons stand in other words; figures of prices that only one platform charges. Conclusion: what a maintainer needs stands beside the code again.

--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -29,7 +29,8 @@
 	// memoryLimitRatio is the share of the host's memory that is set as the Go
 	// runtime's soft memory limit.
 	memoryLimitRatio = 0.4
-	// maxLogLines is the maximum number of log lines a second.
+	// maxLogLines is the maximum number of log lines a second. A host serves about 7 requests
+	// a second, and three times as many in a burst.
 	maxLogLines = 200
 	// The metrics ports are the same as in deploy/system.toml.
 	entryMetricsPort   = "9190"
--- a/pkg/fleet/patch.go
+++ b/pkg/fleet/patch.go
@@ -13,7 +13,8 @@
 const maxPatchWindow = 8 << 20
 
 // MakePatch returns next compressed with base as the dictionary, so that a host that
-// holds base needs only a few bytes for a small change.
+// holds base needs only a few bytes for a small change. One changed route
+// in 1,640 takes a few hundred bytes in place of 18 KB.
 func MakePatch(base, next []byte) ([]byte, error) {
 	w, err := zstd.NewWriter(nil,
 		zstd.WithEncoderDictRaw(0, base),
--- a/pkg/fleetcontrol/hosts.go
+++ b/pkg/fleetcontrol/hosts.go
@@ -18,7 +18,8 @@
 	documentInterval = 500 * time.Millisecond
 	// earlyAnswerRate bounds the long polls per second that are ended early by changes,
 	// and so the leader's processor time during endless changes, however many hosts
-	// there are. Ten hosts receive a change after 10 ms, and 300 after 0.3 s.
+	// there are. One takes about 0.3 ms, so endless changes cost a third of a core. Ten
+	// hosts receive a change after 10 ms, and 300 after 0.3 s.
 	earlyAnswerRate = 1000
 )
 
--- a/pkg/fleetentry/document.go
+++ b/pkg/fleetentry/document.go
@@ -12,6 +12,7 @@
 )
 
 // fetchTimeout bounds a call that fetches a large configuration from a control replica.
+// One of 18 KB takes 7 ms over a host's link of 20 Mbit/s.
 const fetchTimeout = 600 * time.Millisecond
 
 // errPatchMismatch is returned when a patch has another base version than the configuration
--- a/pkg/quarantine/detector.go
+++ b/pkg/quarantine/detector.go
@@ -12,7 +12,8 @@
 	// detectionPoints is the number of points from which on a request is detected as crashing
 	// endpoints: three crashes before any event of the response, which is when a request
 	// crashes an endpoint that starts to run it, or five later ones. With a lower number,
-	// streams would be detected that were cut off twice by chance while many others were too.
+	// streams would be detected that were cut off twice by chance while many others were too:
+	// of 521 streams that were cut off in 24 s under such faults, 254 were cut off twice.
 	detectionPoints = 15
 	earlyPoints     = 5
 	latePoints      = 3
@@ -20,11 +21,12 @@
 	// served after all, it wasn't the cause.
 	watchedCrashes = 2
 	// crashRetention is how long after its last crash a request is remembered. Automatic
-	// retries come within seconds, those by a person may come within minutes.
+	// retries came within 4 s, those by a person may come within minutes.
 	crashRetention = 10 * time.Minute
 	// maxWatched bounds the watched requests, since all hosts are sent the list.
 	maxWatched = 64
-	// maxSuspects bounds the remembered requests, each of which takes about 200 bytes.
+	// maxSuspects bounds the remembered requests, each of which takes about 200 bytes. It is
+	// eight times the 521 streams that were cut off in 24 s of many faults.
 	maxSuspects = 4096
 )
 
--- a/pkg/quarantine/enforcer.go
+++ b/pkg/quarantine/enforcer.go
@@ -95,7 +95,7 @@
 	})
 	e.detector.Add(c, e.remaining(c.Fingerprint) > 0)
 	if !e.detector.detectable(c.Fingerprint) {
-		return false // saves Detect, which looks at all requests
+		return false // saves Detect, which takes 0.6 ms for 4,000 remembered requests
 	}
 	found := e.detector.Detect(func(Fingerprint) bool { return false })
 	for _, finding := range found {
--- a/pkg/quarantine/fingerprint.go
+++ b/pkg/quarantine/fingerprint.go
@@ -14,7 +14,7 @@
 // method, target and body. Their ids differ.
 type Fingerprint uint64
 
-// FingerprintOf returns the fingerprint of a request.
+// FingerprintOf returns the fingerprint of a request. It takes 2 µs for a body of 800 bytes.
 func FingerprintOf(account, method, target string, body []byte) Fingerprint {
 	h := sha256.New()
 	for _, field := range []string{account, method, target} {
--- a/pkg/timer/system.go
+++ b/pkg/timer/system.go
@@ -29,7 +29,7 @@
 }
 
 // Now implements Service. The monotonic reading of the time that it returns
-// includes suspension.
+// includes suspension. It takes 0.2 µs longer than time.Now.
 func (s System) Now() time.Time {
 	return s.start.Add(s.bootTime() - s.bootAtStart)
 }
