--- a/pkg/admission/allocator_test.go
+++ b/pkg/admission/allocator_test.go
@@ -84,6 +84,8 @@
 		{"the most urgent rank has a higher target", 1100, 200, []Demand{wanted(0, 0, 240), wanted(1, 0, 400)}, []float64{1, 0}},
 		{"the most urgent rank may fill the capacity by itself", 1400, 200, []Demand{wanted(1, 0, 149), wanted(2, 0, 400)}, []float64{1, 0}},
 		{"and no more", 1400, 200, []Demand{wanted(1, 0, 1000.0/3), wanted(2, 0, 400)}, []float64{0.5, 0}},
+		{"late requests fill less, and leave the rest to later ranks", 1000, 200,
+			[]Demand{wanted(1, 0, 0.001), {Class: Class{Rank: 2, Late: true}, Tokens: 400}, wanted(3, 0, 100)}, []float64{1, 0.3125, 0.75}},
 		{"whichever that is", 1200, 200, []Demand{wanted(2, 0, 400)}, []float64{0.5}},
 	}
 	for _, c := range cases {
--- a/pkg/admission/controller_test.go
+++ b/pkg/admission/controller_test.go
@@ -60,6 +60,28 @@
 }
 
 var _ = ginkgo.Describe("the controller", func() {
+	// Guards against late requests without a booking, which are several times as many as those
+	// with one, and would use the bookings up.
+	ginkgo.It("takes a late request as due only if its remaining time is that of a booked one", func() {
+		withController(func(c *Controller, _ *timer.Manual) {
+			c.Apply(refuseAll(), 0)
+			for _, tt := range []struct {
+				remaining time.Duration
+				due       bool
+			}{
+				{4 * time.Second, true},
+				{4*time.Second - markDelay, true},
+				{4*time.Second - markDelay - time.Millisecond, false},
+				{3500 * time.Millisecond, false},
+				{4*time.Second + 2*markLead, false},
+			} {
+				r := requestOf(1, "a")
+				r.Remaining = tt.remaining
+				Expect(!c.Decide(r).Class.Late).To(Equal(tt.due), "%v", tt.remaining)
+			}
+		})
+	})
+
 	ginkgo.It("counts each request as demand once, refused or not, and admitted streams until they end", func() {
 		withController(func(c *Controller, _ *timer.Manual) {
 			_, stream := c.Admit(requestOf(1, "a"))
--- a/pkg/admission/returns_test.go
+++ b/pkg/admission/returns_test.go
@@ -123,7 +123,7 @@
 	// Guards against a caller that names a time-out of years: the search for its slot held the
 	// lock of all decisions for seconds.
 	ginkgo.It("is bounded, whatever time the caller has", func() {
-		withCalendar(100000, func(c *ratedCalendar, _ func(time.Duration)) {
+		withCalendar(0, func(c *ratedCalendar, _ func(time.Duration)) {
 			for _, remaining := range []time.Duration{24 * time.Hour, 365 * 24 * time.Hour, math.MaxInt64} {
 				began := time.Now()
 				for range 100 {
--- a/pkg/gateway/livenesscheck_test.go
+++ b/pkg/gateway/livenesscheck_test.go
@@ -101,7 +101,24 @@
 			b.clock.Advance(time.Millisecond)
 			Eventually(b.policy.lost.Load, "5s").Should(Equal(int64(1)))
 			Eventually(b.dialer.open.Load, "5s").Should(BeZero(), "the attempts are given up")
-			Expect(b.count(checkSilent)()).To(Equal(int64(1)))
+			Eventually(b.count(checkSilent), "5s").Should(Equal(int64(1)), "counted after the endpoint is recorded as lost")
+		})
+	})
+
+	// Guards against endpoints of a distant failure domain that are all taken for silent.
+	It("gives an endpoint in another failure domain the round trip more to answer", func() {
+		withChecker(func(b *checkerFixture) {
+			const roundTrip = 60 * time.Millisecond
+			b.checker.check("y", "y:1", b.clock.Now(), roundTrip)
+			b.dialed(1)
+			b.awaitWaiters(1)
+			b.clock.Advance(secondDialDelay)
+			b.dialed(2)
+			b.awaitWaiters(1)
+			b.clock.Advance(dialVerdictDelay + roundTrip - time.Millisecond)
+			Consistently(b.policy.lost.Load, "20ms").Should(BeZero())
+			b.clock.Advance(time.Millisecond)
+			Eventually(b.policy.lost.Load, "5s").Should(Equal(int64(1)))
 		})
 	})
 
--- a/pkg/gateway/livenesswatch.go
+++ b/pkg/gateway/livenesswatch.go
@@ -69,10 +69,8 @@
 // events come before it fires.
 func (w *livenessWatch) sawEvent() {
 	now := w.checker.svc.Now()
-	// A stall isn't usual: counted, it would keep stages from being checked just after an
-	// endpoint was lost.
-	if pause := now.Sub(w.pausedAt); w.eventAt.Load() != 0 && pause < stallWait {
-		w.checker.usual.record(w.s.j.service.Name, pause)
+	if w.eventAt.Load() != 0 {
+		w.checker.usual.record(w.s.j.service.Name, now.Sub(w.pausedAt))
 	}
 	w.eventAt.Store(now.UnixNano())
 	w.pausedAt = now
--- a/pkg/gateway/usualpause.go
+++ b/pkg/gateway/usualpause.go
@@ -28,9 +28,13 @@
 	}
 }
 
-// record notes a pause. The estimate rises by each longer pause and falls by each shorter
+// record notes a pause, unless it is a stall: stalls would keep stages from being checked
+// just after an endpoint was lost. The estimate rises by each longer pause and falls by each shorter
 // one, so that it settles where usualShare of them are shorter.
 func (u *usualPause) record(service string, pause time.Duration) {
+	if pause >= stallWait {
+		return
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	e, known := u.services[service]
--- a/pkg/gateway/usualpause_test.go
+++ b/pkg/gateway/usualpause_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/fleet"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -32,22 +33,49 @@
 		})
 	}
 
-	It("isn't raised by a few long pauses", func() {
+	It("isn't raised by stalls, and hardly by a few long pauses", func() {
 		u := newUsualPause()
 		for i := range 4000 {
 			pause := 40 * time.Millisecond
 			if i%200 == 0 {
-				pause = 2 * time.Second
+				pause = 200 * time.Millisecond
 			}
 			u.record("s", pause)
 		}
+		for range 300 {
+			u.record("s", stallWait)
+		}
 		Expect(u.of("s")).To(BeNumerically("<", 50*time.Millisecond))
 	})
 
+	It("decides after which pause stages are checked, if it is longer than the route's goal asks for", func() {
+		const goal = 75 * time.Millisecond
+		for _, usual := range []time.Duration{30 * time.Millisecond, 100 * time.Millisecond} {
+			w := &livenessWatch{
+				s: &streamRun{
+					j: &job{
+						service: &fleet.Service{
+							Name: "s",
+						},
+					},
+				},
+				checker: &livenessChecker{
+					usual: newUsualPause(),
+				},
+				pause: goal,
+			}
+			for range 4000 {
+				w.checker.usual.record("s", usual)
+			}
+			want := max(goal, time.Duration(usualPauseFactor*float64(usual)))
+			Expect(w.longPause()).To(BeNumerically("~", want, 5*time.Millisecond))
+		}
+	})
+
 	It("is kept for a bounded number of services", func() {
 		u := newUsualPause()
 		for i := range 2 * maxUsualPauses {
-			u.record(fmt.Sprintf("s%d", i), time.Second)
+			u.record(fmt.Sprintf("s%d", i), 100*time.Millisecond)
 		}
 		Expect(u.services).To(HaveLen(maxUsualPauses))
 	})
