reachability: log which services a host can't reach

What callers saw: hosts cut off from all endpoints refused their requests. Cause not decided yet: their logs have the same lines as when endpoints are down, one for each endpoint that failed. Change: a monitor watches the connections to endpoints in both roles, checks several endpoints of a service when some failed and none was reached in between, and logs service_unreachable and service_reachable.

--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +17,7 @@
 	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/netutil"
+	"github.com/larchwinch/larchwinch/pkg/reachability"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	"github.com/larchwinch/larchwinch/pkg/version"
 	"github.com/larchwinch/larchwinch/platform"
@@ -143,23 +145,47 @@
 	reportIdleConns = 1
 )
 
-// endpointClients returns the clients for endpoints.
-func endpointClients(ip string) platform.Clients {
+// endpointClients returns the clients for endpoints, whose connections m observes.
+func endpointClients(ip string, m *reachability.Monitor) platform.Clients {
+	d := reachability.NewDialer(netutil.Dialer(ip, endpointDialTimeout), m)
 	return platform.Clients{
-		Requests:    endpointClient(ip, 0),
-		Streams:     endpointClient(ip, streamIdleConns),
-		Reports:     endpointClient(ip, reportIdleConns),
-		Connections: netutil.Dialer(ip, endpointDialTimeout),
+		Requests:    endpointClient(d, 0),
+		Streams:     endpointClient(d, streamIdleConns),
+		Reports:     endpointClient(d, reportIdleConns),
+		Connections: d,
 	}
 }
 
+const (
+	// A check of reachability makes its second attempt after secondConnectDelay, and its
+	// verdict connectVerdictDelay later. Endpoints of distant domains accept connections in
+	// some ten ms.
+	secondConnectDelay  = 30 * time.Millisecond
+	connectVerdictDelay = 70 * time.Millisecond
+	// maxConnectLateness is by how much the verdict's timer may be late.
+	maxConnectLateness = 30 * time.Millisecond
+)
+
+// newMonitor returns the monitor of which services this process can reach.
+func (p *process) newMonitor() *reachability.Monitor {
+	return reachability.New(reachability.Checker{
+		Connector: reachability.Probe{
+			Dialer: netutil.Dialer(p.cfg.Load().IP, endpointDialTimeout),
+		},
+		Timer:        p.svc,
+		SecondDelay:  secondConnectDelay,
+		VerdictDelay: connectVerdictDelay,
+		MaxLateness:  maxConnectLateness,
+	}, p.svc, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), p.log, p.set)
+}
+
 // endpointClient returns a client that keeps at most idleConns idle connections to
 // each endpoint; with 0, every request makes a connection. A new connection costs
 // the endpoint about a millisecond.
-func endpointClient(ip string, idleConns int) *http.Client {
+func endpointClient(d platform.Dialer, idleConns int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         netutil.Dialer(ip, endpointDialTimeout).DialContext,
+			DialContext:         d.DialContext,
 			DisableCompression:  true,
 			DisableKeepAlives:   idleConns == 0,
 			MaxIdleConnsPerHost: idleConns,
--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -37,6 +37,7 @@
 		return cmdutil.Usage(err)
 	}
 	p := newProcess(cfg, file, "control")
+	m := p.newMonitor()
 	s := fleetcontrol.New(fleetcontrol.Config{
 		Folder: cfg.Data,
 		IP:     cfg.IP,
@@ -49,12 +50,14 @@
 		ToleratedLosses: cfg.Bounds.ToleratedLosses,
 		Heartbeat:       cfg.Bounds.Heartbeat.Or(time.Second),
 		Decoder:         platform.Decoder{},
-		Orders:          platform.NewEndpointClient(endpointClients(cfg.IP)),
+		Orders:          platform.NewEndpointClient(endpointClients(cfg.IP, m)),
 		Client:          p.client,
 		Timer:           p.svc,
 		Log:             p.log,
 		Metrics:         p.set,
 	}, p.group)
+	m.SetEndpoints(s)
+	p.group.Go(m.Run)
 	return p.run([]server{
 		{address: cfg.Listen.Control, handler: platform.NewControlHandler(s)},
 		{address: net.JoinHostPort(cfg.IP, cfg.ControlPort()), handler: fleetcontrol.Forwarded(s.RPC())},
@@ -85,7 +88,9 @@
 		Extra:  cfg.Bounds.RetryExtra,
 		Window: cfg.Bounds.RetryWindow.Or(time.Second),
 	}
-	g := gateway.New(cfg.Domain, platform.NewEndpointClient(endpointClients(cfg.IP)), f, budget, p.svc, p.log, p.set)
+	m := p.newMonitor()
+	m.SetEndpoints(f)
+	g := gateway.New(cfg.Domain, platform.NewEndpointClient(endpointClients(cfg.IP, m)), f, budget, p.svc, p.log, p.set)
 	f.SetSources(fleetentry.Sources{
 		Loads:      g.Tracker(),
 		Quarantine: g.Quarantine(),
@@ -94,6 +99,7 @@
 		Admission:  g.Admission(),
 		Full:       g.FullEndpoints(),
 	})
+	p.group.Go(m.Run)
 	grace := cfg.Bounds.Grace.Or(time.Second)
 	host := fleetentry.NewHost(f, grace, p.svc, p.log)
 	maxAge := min(directoryMaxAge, cfg.Bounds.DirectoryMaxAge.Or(directoryMaxAge))
--- a/pkg/fleetcontrol/probe.go
+++ b/pkg/fleetcontrol/probe.go
@@ -169,3 +169,8 @@
 		s.table.MarkSilent(e.ID)
 	}
 }
+
+// EndpointAddresses implements reachability.Endpoints.
+func (s *Server) EndpointAddresses() map[string][]string {
+	return fleet.AddressesByService(s.table.All())
+}
--- a/pkg/fleetentry/view.go
+++ b/pkg/fleetentry/view.go
@@ -31,6 +31,17 @@
 	return c.byService[service]
 }
 
+// EndpointAddresses implements reachability.Endpoints.
+func (c *ControlClient) EndpointAddresses() map[string][]string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []fleet.Endpoint
+	for _, l := range c.byService {
+		list = append(list, l...)
+	}
+	return fleet.AddressesByService(list)
+}
+
 // EndpointLeaving implements gateway.Source. An endpoint that control hosts report as gone
 // counts too.
 func (c *ControlClient) EndpointLeaving(id string) bool {
--- a/pkg/gateway/liveness.go
+++ b/pkg/gateway/liveness.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"sync"
-	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/reachability"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
@@ -46,37 +45,19 @@
 
 // checkResult is what a check of an endpoint found; the values are labels of the
 // counter liveness_checks.
-type checkResult string
+type checkResult = reachability.Result
 
 const (
 	checkRunning checkResult = ""
-	checkAlive   checkResult = "alive"
-	checkRefused checkResult = "refused"
-	checkSilent  checkResult = "silent"
-	// checkFailed is the result if the connection failed for another reason, such as too
-	// few file descriptors on this host, and checkLate if this host was suspended
-	// meanwhile. Neither says anything about the endpoint.
-	checkFailed checkResult = "failed"
-	checkLate   checkResult = "late"
+	checkAlive               = reachability.Alive
+	checkRefused             = reachability.Refused
+	checkSilent              = reachability.Silent
+	checkFailed              = reachability.Failed
+	checkLate                = reachability.Late
 	// checkLimited counts checks that were not made because of the bounds.
 	checkLimited checkResult = "limited"
 )
 
-// lost reports whether the endpoint that was checked is lost.
-func (r checkResult) lost() bool {
-	return r == checkRefused || r == checkSilent
-}
-
-// conclusive reports whether the result says anything about the endpoint.
-func (r checkResult) conclusive() bool {
-	return r == checkAlive || r.lost()
-}
-
-// dialer opens a connection to an address and closes it.
-type dialer interface {
-	Dial(ctx context.Context, address string) error
-}
-
 // checkPolicy decides which endpoints may be checked, and learns which are lost.
 type checkPolicy interface {
 	// mayCheck reports whether a connection to an endpoint may be opened for a check.
@@ -100,7 +81,7 @@
 // all streams whose paths contain the endpoint. It is safe for use by several
 // goroutines.
 type livenessChecker struct {
-	client  dialer
+	checker reachability.Checker
 	policy  checkPolicy
 	svc     timer.Service
 	metrics *metrics.Set
@@ -131,9 +112,15 @@
 	return secondDialDelay + dialVerdictDelay + k.roundTrip
 }
 
-func newLivenessChecker(client dialer, policy checkPolicy, svc timer.Service, set *metrics.Set) *livenessChecker {
+func newLivenessChecker(client reachability.Connector, policy checkPolicy, svc timer.Service, set *metrics.Set) *livenessChecker {
 	return &livenessChecker{
-		client:  client,
+		checker: reachability.Checker{
+			Connector:    client,
+			Timer:        svc,
+			SecondDelay:  secondDialDelay,
+			VerdictDelay: dialVerdictDelay,
+			MaxLateness:  maxVerdictDelay,
+		},
 		policy:  policy,
 		svc:     svc,
 		metrics: set,
@@ -160,9 +147,9 @@
 		switch {
 		case k.result == checkRunning:
 			return max(checkRetryInterval, k.verdictDelay()-age)
-		case k.result.conclusive() && k.startedAt.After(lastEvent):
+		case k.result.Conclusive() && k.startedAt.After(lastEvent):
 			return 0
-		case k.result.conclusive() && age < checkReuse:
+		case k.result.Conclusive() && age < checkReuse:
 			return max(checkRetryInterval, checkReuse-age)
 		}
 	}
@@ -208,63 +195,18 @@
 	}
 	c.checks[id] = k
 	c.group.Go(func(ctx context.Context) {
-		c.complete(k, c.dial(ctx, address, roundTrip))
+		c.complete(k, c.checker.Check(ctx, address, roundTrip))
 	})
 	return k
 }
 
-// dial tries to connect to an endpoint, a second time if there is no answer soon.
-func (c *livenessChecker) dial(ctx context.Context, address string, roundTrip time.Duration) checkResult {
-	grp := group.New(ctx)
-	defer grp.Stop()
-	answers := make(chan error, 2)
-	attempt := func(ctx context.Context) {
-		answers <- c.client.Dial(ctx, address)
-	}
-	grp.Go(attempt)
-	second := c.svc.After(secondDialDelay)
-	var verdict <-chan time.Time
-	var due time.Time
-	for {
-		select {
-		case err := <-answers:
-			return resultOf(err)
-		case <-second:
-			second = nil
-			grp.Go(attempt)
-			due = c.svc.Now().Add(dialVerdictDelay + roundTrip)
-			verdict = c.svc.After(dialVerdictDelay + roundTrip)
-		case <-verdict:
-			if len(answers) > 0 {
-				return resultOf(<-answers)
-			}
-			if c.svc.Now().Sub(due) > maxVerdictDelay {
-				return checkLate
-			}
-			return checkSilent
-		}
-	}
-}
-
-// resultOf returns the result of a check whose attempt to connect ended with err.
-func resultOf(err error) checkResult {
-	switch {
-	case err == nil:
-		return checkAlive
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return checkRefused
-	default:
-		return checkFailed
-	}
-}
-
 // complete records the result of a check. If the endpoint is lost, it notifies the
 // streams that have had no event since the check began.
 func (c *livenessChecker) complete(k *livenessCheck, r checkResult) {
 	if r == checkSilent && c.servedDuring(k) {
 		r = checkAlive // only the connections of this host do not reach it
 	}
-	if r.lost() {
+	if r.Lost() {
 		c.policy.recordLost(k.id, r) // before the streams look for other paths
 	}
 	c.mu.Lock()
@@ -272,7 +214,7 @@
 	k.result = r
 	c.running--
 	c.count(r)
-	if !r.lost() {
+	if !r.Lost() {
 		return
 	}
 	for w := range c.streams[k.id] {
--- a/pkg/gateway/livenesscheck_test.go
+++ b/pkg/gateway/livenesscheck_test.go
@@ -153,7 +153,7 @@
 					b.clock.Advance(time.Millisecond)
 				}
 				Eventually(b.count(c.result), "5s").Should(Equal(int64(1)), c.name)
-				Expect(b.policy.lost.Load() > 0).To(Equal(c.result.lost()), c.name)
+				Expect(b.policy.lost.Load() > 0).To(Equal(c.result.Lost()), c.name)
 			})
 		}
 	})
@@ -189,7 +189,7 @@
 				b.dialer.results <- c.err
 				b.check("y")
 				Eventually(b.count(c.result), "5s").Should(Equal(int64(1)), string(c.result))
-				Expect(b.policy.lost.Load() > 0).To(Equal(c.result.lost()))
+				Expect(b.policy.lost.Load() > 0).To(Equal(c.result.Lost()))
 			})
 		}
 	})
--- /dev/null
+++ b/pkg/reachability/monitor_test.go
@@ -0,0 +1,245 @@
+package reachability
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
+	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/timer"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// suite is the test that runs the specs; synctest needs it.
+var suite *testing.T
+
+func TestReachability(t *testing.T) {
+	suite = t
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "reachability")
+}
+
+// bubbleTimer is a timer service by the clock of the synctest bubble it is used in.
+type bubbleTimer struct {
+	timer.System
+}
+
+func (bubbleTimer) Now() time.Time { return time.Now() }
+
+// network is a host's links to endpoints, as a NetDialer.
+type network struct {
+	mu       sync.Mutex
+	services map[string][]string
+	results  map[string]Result // by address; Alive where there is none
+	dials    int
+}
+
+func newNetwork(services map[string]int) *network {
+	n := &network{
+		services: map[string][]string{},
+		results:  map[string]Result{},
+	}
+	for name, count := range services {
+		for i := range count {
+			n.services[name] = append(n.services[name], fmt.Sprintf("%s-%d", name, i))
+		}
+	}
+	return n
+}
+
+// set makes all endpoints of the services, or of all if none is given, treat connections by r.
+func (n *network) set(r Result, services ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for name, list := range n.services {
+		if len(services) > 0 && services[0] != name {
+			continue
+		}
+		for _, a := range list {
+			n.results[a] = r
+		}
+	}
+}
+
+func (n *network) setOne(address string, r Result) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.results[address] = r
+}
+
+func (n *network) EndpointAddresses() map[string][]string { return n.services }
+
+func (n *network) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	r := n.results[address]
+	n.dials++
+	n.mu.Unlock()
+	switch r {
+	case Refused:
+		return nil, syscall.ECONNREFUSED
+	case Failed:
+		return nil, syscall.EMFILE
+	case Silent:
+		select {
+		case <-time.After(400 * time.Millisecond):
+			return nil, syscall.ETIMEDOUT
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	a, b := net.Pipe()
+	_ = b.Close()
+	return a, nil
+}
+
+// Dial implements Connector.
+func (n *network) Dial(ctx context.Context, address string) error {
+	_, err := n.DialContext(ctx, "tcp", address)
+	return err
+}
+
+type fixture struct {
+	*network
+	monitor *Monitor
+	dialer  *Dialer
+}
+
+// withMonitor runs f in a synctest bubble beside a running monitor.
+func withMonitor(services map[string]int, f func(b *fixture)) {
+	synctest.Test(suite, func(*testing.T) {
+		n := newNetwork(services)
+		svc := bubbleTimer{}
+		m := New(Checker{Connector: n, Timer: svc, SecondDelay: 30 * time.Millisecond, VerdictDelay: 70 * time.Millisecond, MaxLateness: 30 * time.Millisecond},
+			svc, rand.New(rand.NewPCG(1, 1)), eventlog.New(GinkgoWriter, svc, "h", 1000), metrics.New())
+		m.SetEndpoints(n)
+		g := group.New(context.Background())
+		defer g.Stop()
+		g.Go(m.Run)
+		f(&fixture{network: n, monitor: m, dialer: NewDialer(n, m)})
+	})
+}
+
+// connect opens a connection to an endpoint and returns how long that took.
+func (b *fixture) connect(address string) (time.Duration, error) {
+	began := time.Now()
+	_, err := b.dialer.DialContext(context.Background(), "tcp", address)
+	return time.Since(began), err
+}
+
+const engines, apps = "engine", "app"
+
+var _ = Describe("the monitor of reachable services", func() {
+	for _, fault := range []Result{Refused, Silent} {
+		It(fmt.Sprintf("finds a host isolated soon after all its connections are %s, and reachable soon after they work", fault), func() {
+			withMonitor(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
+				b.set(fault)
+				_, _ = b.connect("engine-1")
+				_, _ = b.connect("engine-2")
+				time.Sleep(300 * time.Millisecond)
+				Expect(b.monitor.Unreachable(engines)).To(BeTrue())
+				Expect(b.monitor.Unreachable(apps)).To(BeTrue(), "no app was connected to, so that is found out, too")
+				Expect(b.monitor.Isolated()).To(BeTrue())
+				b.set(Alive)
+				time.Sleep(400 * time.Millisecond)
+				Expect(b.monitor.Isolated()).To(BeFalse())
+				Expect(b.monitor.Unreachable(engines)).To(BeFalse())
+			})
+		})
+	}
+
+	// Guards against a host that stops using endpoints which work because some others failed.
+	It("finds no service unreachable while some of its endpoints are reached", func() {
+		withMonitor(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
+			for i := range 26 {
+				b.setOne(fmt.Sprintf("engine-%d", i), Refused)
+			}
+			b.setOne("app-0", Silent)
+			for range 5 {
+				for i := range 26 {
+					_, _ = b.connect(fmt.Sprintf("engine-%d", i))
+				}
+				_, _ = b.connect("app-0")
+				Expect(b.monitor.Unreachable(apps)).To(BeFalse())
+			}
+			Expect(b.monitor.Isolated()).To(BeFalse())
+		})
+	})
+
+	// Guards against a process that has too few file descriptors, or was suspended, and takes
+	// itself for cut off.
+	It("draws no conclusion from connections that fail for a reason of this host", func() {
+		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
+			b.set(Failed)
+			for i := range 10 {
+				_, _ = b.connect(fmt.Sprintf("engine-%d", i))
+			}
+			time.Sleep(time.Second)
+			Expect(b.monitor.Unreachable(engines)).To(BeFalse())
+		})
+	})
+
+	// Guards against callers that wait for a connection which is known not to open.
+	It("gives up connections that were being opened when their service is found unreachable", func() {
+		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
+			b.set(Silent)
+			g := group.New(context.Background())
+			for i := range 2 {
+				g.Go(func(context.Context) {
+					took, err := b.connect(fmt.Sprintf("engine-%d", i))
+					Expect(err).To(MatchError(ErrUnreachable))
+					Expect(took).To(BeNumerically("<", 250*time.Millisecond))
+				})
+			}
+			g.Wait()
+		})
+	})
+
+	It("makes no check while connections open", func() {
+		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
+			for i := range 200 {
+				_, _ = b.connect(fmt.Sprintf("engine-%d", i%39))
+				time.Sleep(10 * time.Millisecond)
+			}
+			Expect(b.dials).To(Equal(200))
+		})
+	})
+
+	// Guards against probes by the hundred while endpoints are down for everybody.
+	It("makes a bounded number of checks while a service is unreachable", func() {
+		withMonitor(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
+			b.set(Refused, apps)
+			_, _ = b.connect("app-0")
+			_, _ = b.connect("app-1")
+			time.Sleep(time.Second)
+			b.mu.Lock()
+			b.dials = 0
+			b.mu.Unlock()
+			time.Sleep(10 * time.Second)
+			Expect(b.monitor.Unreachable(apps)).To(BeTrue())
+			Expect(b.monitor.Unreachable(engines)).To(BeFalse())
+			Expect(b.dials).To(BeNumerically("<=", 10*3*5))
+		})
+	})
+
+	It("tells whether another endpoint was reached since", func() {
+		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
+			began := time.Now()
+			_, _ = b.connect("engine-1")
+			Expect(b.monitor.ReachedOther("engine-1", began)).To(BeFalse())
+			_, _ = b.connect("engine-2")
+			Expect(b.monitor.ReachedOther("engine-1", began)).To(BeTrue())
+			Expect(b.monitor.ReachedOther("engine-2", began)).To(BeTrue())
+			time.Sleep(time.Millisecond)
+			Expect(b.monitor.ReachedOther("engine-1", time.Now())).To(BeFalse())
+		})
+	})
+})
