--- a/cmd/larchwinch-fleet/main.go
+++ b/cmd/larchwinch-fleet/main.go
@@ -4,11 +4,18 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/cmds/cmdutil"
 	"github.com/larchwinch/larchwinch/pkg/cmds/fleetcmd"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
+	"github.com/larchwinch/larchwinch/pkg/reachability"
 )
 
 func main() {
-	os.Exit(cmdutil.Main(fleetcmd.New()))
+	os.Exit(cmdutil.Main(fleetcmd.New(newDialer)))
+}
+
+func newDialer(ip string, timeout time.Duration) reachability.NetDialer {
+	return netutil.Dialer(ip, timeout)
 }
--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -39,19 +39,22 @@
 	controlMetricsPort = "9191"
 )
 
-// New returns the command.
-func New() *cobra.Command {
+// EndpointDialer returns a dialer for connections to endpoints from the host's IP number.
+type EndpointDialer func(ip string, timeout time.Duration) reachability.NetDialer
+
+// New returns the command, whose processes connect to endpoints by dial.
+func New(dial EndpointDialer) *cobra.Command {
 	cmd := &cobra.Command{
 		Use:     "larchwinch-fleet",
 		Short:   "Run a host of a deployment whose endpoints announce themselves",
 		Version: version.String(),
 	}
-	cmd.AddCommand(roleCommand("control", "Run a replica of the deployment's state, and place layers", serveControl))
-	cmd.AddCommand(roleCommand("entry", "Forward callers' requests to endpoints", serveEntry))
+	cmd.AddCommand(roleCommand("control", "Run a replica of the deployment's state, and place layers", dial, serveControl))
+	cmd.AddCommand(roleCommand("entry", "Forward callers' requests to endpoints", dial, serveEntry))
 	return cmd
 }
 
-func roleCommand(name, short string, serve func(cfg *config.Fleet, file string) error) *cobra.Command {
+func roleCommand(name, short string, dial EndpointDialer, serve func(p *process) error) *cobra.Command {
 	file := ""
 	check := false
 	cmd := &cobra.Command{
@@ -70,7 +73,7 @@
 				cmd.Println(file + ": good")
 				return nil
 			}
-			return serve(cfg, file)
+			return serve(newProcess(cfg, file, name, dial))
 		},
 	}
 	cmd.Flags().StringVar(&file, "config", "", "settings file; by default, the one that the platform names")
@@ -87,10 +90,11 @@
 	log    *eventlog.Log
 	set    *metrics.Set
 	client *http.Client // for calls to larchwinch's own processes
+	dial   EndpointDialer
 	group  *group.Group
 }
 
-func newProcess(cfg *config.Fleet, file, role string) *process {
+func newProcess(cfg *config.Fleet, file, role string, dial EndpointDialer) *process {
 	debug.SetGCPercent(gcPercent)
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB * memoryLimitRatio * (1 << 20)))
@@ -101,6 +105,7 @@
 		svc:    timer.NewSystem(),
 		set:    metrics.New(),
 		client: rpcClient(cfg.IP),
+		dial:   dial,
 		group:  group.New(context.Background()),
 	}
 	p.cfg.Store(cfg)
@@ -146,8 +151,8 @@
 )
 
 // endpointClients returns the clients for endpoints, whose connections m observes.
-func endpointClients(ip string, m *reachability.Monitor) platform.Clients {
-	d := reachability.NewDialer(netutil.Dialer(ip, endpointDialTimeout), m)
+func (p *process) endpointClients(m *reachability.Monitor) platform.Clients {
+	d := reachability.NewDialer(p.dial(p.cfg.Load().IP, endpointDialTimeout), m)
 	return platform.Clients{
 		Requests:    endpointClient(d, 0),
 		Streams:     endpointClient(d, streamIdleConns),
@@ -170,7 +175,7 @@
 func (p *process) newMonitor() *reachability.Monitor {
 	return reachability.New(reachability.Checker{
 		Connector: reachability.Probe{
-			Dialer: netutil.Dialer(p.cfg.Load().IP, endpointDialTimeout),
+			Dialer: p.dial(p.cfg.Load().IP, endpointDialTimeout),
 		},
 		Timer:        p.svc,
 		SecondDelay:  secondConnectDelay,
--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -32,11 +32,11 @@
 	controlDrainTime = 300 * time.Millisecond
 )
 
-func serveControl(cfg *config.Fleet, file string) error {
+func serveControl(p *process) error {
+	cfg := p.cfg.Load()
 	if err := cfg.CheckControl(); err != nil {
 		return cmdutil.Usage(err)
 	}
-	p := newProcess(cfg, file, "control")
 	m := p.newMonitor()
 	s := fleetcontrol.New(fleetcontrol.Config{
 		Folder: cfg.Data,
@@ -50,7 +50,7 @@
 		ToleratedLosses: cfg.Bounds.ToleratedLosses,
 		Heartbeat:       cfg.Bounds.Heartbeat.Or(time.Second),
 		Decoder:         platform.Decoder{},
-		Orders:          platform.NewEndpointClient(endpointClients(cfg.IP, m)),
+		Orders:          platform.NewEndpointClient(p.endpointClients(m)),
 		Client:          p.client,
 		Timer:           p.svc,
 		Log:             p.log,
@@ -67,11 +67,11 @@
 	}, controlDrainTime)
 }
 
-func serveEntry(cfg *config.Fleet, file string) error {
+func serveEntry(p *process) error {
+	cfg := p.cfg.Load()
 	if err := cfg.CheckEntry(); err != nil {
 		return cmdutil.Usage(err)
 	}
-	p := newProcess(cfg, file, "entry")
 	f := fleetentry.NewControlClient(fleetentry.ControlClientConfig{
 		Name:               cfg.Host,
 		Domain:             cfg.Domain,
@@ -90,7 +90,7 @@
 	}
 	m := p.newMonitor()
 	m.SetEndpoints(f)
-	g := gateway.New(cfg.Domain, platform.NewEndpointClient(endpointClients(cfg.IP, m)), f, budget, p.svc, p.log, p.set)
+	g := gateway.New(cfg.Domain, platform.NewEndpointClient(p.endpointClients(m)), f, budget, p.svc, p.log, p.set)
 	f.SetSources(fleetentry.Sources{
 		Loads:      g.Tracker(),
 		Quarantine: g.Quarantine(),
