gateway: relay requests to other entry hosts while no endpoint is reachable

What callers saw: hosts cut off from all endpoints refused them, with 503 at once or after 1.3 s of silent connections, while other hosts served everything. Cause: a host knew only its own connections. It took links that were cut for endpoints that failed, had no other way to serve, and stayed ready and named to callers. Ruled out: more attempts and more time (no endpoint could be reached for 12 s); only leaving the list of addresses (callers keep an old one for up to three lifetimes, and their first attempts there would fail); the callers' address as the place to relay to (an older build would take such a request for a caller's and may decide it by an older configuration: a port of its own is refused there, so another host is asked). Change: a request whose service is unreachable goes to another entry host, chosen from those that the leader names; one whose own connections all failed goes there before it is refused; a stream that breaks continues there. The other host answers like for a caller, but never relays again, counts endpoints that may have run the request, adds nothing to the retry budget, and refuses if its configuration is older. What may have run and must not be repeated is not relayed. Cut-off hosts report isolated in place of ready, so that new callers don't get their address, unless no host is left.

--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -185,7 +185,7 @@
 }
 
 // endpointClient returns a client that keeps at most idleConns idle connections to
-// each endpoint; with 0, every request makes a connection. A new connection costs
+// each address; with 0, every request makes a connection. A new connection costs
 // the endpoint about a millisecond.
 func endpointClient(d platform.Dialer, idleConns int) *http.Client {
 	return &http.Client{
@@ -200,6 +200,15 @@
 	}
 }
 
+// peerClients returns the clients for other entry hosts.
+func peerClients(ip string) platform.PeerClients {
+	d := netutil.Dialer(ip, rpcDialTimeout)
+	return platform.PeerClients{
+		Requests: endpointClient(d, 0),
+		Streams:  endpointClient(d, streamIdleConns),
+	}
+}
+
 func noRedirect(*http.Request, []*http.Request) error {
 	return http.ErrUseLastResponse
 }
--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -72,10 +72,13 @@
 	if err := cfg.CheckEntry(); err != nil {
 		return cmdutil.Usage(err)
 	}
+	m := p.newMonitor()
 	f := fleetentry.NewControlClient(fleetentry.ControlClientConfig{
 		Name:               cfg.Host,
 		Domain:             cfg.Domain,
 		CallerAddress:      cfg.Listen.Callers,
+		RelayPort:          cfg.RelayPort(),
+		Isolated:           m.Isolated,
 		Seeds:              func() []string { return p.cfg.Load().SeedAddresses() },
 		MaxRevocationDelay: cfg.Bounds.MaxRevocationDelay(),
 		Decoder:            platform.Decoder{},
@@ -88,9 +91,18 @@
 		Extra:  cfg.Bounds.RetryExtra,
 		Window: cfg.Bounds.RetryWindow.Or(time.Second),
 	}
-	m := p.newMonitor()
 	m.SetEndpoints(f)
-	g := gateway.New(cfg.Domain, platform.NewEndpointClient(p.endpointClients(m)), f, budget, p.svc, p.log, p.set)
+	g := gateway.New(gateway.Config{
+		Domain:       cfg.Domain,
+		Endpoints:    platform.NewEndpointClient(p.endpointClients(m)),
+		Peers:        platform.NewPeerClient(peerClients(cfg.IP)),
+		Reachability: m,
+		Source:       f,
+		Budget:       budget,
+		Timer:        p.svc,
+		Log:          p.log,
+		Metrics:      p.set,
+	})
 	f.SetSources(fleetentry.Sources{
 		Loads:      g.Tracker(),
 		Quarantine: g.Quarantine(),
@@ -105,6 +117,7 @@
 	maxAge := min(directoryMaxAge, cfg.Bounds.DirectoryMaxAge.Or(directoryMaxAge))
 	return p.run([]server{
 		{address: cfg.Listen.Callers, handler: platform.NewCallerHandler(g, host, p.svc)},
+		{address: net.JoinHostPort(cfg.IP, cfg.RelayPort()), handler: platform.NewRelayHandler(g, host, p.svc)},
 		{address: cfg.Listen.Ready, handler: platform.NewReadinessHandler(host)},
 		{address: cfg.Listen.Directory, handler: platform.NewDirectoryHandler(host, maxAge)},
 		{address: net.JoinHostPort(cfg.IP, entryMetricsPort), handler: p.set.Handler()},
--- a/pkg/config/fleet.go
+++ b/pkg/config/fleet.go
@@ -24,7 +24,7 @@
 	// Seeds are the control hosts to contact first; only their IP addresses are
 	// used.
 	Seeds []string `toml:"seeds"`
-	// InternalPort is the first of the ports for internal calls.
+	// InternalPort is the first of the two ports for internal calls.
 	InternalPort int         `toml:"internal_port"`
 	MemoryMB     float64     `toml:"memory_mb"`
 	Listen       FleetListen `toml:"listen"`
@@ -59,6 +59,7 @@
 const (
 	maxPort           = 65535
 	controlPortOffset = 0
+	relayPortOffset   = 1
 	maxLosses         = 4
 )
 
@@ -80,7 +81,7 @@
 	if _, err := netip.ParseAddr(c.IP); err != nil {
 		p.Add("ip", "an IP number", "%q is not an IP number", c.IP)
 	}
-	p.Range("internal_port", c.InternalPort, 1, maxPort)
+	p.Range("internal_port", c.InternalPort, 1, maxPort-relayPortOffset)
 	p.Range("bounds.losses", c.Bounds.ToleratedLosses, 0, maxLosses)
 	for _, n := range []struct {
 		key   string
@@ -130,6 +131,12 @@
 	return strconv.Itoa(c.InternalPort + controlPortOffset)
 }
 
+// RelayPort returns the port at which entry hosts take each other's requests. It is the
+// same on every host.
+func (c *Fleet) RelayPort() string {
+	return strconv.Itoa(c.InternalPort + relayPortOffset)
+}
+
 // SeedIPs returns the IP addresses of the seeds.
 func (c *Fleet) SeedIPs() []string {
 	list := make([]string, 0, len(c.Seeds))
--- a/pkg/failure/kind.go
+++ b/pkg/failure/kind.go
@@ -43,6 +43,7 @@
 	ResumeInvalid
 	HeadTooLarge
 	Quarantined
+	Isolated
 	numKinds
 )
 
@@ -101,6 +102,7 @@
 	ParentConflict:     {Name: "parent_conflict", Status: http.StatusConflict, Ran: RanNo, Meaning: "The bundle isn't built on the version that stands."},
 	SignatureMissing:   {Name: "signature_missing", Status: http.StatusForbidden, Ran: RanNo, Meaning: "Too few operators who may sign this bundle have signed it."},
 	Quarantined:        {Name: "quarantined", Status: http.StatusServiceUnavailable, Ran: RanNo, RetryAfter: 30 * time.Second, Meaning: "Endpoints ended under this request, so it is kept from them for a while."},
+	Isolated:           {Name: "isolated", Status: http.StatusServiceUnavailable, Ran: RanNo, RetryAfter: time.Second, Meaning: "This host reaches no endpoint of the service; use another address."},
 	HeadTooLarge:       {Name: "head_too_large", Status: http.StatusRequestHeaderFieldsTooLarge, Ran: RanNo, Meaning: "The request's head is larger than the limits allow."},
 	ResumeInvalid:      {Name: "resume_invalid", Status: http.StatusBadRequest, Ran: RanNo, Meaning: "The Last-Event-ID isn't one that this request could have had."},
 }
--- a/pkg/fleetcontrol/hosts.go
+++ b/pkg/fleetcontrol/hosts.go
@@ -28,7 +28,8 @@
 type hosts struct {
 	mu      sync.Mutex
 	entries map[string]*hostEntry
-	// ready is the number of ready hosts; readyVersion increases whenever they change.
+	// ready is the number of ready hosts; readyVersion increases whenever they, or those
+	// that are isolated from all endpoints, change.
 	ready        int
 	readyVersion uint64
 	totals       loadTotals
@@ -118,7 +119,7 @@
 // updateReady updates the count of ready hosts, and its version if the host's
 // readiness or address has changed.
 func (h *hosts) updateReady(before, now *rpc.FleetHost) {
-	if before.GetReady() == now.GetReady() && before.GetCallerAddress() == now.GetCallerAddress() {
+	if before.GetReady() == now.GetReady() && before.GetIsolated() == now.GetIsolated() && before.GetCallerAddress() == now.GetCallerAddress() {
 		return
 	}
 	h.readyVersion++
--- a/pkg/fleetcontrol/hosts_test.go
+++ b/pkg/fleetcontrol/hosts_test.go
@@ -232,3 +232,28 @@
 		h.addresses(now, fmt.Sprintf("h%d", i%300), 1)
 	}
 }
+
+var _ = Describe("hosts that are cut off from all endpoints", func() {
+	isolate := func(h *hosts, n int) {
+		q := syncRequest(n, false)
+		q.Host.Isolated = true
+		h.observe(startTime, q)
+	}
+
+	It("are not named to callers, unless there are no others", func() {
+		withHosts(5, func(h *hosts) {
+			for n := range 4 {
+				isolate(h, n)
+			}
+			list, _, ready := h.addresses(startTime, "h0", 0)
+			Expect(list).To(Equal([]string{"10.4.0.4:80"}))
+			Expect(ready).To(Equal(1))
+			isolate(h, 4)
+			list, _, _ = h.addresses(startTime, "h0", 0)
+			Expect(list).To(HaveLen(5))
+			h.observe(startTime, syncRequest(2, true))
+			list, _, _ = h.addresses(startTime, "h0", 0)
+			Expect(list).To(Equal([]string{"10.2.0.2:80"}))
+		})
+	})
+})
--- a/pkg/fleetcontrol/sample.go
+++ b/pkg/fleetcontrol/sample.go
@@ -18,7 +18,9 @@
 	sampleInterval = 500 * time.Millisecond
 )
 
-// sample is the ready hosts that one entry host names to callers. They are selected by
+// sample is the ready hosts that one entry host names to callers; if no host is ready,
+// those that only lack reachable endpoints, since callers must not be left without an
+// address. They are selected by
 // rendezvous hashing of both names, so that each host is in about as many samples as any
 // other, over all failure domains alike. A host that comes or goes changes only the
 // samples that it is in, and the result doesn't depend on the leader.
@@ -36,7 +38,7 @@
 	}
 	var list []ranked
 	for other, entry := range h.entries {
-		if entry.info.GetReady() {
+		if entry.info.GetReady() || h.ready == 0 && entry.info.GetIsolated() {
 			list = append(list, ranked{
 				address: entry.info.GetCallerAddress(),
 				rank:    xxhash.Sum64String(name + " " + other),
--- a/pkg/fleetentry/controlclient.go
+++ b/pkg/fleetentry/controlclient.go
@@ -58,6 +58,11 @@
 	Name          string
 	Domain        string
 	CallerAddress string
+	// RelayPort is the port at which entry hosts take each other's requests, the same on
+	// every host.
+	RelayPort string
+	// Isolated reports whether this host reaches no endpoint.
+	Isolated func() bool
 	// Seeds returns the control hosts' addresses from the settings.
 	Seeds              func() []string
 	MaxRevocationDelay time.Duration // how long a revoked key may still be accepted; 0 or less: no bound
@@ -247,7 +252,8 @@
 			Name:          c.cfg.Name,
 			Domain:        c.cfg.Domain,
 			CallerAddress: c.cfg.CallerAddress,
-			Ready:         c.ready(),
+			Ready:         c.ready() && !c.cfg.Isolated(),
+			Isolated:      c.ready() && c.cfg.Isolated(),
 		},
 		Epoch:            c.epoch,
 		EndpointsVersion: c.endpointsVersion,
--- a/pkg/fleetentry/controlclient_test.go
+++ b/pkg/fleetentry/controlclient_test.go
@@ -111,6 +111,8 @@
 		Name:               "me",
 		Domain:             "a",
 		CallerAddress:      "10.0.0.1:80",
+		RelayPort:          "7341",
+		Isolated:           func() bool { return false },
 		Seeds:              func() []string { return seeds },
 		MaxRevocationDelay: 5 * time.Second,
 		Decoder:            jsonDecoder{},
--- a/pkg/fleetentry/view.go
+++ b/pkg/fleetentry/view.go
@@ -1,6 +1,7 @@
 package fleetentry
 
 import (
+	"net"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/fleet"
@@ -123,6 +124,20 @@
 	return c.index != nil && !c.leaving && c.trusted(age) && len(c.byService) > 0
 }
 
+// Peers implements gateway.Source.
+func (c *ControlClient) Peers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]string, 0, len(c.callerAddresses))
+	for _, a := range c.callerAddresses {
+		host, _, err := net.SplitHostPort(a)
+		if err == nil && a != c.cfg.CallerAddress {
+			list = append(list, net.JoinHostPort(host, c.cfg.RelayPort))
+		}
+	}
+	return list
+}
+
 // ShutdownIn implements gateway.Source.
 func (c *ControlClient) ShutdownIn() (time.Duration, bool) {
 	c.mu.Lock()
@@ -141,13 +156,14 @@
 }
 
 // Addresses returns the addresses to which callers may connect: those of the ready hosts,
-// or this host's own if it is ready and no other is known.
+// or this host's own if it is ready and no other is known. A host that reaches no endpoint
+// names itself only if it knows no other.
 func (c *ControlClient) Addresses() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []string
 	for _, a := range c.callerAddresses {
-		if a == c.cfg.CallerAddress && !c.ready() {
+		if a == c.cfg.CallerAddress && (!c.ready() || c.cfg.Isolated()) {
 			continue
 		}
 		list = append(list, a)
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -141,6 +141,7 @@
 	grantPermits   func(ids []string, each bool, priority int) time.Duration
 	permitRequests int
 	limitReports   int // calls of ReportLimits
+	peers          []string
 }
 
 func (s *fakeSource) RequestPermits(_ context.Context, ids []string, each bool, priority int, _ time.Duration) PermitReply {
@@ -355,6 +356,8 @@
 
 type fixture struct {
 	client  *fakeClient
+	peers   *fakePeers
+	reach   *fakeReach
 	source  *fakeSource
 	clock   *timer.Manual
 	gateway *Gateway
@@ -376,12 +379,16 @@
 		confirmed: make(chan struct{}),
 	}
 	client := &fakeClient{}
+	peers := &fakePeers{}
+	reach := &fakeReach{unreachable: map[string]bool{}}
 	budget := RetryBudget{Ratio: 0.2, Extra: extra, Window: 10 * time.Second}
 	b := &fixture{
 		client:  client,
 		source:  source,
 		clock:   clock,
-		gateway: New("a", client, source, budget, clock, nil, metrics.New()),
+		peers:   peers,
+		reach:   reach,
+		gateway: New(Config{Domain: "a", Endpoints: client, Peers: peers, Reachability: reach, Source: source, Budget: budget, Timer: clock, Metrics: metrics.New()}),
 	}
 	clock.Advance(10 * time.Second) // refills the retry budget
 	f(b)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -26,6 +26,8 @@
 type Gateway struct {
 	domain         string // this host's failure domain
 	client         EndpointClient
+	reach          Reachability
+	relays         *relays
 	source         Source
 	svc            timer.Service
 	log            *eventlog.Log
@@ -50,18 +52,34 @@
 	admitter       admitter // admission, which tests replace
 }
 
-// New returns the gateway of an entry host in the given failure domain.
-func New(domain string, client EndpointClient, source Source, budget RetryBudget, svc timer.Service, log *eventlog.Log, set *metrics.Set) *Gateway {
+// Config is what a gateway depends on. Every field must be set.
+type Config struct {
+	Domain       string // the host's failure domain
+	Endpoints    EndpointClient
+	Peers        PeerClient
+	Reachability Reachability
+	Source       Source
+	Budget       RetryBudget
+	Timer        timer.Service
+	Log          *eventlog.Log
+	Metrics      *metrics.Set
+}
+
+// New returns the gateway of an entry host.
+func New(cfg Config) *Gateway {
+	svc, client, set := cfg.Timer, cfg.Endpoints, cfg.Metrics
 	backoffs := backoff.New(svc)
 	g := &Gateway{
-		domain:         domain,
+		domain:         cfg.Domain,
 		client:         client,
-		source:         source,
+		reach:          cfg.Reachability,
+		relays:         newRelays(cfg.Peers, cfg.Source, svc),
+		source:         cfg.Source,
 		svc:            svc,
-		log:            log,
+		log:            cfg.Log,
 		metrics:        set,
-		tracker:        NewTracker(svc, log),
-		retries:        newRetryBucket(budget, svc),
+		tracker:        NewTracker(svc, cfg.Log),
+		retries:        newRetryBucket(cfg.Budget, svc),
 		links:          newLinkBuckets(svc),
 		labels:         newAccountLabels(),
 		durations:      newDurationEstimator(),
@@ -102,14 +120,23 @@
 	service  *fleet.Service
 	account  string
 	priority int
-	deadline time.Time           // the caller must have its answer by then
-	ranked   bool                // the service has engines and its requests differ in rank
-	decision *admission.Decision // of the refusal by admission control; nil if there is none
+	deadline time.Time // the caller must have its answer by then
+	// priorAttempts is how many endpoints may have run the request by other hosts.
+	priorAttempts int
+	// configVersion is the version of the configuration by which it was admitted.
+	configVersion uint64
+	ranked        bool                // the service has engines and its requests differ in rank
+	decision      *admission.Decision // of the refusal by admission control; nil if there is none
 
 	hasFingerprint    bool
 	cachedFingerprint quarantine.Fingerprint // valid if hasFingerprint
 }
 
+// mayRepeat reports whether the request may run more than once.
+func (j *job) mayRepeat() bool {
+	return j.route.Kind == fleet.Safe || j.route.Kind == fleet.Stream && j.route.Resumable
+}
+
 // fingerprint returns the request's fingerprint. It is computed only when a request has
 // failed, or while any request is watched or quarantined. Only the goroutine that
 // serves the request may call it.
@@ -132,6 +159,10 @@
 		g.refuse(req, j, out, e)
 		return
 	}
+	if req.Relayed != nil && g.reach.Unreachable(j.service.Name) {
+		g.refuse(req, j, out, isolatedError(j))
+		return
+	}
 	// Context deadlines follow the monotonic clock. The clock of the timer service also
 	// counts the time that the host was suspended, so passing it an absolute deadline
 	// would make the deadline late by that time: pass the remaining duration instead.
@@ -199,6 +230,9 @@
 	if v.Index == nil {
 		return nil, notReady("no configuration is known here yet")
 	}
+	if req.Relayed != nil && v.Index.Version() < req.Relayed.ConfigVersion {
+		return nil, notReady("the sender of the relayed request holds a newer configuration")
+	}
 	route := v.Index.Route(req.Host, req.Path)
 	if route == nil {
 		return nil, notReadyIfStale(v, failure.New(failure.NotFound, "no route"))
@@ -209,6 +243,11 @@
 		route:    route,
 		priority: route.Priority,
 		deadline: req.Received.Add(route.Timeout),
+
+		configVersion: v.Index.Version(),
+	}
+	if req.Relayed != nil {
+		j.priorAttempts = req.Relayed.Attempts
 	}
 	if req.Timeout > 0 && req.Timeout < route.Timeout {
 		j.deadline = req.Received.Add(req.Timeout)
--- a/pkg/gateway/livenessfixture_test.go
+++ b/pkg/gateway/livenessfixture_test.go
@@ -277,7 +277,8 @@
 	s.count = func(r checkResult) int64 {
 		return set.Counter("liveness_checks", metrics.Label{Name: "result", Value: string(r)}).Count()
 	}
-	s.gateway = New("a", s.engines, s.source, RetryBudget{Ratio: 0.2, Extra: extra, Window: time.Second}, bubbleTimer{}, nil, set)
+	s.gateway = New(Config{Domain: "a", Endpoints: s.engines, Peers: &fakePeers{}, Reachability: &fakeReach{}, Source: s.source,
+		Budget: RetryBudget{Ratio: 0.2, Extra: extra, Window: time.Second}, Timer: bubbleTimer{}, Metrics: set})
 	done := make(chan bool, total)
 	watches := map[string]*pauseWatch{}
 	for i := range total {
--- /dev/null
+++ b/pkg/gateway/relaystream.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/group"
+)
+
+// sendNext sends the stream along a path of endpoints, or to another host if this one doesn't
+// reach them. Its failure says that neither is possible.
+func (s *streamRun) sendNext(ctx context.Context) (outcome, error, *failure.Error) {
+	if s.g.relaysFirst(s.j) {
+		if end, cause, e, ok := s.sendToPeers(ctx); ok {
+			return end, cause, e
+		}
+	}
+	var e *failure.Error
+	if s.exhausted != nil {
+		e = s.rejectedError(s.exhausted)
+	} else if e = s.choosePath(ctx); e == nil {
+		end, cause := s.send(ctx)
+		return end, cause, nil
+	}
+	if s.unreached && s.j.req.Relayed == nil {
+		if end, cause, peerFailure, ok := s.sendToPeers(ctx); ok {
+			return end, cause, peerFailure
+		}
+	}
+	return notRun, nil, e
+}
+
+// sendToPeers sends the stream to one host after another until one takes it, and reports
+// whether one did.
+func (s *streamRun) sendToPeers(ctx context.Context) (outcome, error, *failure.Error, bool) {
+	for range maxRelayTries {
+		peer, ok := s.g.relays.pick(s.triedPeers)
+		if !ok {
+			break
+		}
+		s.peer = peer
+		end, cause, e := s.sendToPeer(ctx)
+		if e == nil && end == notRun {
+			s.triedPeers[peer] = true
+			continue
+		}
+		return end, cause, e, true
+	}
+	s.peer = ""
+	return notRun, nil, nil, false
+}
+
+// sendToPeer sends the stream to a host and passes the events on to the caller. The outcome
+// is notRun if that host could not take it; its failure is the one that it reported.
+func (s *streamRun) sendToPeer(ctx context.Context) (outcome, error, *failure.Error) {
+	s.release()
+	s.sends++
+	s.sentAt = s.g.svc.Now()
+	s.gotEvent = false
+	s.unsent = false
+	defer s.g.relays.begin(s.peer)()
+	grp := group.New(ctx)
+	defer grp.Stop()
+	r := newAnswerReader()
+	var refusal *failure.Error
+	grp.Go(func(ctx context.Context) {
+		r.read(ctx, func(ctx context.Context) (*Answer, error) {
+			a, err := s.g.relay(ctx, s.j, s.peer, s.resumeFrom(), s.attempts)
+			if err != nil {
+				return nil, err
+			}
+			refusal = a.Failure
+			return &a.Answer, nil
+		})
+	})
+	for {
+		select {
+		case it := <-r.items:
+			if it.head != nil && refusal != nil {
+				return s.handlePeerFailure(refusal)
+			}
+			if end, cause, done := s.handlePeerItem(ctx, it); done {
+				return end, cause, nil
+			}
+		case <-ctx.Done():
+			grp.Stop()
+			s.unsent = r.unsent.Load()
+			return abandoned, ctx.Err(), nil
+		}
+	}
+}
+
+// handlePeerFailure processes a failure that a host reported: the stream can be resumed if it
+// may have run, and is refused as the other host says if not.
+func (s *streamRun) handlePeerFailure(e *failure.Error) (outcome, error, *failure.Error) {
+	if e.Ran() == failure.RanNo {
+		return notRun, e, e
+	}
+	s.attempts++
+	return broken, e, nil
+}
+
+// handlePeerItem processes one item of a host's answer; done says that the send has ended.
+func (s *streamRun) handlePeerItem(ctx context.Context, it answerItem) (end outcome, cause error, done bool) {
+	switch {
+	case it.head != nil:
+		return s.handlePeerHead(it.head)
+	case !it.ended:
+		err := s.forward(it.event)
+		return abandoned, err, err != nil
+	case it.err == nil:
+		return finished, nil, true
+	case ctx.Err() != nil:
+		return abandoned, ctx.Err(), true
+	case notSent(it.err):
+		s.sends--
+		return notRun, it.err, true
+	}
+	s.g.relays.avoid(s.peer)
+	s.attempts++
+	return broken, it.err, true
+}
+
+// handlePeerHead processes the head of an answer that a host passes on.
+func (s *streamRun) handlePeerHead(a *Answer) (outcome, error, bool) {
+	if a.Status != http.StatusOK || !a.Verified {
+		s.attempts++
+		return broken, errors.Errorf("host %s answered %d", s.peer, a.Status), true
+	}
+	if s.headWritten {
+		return finished, nil, false
+	}
+	s.headWritten = true
+	s.j.out.BeginStream(a.Status, a.Header)
+	return finished, nil, false
+}
+
+// servedBy names what served the current send, for the log.
+func (s *streamRun) servedBy() string {
+	if s.peer != "" {
+		return s.peer
+	}
+	return formatPath(s.path)
+}
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -58,6 +58,10 @@
 	fullFailure *failure.Error
 	admitted    *admission.Stream // by admission control; nil if that wasn't asked
 	mayHaveRun  bool              // an endpoint may have run the stream
+	unreached   bool              // an endpoint could not be connected to
+	peer        string            // the host that the current send is relayed to; empty if none
+	triedPeers  map[string]bool   // hosts that couldn't take the stream
+	exhausted   error             // why it may not be sent to endpoints any more; nil if it may
 	path        []fleet.Stage
 	releases    []func() // undo the load counted for the current path
 	// unsent says that the current send reached no endpoint.
@@ -95,41 +99,43 @@
 		callerLastEvent: j.req.LastEvent,
 		failedIDs:       map[string]bool{},
 		refusedIDs:      map[string]bool{},
+		triedPeers:      map[string]bool{},
 	}
 	if e := s.refuseIfTooLong(); e != nil {
 		s.fail(e)
 		return
 	}
-	g.ranks.record(j.service.Name, j.priority)
-	if e := s.askAdmission(); e != nil {
-		s.fail(e)
-		return
+	if !g.relaysFirst(j) { // another host decides about a relayed stream
+		g.ranks.record(j.service.Name, j.priority)
+		if e := s.askAdmission(); e != nil {
+			s.fail(e)
+			return
+		}
+		defer s.endAdmission()
+		s.delayResume(ctx)
 	}
-	defer s.endAdmission()
-	g.retries.deposit(g.source.HostCount())
+	g.depositRetries(j)
 	defer s.release()
-	s.delayResume(ctx)
 	for {
-		if e := s.choosePath(ctx); e != nil {
+		end, cause, e := s.sendNext(ctx)
+		if e != nil {
 			s.fail(e)
 			return
 		}
-		end, cause := s.send(ctx)
 		s.mayHaveRun = s.mayHaveRun || end != notRun && !s.unsent
 		switch end {
 		case finished:
 			g.recordAnswered(j)
 			g.durations.record(s.demand().Answer, g.svc.Now().Sub(j.req.Received))
 			metrics.Observe(g.metrics.Histogram("longest_pause_us"), s.pauses.longest)
-			g.logServed(j, http.StatusOK, formatPath(s.path), s.sends, s.logFields()...)
+			g.logServed(j, http.StatusOK, s.servedBy(), s.sends, s.logFields()...)
 			return
 		case abandoned:
 			s.expire(ctx)
 			return
 		case notRun:
 			if !s.mayRetry(cause) {
-				s.fail(s.rejectedError(cause))
-				return
+				s.exhausted = cause
 			}
 		case broken:
 			if !s.mayResume(cause) {
@@ -196,7 +202,7 @@
 }
 
 func (s *streamRun) mayResume(cause error) bool {
-	return s.j.route.Resumable && s.attempts < s.j.route.MaxAttempts && s.g.checkQuarantine(s.j) == nil && s.mayRetry(cause)
+	return s.j.route.Resumable && s.attempts+s.j.priorAttempts < s.j.route.MaxAttempts && s.g.checkQuarantine(s.j) == nil && s.mayRetry(cause)
 }
 
 // resumeFrom returns the ID of the event after which the next send continues.
@@ -371,6 +377,7 @@
 	s.failedIDs[s.path[0].ID] = true
 	s.g.logFailedAttempt(s.j, s.path[0].ID, err.Error())
 	if notSent(err) {
+		s.unreached = true
 		return notRun, err
 	}
 	if connectionLost(err) {
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -34,6 +34,46 @@
 	PromptTokens     int
 	MaxAnswerTokens  int
 	AnswerTokensHint int
+	// Relayed is set if another entry host sent the request here.
+	Relayed *Relayed
+}
+
+// Relayed is what an entry host tells another one with a caller's request.
+type Relayed struct {
+	// ConfigVersion is the version of the sender's configuration. A host that holds an
+	// older one must not decide about the request.
+	ConfigVersion uint64
+	// Attempts is how many endpoints may have run the request already.
+	Attempts int
+}
+
+// RelayCall is a caller's request as it is sent to another entry host.
+type RelayCall struct {
+	Request   *Request
+	Address   string
+	Relayed   Relayed
+	Timeout   time.Duration
+	LastEvent string
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
+}
+
+// RelayAnswer is another entry host's answer: that of an endpoint, or its own Failure.
+type RelayAnswer struct {
+	Answer
+	Failure *failure.Error
+}
+
+// PeerClient calls other entry hosts.
+type PeerClient interface {
+	// Relay sends a request. Its error is a *SendError.
+	Relay(ctx context.Context, c *RelayCall) (*RelayAnswer, error)
+}
+
+// Reachability tells which services this host reaches.
+type Reachability interface {
+	// Unreachable reports whether no endpoint of a service accepts this host's connections.
+	Unreachable(service string) bool
 }
 
 // Call is one request as it is sent to an endpoint.
@@ -187,6 +227,9 @@
 	ShutdownIn() (left time.Duration, stops bool)
 	// HostCount returns the number of entry hosts, which share the load.
 	HostCount() int
+	// Peers returns the addresses at which other entry hosts that reach endpoints take
+	// relayed requests.
+	Peers() []string
 	// RequestPermits asks the leader for permits, one for each of the endpoints if each
 	// is set, and one for any of them otherwise. It waits at most wait for them to
 	// become available.
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -53,7 +53,7 @@
 		tried:   map[string]bool{},
 		results: make(chan *attemptResult, maxSends),
 	}
-	g.retries.deposit(g.source.HostCount())
+	g.depositRetries(j)
 	grp := group.New(ctx)
 	defer grp.Stop()
 	w.group = grp
@@ -78,6 +78,9 @@
 }
 
 func (w *unaryRun) run(ctx context.Context) {
+	if w.g.relaysFirst(w.j) && w.relay(ctx) {
+		return
+	}
 	for {
 		changed := w.g.source.Changed()
 		if w.send(firstSend) {
@@ -87,7 +90,7 @@
 			continue
 		}
 		if !w.g.awaitEndpoints(ctx, w.j.req, changed) {
-			w.finish()
+			w.finish(ctx)
 			return
 		}
 	}
@@ -107,7 +110,7 @@
 			return
 		}
 	}
-	w.finish()
+	w.finish(ctx)
 }
 
 // hedgeTimer returns a channel that fires when it is time to hedge, or nil if the
@@ -169,11 +172,16 @@
 	return errors.As(err, &e) && !e.Sent
 }
 
+// mayAttempt reports whether one more endpoint may run the request.
+func (w *unaryRun) mayAttempt() bool {
+	return w.attempts+w.j.priorAttempts < w.j.route.MaxAttempts && w.g.checkQuarantine(w.j) == nil
+}
+
 // resend sends the request once more if the limit of attempts and the retry budget
 // allow it.
 func (w *unaryRun) resend(reason sendReason, cause error) {
-	if w.attempts >= w.j.route.MaxAttempts || w.sends >= maxSends || w.g.checkQuarantine(w.j) != nil {
-		return
+	if !w.mayAttempt() || w.sends >= maxSends || w.g.relaysFirst(w.j) {
+		return // the request is relayed once no attempt is running
 	}
 	if notSent(cause) {
 		reason = afterUnsent
@@ -247,8 +255,11 @@
 }
 
 // finish answers the request when no attempt is running.
-func (w *unaryRun) finish() {
+func (w *unaryRun) finish(ctx context.Context) {
 	r := w.best
+	if r != nil && r.err != nil && w.mayRelay() && w.relay(ctx) {
+		return
+	}
 	switch {
 	case r != nil && r.err == nil && !r.notRun:
 		w.answer(r)
