reachability: find a host isolated whose connections open and are reset

What callers saw: 0 of 94 first attempts served at a host whose connections to endpoints are all reset as soon as they are open. Cause: each connection attempt succeeded, so the monitor saw no failure. Ruled out: judging by broken connections alone, as a request may crash several endpoints that run it. Change: the gateway reports connections that broke before an answer came; two of them start a check, which waits a moment for a reset. A connection that opens no longer ends the time for which a service is unreachable, but starts a check.

--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -52,6 +52,7 @@
 type fakeReach struct {
 	mu          sync.Mutex
 	unreachable map[string]bool
+	doubted     []string
 }
 
 func (r *fakeReach) Unreachable(service string) bool {
@@ -60,6 +61,12 @@
 	return r.unreachable[service]
 }
 
+func (r *fakeReach) Doubt(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.doubted = append(r.doubted, address)
+}
+
 // isolate makes every service unreachable.
 func (r *fakeReach) isolate() {
 	r.mu.Lock()
@@ -187,6 +194,17 @@
 		})
 	})
 
+	// Guards against a host whose connections open and are reset, and that never finds out.
+	It("doubts endpoints whose connections break before an answer", func() {
+		for _, route := range routes {
+			withGateway(func(b *fixture) {
+				b.client.answer = func(int, *Call) (*Answer, error) { return nil, &SendError{Sent: true, Cause: syscall.ECONNRESET} }
+				b.serve(route)
+				Expect(b.reach.doubted).To(HaveLen(len(b.client.sent())), route)
+			})
+		}
+	})
+
 	// Guards against a service that no host serves although endpoints are only down for some.
 	It("tries its own connections if no other host takes the request", func() {
 		for _, route := range routes {
--- a/pkg/gateway/relaystream.go
+++ b/pkg/gateway/relaystream.go
@@ -11,10 +11,10 @@
 
 // sendNext sends the stream along a path of endpoints, or to another host if this one doesn't
 // reach them. Its failure says that neither is possible.
-func (s *streamRun) sendNext(ctx context.Context) (outcome, error, *failure.Error) {
+func (s *streamRun) sendNext(ctx context.Context) (outcome, *failure.Error, error) {
 	if s.g.relaysFirst(s.j) {
-		if end, cause, e, ok := s.sendToPeers(ctx); ok {
-			return end, cause, e
+		if end, e, cause, ok := s.sendToPeers(ctx); ok {
+			return end, e, cause
 		}
 	}
 	var e *failure.Error
@@ -22,31 +22,31 @@
 		e = s.rejectedError(s.exhausted)
 	} else if e = s.choosePath(ctx); e == nil {
 		end, cause := s.send(ctx)
-		return end, cause, nil
+		return end, nil, cause
 	}
 	if s.unreached && s.j.req.Relayed == nil {
-		if end, cause, peerFailure, ok := s.sendToPeers(ctx); ok {
-			return end, cause, peerFailure
+		if end, peerFailure, cause, ok := s.sendToPeers(ctx); ok {
+			return end, peerFailure, cause
 		}
 	}
-	return notRun, nil, e
+	return notRun, e, nil
 }
 
 // sendToPeers sends the stream to one host after another until one takes it, and reports
 // whether one did.
-func (s *streamRun) sendToPeers(ctx context.Context) (outcome, error, *failure.Error, bool) {
+func (s *streamRun) sendToPeers(ctx context.Context) (end outcome, e *failure.Error, cause error, ok bool) {
 	for range maxRelayTries {
 		peer, ok := s.g.relays.pick(s.triedPeers)
 		if !ok {
 			break
 		}
 		s.peer = peer
-		end, cause, e := s.sendToPeer(ctx)
+		end, e, cause := s.sendToPeer(ctx)
 		if e == nil && end == notRun {
 			s.triedPeers[peer] = true
 			continue
 		}
-		return end, cause, e, true
+		return end, e, cause, true
 	}
 	s.peer = ""
 	return notRun, nil, nil, false
@@ -54,7 +54,7 @@
 
 // sendToPeer sends the stream to a host and passes the events on to the caller. The outcome
 // is notRun if that host could not take it; its failure is the one that it reported.
-func (s *streamRun) sendToPeer(ctx context.Context) (outcome, error, *failure.Error) {
+func (s *streamRun) sendToPeer(ctx context.Context) (outcome, *failure.Error, error) {
 	s.release()
 	s.sends++
 	s.sentAt = s.g.svc.Now()
@@ -82,28 +82,28 @@
 				return s.handlePeerFailure(refusal)
 			}
 			if end, cause, done := s.handlePeerItem(ctx, it); done {
-				return end, cause, nil
+				return end, nil, cause
 			}
 		case <-ctx.Done():
 			grp.Stop()
 			s.unsent = r.unsent.Load()
-			return abandoned, ctx.Err(), nil
+			return abandoned, nil, ctx.Err()
 		}
 	}
 }
 
 // handlePeerFailure processes a failure that a host reported: the stream can be resumed if it
 // may have run, and is refused as the other host says if not.
-func (s *streamRun) handlePeerFailure(e *failure.Error) (outcome, error, *failure.Error) {
+func (s *streamRun) handlePeerFailure(e *failure.Error) (outcome, *failure.Error, error) {
 	if e.Ran() == failure.RanNo {
-		return notRun, e, e
+		return notRun, e, nil
 	}
 	s.attempts++
-	return broken, e, nil
+	return broken, nil, e
 }
 
 // handlePeerItem processes one item of a host's answer; done says that the send has ended.
-func (s *streamRun) handlePeerItem(ctx context.Context, it answerItem) (end outcome, cause error, done bool) {
+func (s *streamRun) handlePeerItem(ctx context.Context, it answerItem) (outcome, error, bool) {
 	switch {
 	case it.head != nil:
 		return s.handlePeerHead(it.head)
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -117,7 +117,7 @@
 	g.depositRetries(j)
 	defer s.release()
 	for {
-		end, cause, e := s.sendNext(ctx)
+		end, e, cause := s.sendNext(ctx)
 		if e != nil {
 			s.fail(e)
 			return
@@ -381,6 +381,7 @@
 		return notRun, err
 	}
 	if connectionLost(err) {
+		s.g.reach.Doubt(s.path[0].Address)
 		s.g.recordCrash(s.j, s.path[0].ID, !s.gotEvent, s.sentAt)
 	}
 	s.attempts++
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -74,6 +74,8 @@
 type Reachability interface {
 	// Unreachable reports whether no endpoint of a service accepts this host's connections.
 	Unreachable(service string) bool
+	// Doubt records that a connection to an endpoint broke before an answer came.
+	Doubt(address string)
 }
 
 // Call is one request as it is sent to an endpoint.
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -136,6 +136,7 @@
 	}
 	if connectionLost(r.err) {
 		w.g.recordCrash(w.j, r.endpoint.ID, true, r.sentAt)
+		w.g.reach.Doubt(r.endpoint.Address)
 	}
 	if r.notRun || notSent(r.err) {
 		w.attempts--
--- a/pkg/reachability/monitor.go
+++ b/pkg/reachability/monitor.go
@@ -32,6 +32,9 @@
 	// reachable, and unreachableCheckInterval the time between those of one that isn't.
 	reachableCheckInterval   = 300 * time.Millisecond
 	unreachableCheckInterval = 200 * time.Millisecond
+	// doubtLifetime is how long a connection that broke may cause a check: the endpoints that
+	// are lost one by one should not add up.
+	doubtLifetime = time.Second
 	// inconclusiveCheckInterval is the time after a check without a result.
 	inconclusiveCheckInterval = 50 * time.Millisecond
 )
@@ -64,7 +67,8 @@
 	endpoints Endpoints
 
 	mu       sync.Mutex
-	failed   map[string]bool // addresses that failed since an endpoint of their service was reached
+	doubted  map[string]time.Time // when a connection to the address broke, until one is checked
+	failed   map[string]bool      // addresses that failed since an endpoint of their service was reached
 	pending  map[*pendingConnect]bool
 	services map[string]*serviceState
 	reached  connected // the last two connections, to different addresses
@@ -104,6 +108,7 @@
 		metrics:  set,
 		suspect:  make(chan struct{}, 1),
 		failed:   map[string]bool{},
+		doubted:  map[string]time.Time{},
 		pending:  map[*pendingConnect]bool{},
 		services: map[string]*serviceState{},
 	}
@@ -167,7 +172,17 @@
 	m.wake()
 }
 
-// succeeded records that an address accepted a connection.
+// Doubt records that an endpoint's connection broke before an answer came. Many do at once
+// when a host is cut off by resets, also those that seem to open.
+func (m *Monitor) Doubt(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.doubted[address] = m.svc.Now()
+	m.wake()
+}
+
+// succeeded records that an address accepted a connection. That ends no time for which a
+// service was unreachable, since the connection may still be reset: it is checked at once.
 func (m *Monitor) succeeded(p *pendingConnect) {
 	if !m.recordReached(p) {
 		return
@@ -182,7 +197,10 @@
 		for _, a := range addresses {
 			delete(m.failed, a)
 		}
-		m.setReachable(name)
+		if s := m.services[name]; s != nil && s.unreachable {
+			s.checkDue = m.svc.Now()
+			m.wake()
+		}
 	}
 	delete(m.failed, p.address)
 }
@@ -348,15 +366,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	slow, next = m.slowConnects(m.svc.Now())
-	return slow, next, len(m.failed) > 0 || len(slow) > 0 || m.anyUnreachable()
+	return slow, next, len(m.failed) > 0 || len(m.doubted) > 0 || len(slow) > 0 || m.anyUnreachable()
 }
 
-// countFailed counts the addresses that failed, or to which connecting takes long. The
-// caller holds mu.
+// countFailed counts the addresses that failed, whose connections broke just now, or to
+// which connecting takes long. The caller holds mu.
 func (m *Monitor) countFailed(addresses []string, slow map[string]bool) int {
 	n := 0
 	for _, a := range addresses {
-		if m.failed[a] || slow[a] {
+		if _, doubted := m.doubted[a]; doubted || m.failed[a] || slow[a] {
 			n++
 		}
 	}
@@ -404,6 +422,12 @@
 			delete(m.failed, a)
 		}
 	}
+	now := m.svc.Now()
+	for a, at := range m.doubted {
+		if !known[a] || now.Sub(at) > doubtLifetime {
+			delete(m.doubted, a)
+		}
+	}
 }
 
 // draw returns checkedEndpoints of the addresses, chosen at random.
@@ -474,6 +498,7 @@
 	case t.alive > 0:
 		for _, a := range addresses {
 			delete(m.failed, a)
+			delete(m.doubted, a)
 		}
 		s.verify = false
 		s.checkDue = now.Add(reachableCheckInterval)
--- a/pkg/reachability/monitor_test.go
+++ b/pkg/reachability/monitor_test.go
@@ -40,6 +40,7 @@
 	mu       sync.Mutex
 	services map[string][]string
 	results  map[string]Result // by address; Alive where there is none
+	accept   bool              // connections that are refused seem to open
 	dials    int
 }
 
@@ -83,6 +84,9 @@
 	r := n.results[address]
 	n.dials++
 	n.mu.Unlock()
+	if n.accept && r == Refused {
+		r = Alive
+	}
 	switch r {
 	case Refused:
 		return nil, syscall.ECONNREFUSED
@@ -104,6 +108,11 @@
 // Dial implements Connector.
 func (n *network) Dial(ctx context.Context, address string) error {
 	_, err := n.DialContext(ctx, "tcp", address)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.results[address] == Refused && err == nil {
+		return syscall.ECONNRESET // as a Probe finds out
+	}
 	return err
 }
 
@@ -230,6 +239,26 @@
 		})
 	})
 
+	It("finds a host isolated whose connections open and are reset", func() {
+		withMonitor(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
+			b.accept = true
+			b.set(Refused)
+			for i := range 2 {
+				_, err := b.connect(fmt.Sprintf("engine-%d", i))
+				Expect(err).NotTo(HaveOccurred())
+				b.monitor.Doubt(fmt.Sprintf("engine-%d", i))
+			}
+			time.Sleep(100 * time.Millisecond)
+			Expect(b.monitor.Isolated()).To(BeTrue())
+			_, _ = b.connect("engine-3")
+			time.Sleep(100 * time.Millisecond)
+			Expect(b.monitor.Isolated()).To(BeTrue(), "a connection that opens is no proof")
+			b.set(Alive)
+			time.Sleep(300 * time.Millisecond)
+			Expect(b.monitor.Isolated()).To(BeFalse())
+		})
+	})
+
 	It("tells whether another endpoint was reached since", func() {
 		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
 			began := time.Now()
