fleetcontrol: a leader that reaches no endpoint marks none as silent

Cause: the leader marks an endpoint as silent when its own probe fails, and every entry host leaves silent endpoints out. Ruled out: marking by late heartbeats only, since an endpoint that falls dark would be used for seconds. Change: before it marks one, the leader connects to up to three others, and marks it only if one of them accepts. While it reaches none it sends neither probes nor orders.

--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -51,6 +51,7 @@
 		Heartbeat:       cfg.Bounds.Heartbeat.Or(time.Second),
 		Decoder:         platform.Decoder{},
 		Orders:          platform.NewEndpointClient(p.endpointClients(m)),
+		Reachability:    m,
 		Client:          p.client,
 		Timer:           p.svc,
 		Log:             p.log,
--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -73,6 +73,12 @@
 	return o.report(id)
 }
 
+// reachesAll is the Reachability of a host that reaches every endpoint.
+type reachesAll struct{}
+
+func (reachesAll) ReachesOthers(context.Context, string) bool { return true }
+func (reachesAll) Isolated() bool                             { return false }
+
 // cluster is a set of control hosts, each at its own loopback address.
 type cluster struct {
 	folder    string
@@ -155,6 +161,7 @@
 		ToleratedLosses: c.losses,
 		Heartbeat:       c.heartbeat,
 		Decoder:         jsonDecoder{},
+		Reachability:    reachesAll{},
 		Orders:          c.endpoints,
 		Client:          client,
 		Timer:           timer.NewSystem(),
--- a/pkg/fleetcontrol/learn_test.go
+++ b/pkg/fleetcontrol/learn_test.go
@@ -61,11 +61,12 @@
 		ips = append(ips, ip)
 	}
 	s := New(Config{
-		Folder:    folder,
-		IP:        "127.0.3.100",
-		Port:      port,
-		SeedIPs:   func() []string { return ips },
-		Heartbeat: time.Second,
+		Folder:       folder,
+		IP:           "127.0.3.100",
+		Port:         port,
+		SeedIPs:      func() []string { return ips },
+		Heartbeat:    time.Second,
+		Reachability: reachesAll{},
 		Orders: fakeEndpoints{report: func(string) (placement.Report, error) {
 			return placement.Report{}, nil
 		}},
--- a/pkg/fleetcontrol/probe.go
+++ b/pkg/fleetcontrol/probe.go
@@ -147,14 +147,15 @@
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		report, err := s.endpointClient.Report(ctx, e.ID, e.Address)
-		s.handleProbeResult(e, report, err, ctx.Err() != nil)
+		s.handleProbeResult(context.WithoutCancel(ctx), e, report, err, ctx.Err() != nil)
 	})
 }
 
 // handleProbeResult applies the outcome of a probe. An endpoint is marked as silent if
-// the probe failed other than by a timeout, or if maxMissedProbes in a row timed out.
-// One that has no status to report, or asks for backoff, is reachable.
-func (s *Server) handleProbeResult(e fleet.Endpoint, report placement.Report, err error, timedOut bool) {
+// the probe failed other than by a timeout, or if maxMissedProbes in a row timed out, and
+// this host reaches other endpoints. One that has no status to report, or asks for backoff,
+// is reachable.
+func (s *Server) handleProbeResult(ctx context.Context, e fleet.Endpoint, report placement.Report, err error, timedOut bool) {
 	switch {
 	case err == nil:
 		s.probes.answered(e.ID)
@@ -164,7 +165,7 @@
 	case errors.Is(err, placement.ErrNoReport), errors.Is(err, errInBackoff), report.Notice.Backoff > 0:
 		s.probes.answered(e.ID)
 		s.table.MarkAnswered(e.ID)
-	case s.probes.missed(e.ID) >= maxMissedProbes || !timedOut:
+	case (s.probes.missed(e.ID) >= maxMissedProbes || !timedOut) && s.cfg.Reachability.ReachesOthers(ctx, e.Address):
 		s.cfg.Log.Event(eventlog.EndpointAvoided, eventlog.Str("endpoint", e.ID), eventlog.Str("why", "report"), eventlog.Err(err))
 		s.table.MarkSilent(e.ID)
 	}
--- a/pkg/fleetcontrol/probe_test.go
+++ b/pkg/fleetcontrol/probe_test.go
@@ -19,11 +19,12 @@
 	g := group.New(context.Background())
 	defer g.Stop()
 	f(New(Config{
-		SeedIPs:   func() []string { return nil },
-		Heartbeat: time.Second,
-		Orders:    fakeEndpoints{report: report},
-		Timer:     timer.NewManual(time.Unix(1000, 0)),
-		Metrics:   metrics.New(),
+		SeedIPs:      func() []string { return nil },
+		Heartbeat:    time.Second,
+		Reachability: reachesAll{},
+		Orders:       fakeEndpoints{report: report},
+		Timer:        timer.NewManual(time.Unix(1000, 0)),
+		Metrics:      metrics.New(),
 	}, g), g)
 }
 
@@ -47,3 +48,38 @@
 		}
 	})
 })
+
+// reachesNone is the Reachability of a host that is cut off from all endpoints.
+type reachesNone struct{}
+
+func (reachesNone) ReachesOthers(context.Context, string) bool { return false }
+func (reachesNone) Isolated() bool                             { return true }
+
+// Guards against a leader that is cut off from the endpoints, marks them all as silent, and
+// so takes them from hosts that reach them.
+var _ = Describe("a leader that reaches no endpoint", func() {
+	It("marks none as silent", func() {
+		for _, timesOut := range []bool{false, true} {
+			withServer(func(string) (placement.Report, error) {
+				if timesOut {
+					time.Sleep(probeTimeout)
+				}
+				return placement.Report{}, errors.New("not reached")
+			}, func(s *Server, g *group.Group) {
+				s.cfg.Reachability = reachesNone{}
+				s.table.Announce(announcement(false, 1))
+				for range maxMissedProbes + 1 {
+					s.probeSuspected([]string{"e1"})
+					g.Wait()
+				}
+				e, _ := s.table.Get("e1")
+				Expect(e.Silent).To(BeFalse())
+				s.cfg.Reachability = reachesAll{}
+				s.probeSuspected([]string{"e1"})
+				g.Wait()
+				e, _ = s.table.Get("e1")
+				Expect(e.Silent).To(BeTrue())
+			})
+		}
+	})
+})
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -42,6 +42,14 @@
 	Decode(content []byte) (*fleet.Configuration, error)
 }
 
+// Reachability tells which endpoints this host reaches.
+type Reachability interface {
+	// ReachesOthers reports whether this host reaches an endpoint at another address.
+	ReachesOthers(ctx context.Context, address string) bool
+	// Isolated reports whether this host reaches no endpoint.
+	Isolated() bool
+}
+
 // Config configures a Server. Every field is required but Folder and Bootstrap.
 type Config struct {
 	Folder string // data folder; empty on a host without a disk
@@ -54,6 +62,7 @@
 	Heartbeat       time.Duration // interval between an endpoint's heartbeats
 	Decoder         Decoder
 	Orders          placement.EndpointClient // sends the leader's probes and orders
+	Reachability    Reachability
 	Client          *http.Client
 	Timer           timer.Service
 	Log             *eventlog.Log
@@ -243,7 +252,11 @@
 			return
 		}
 		s.markSettled(term)
-		s.probeAll(s.table.Sweep())
+		late := s.table.Sweep()
+		if s.cfg.Reachability.Isolated() {
+			return // neither probes nor orders would arrive
+		}
+		s.probeAll(late)
 		doc := machine.Document()
 		if doc == nil {
 			return
--- a/pkg/fleetcontrol/size_test.go
+++ b/pkg/fleetcontrol/size_test.go
@@ -128,13 +128,14 @@
 	defer g.Stop()
 	f(func(term uint64) *Server {
 		s := New(Config{
-			IP:        "127.0.1.1",
-			Port:      "7300",
-			SeedIPs:   func() []string { return nil },
-			Heartbeat: time.Second,
-			Orders:    fakeEndpoints{},
-			Timer:     clock,
-			Metrics:   metrics.New(),
+			IP:           "127.0.1.1",
+			Port:         "7300",
+			SeedIPs:      func() []string { return nil },
+			Heartbeat:    time.Second,
+			Reachability: reachesAll{},
+			Orders:       fakeEndpoints{},
+			Timer:        clock,
+			Metrics:      metrics.New(),
 		}, g)
 		s.leadership = &fixedLeadership{
 			term:    term,
--- a/pkg/reachability/monitor.go
+++ b/pkg/reachability/monitor.go
@@ -25,6 +25,9 @@
 	suspectEndpoints = 2
 	// checkedEndpoints is how many endpoints of a service a check connects to at most.
 	checkedEndpoints = 6
+	// confirmingEndpoints is how many others are connected to before an endpoint that failed
+	// is considered lost.
+	confirmingEndpoints = 3
 	// minLostEndpoints is how many endpoints must be lost, and none alive, for a service
 	// to be unreachable; all of them if there are fewer.
 	minLostEndpoints = 3
@@ -58,7 +61,6 @@
 type Monitor struct {
 	checker EndpointChecker
 	svc     timer.Service
-	rand    *rand.Rand // used by Run only
 	log     *eventlog.Log
 	metrics *metrics.Set
 	suspect chan struct{} // buffers one signal: an endpoint may have failed
@@ -67,19 +69,11 @@
 	endpoints Endpoints
 
 	mu       sync.Mutex
+	rand     *rand.Rand
 	doubted  map[string]time.Time // when a connection to the address broke, until one is checked
 	failed   map[string]bool      // addresses that failed since an endpoint of their service was reached
 	pending  map[*pendingConnect]bool
 	services map[string]*serviceState
-	reached  connected // the last two connections, to different addresses
-	before   connected
-	lastLost time.Time // when a service was last found unreachable
-}
-
-// connected is an address that accepted a connection.
-type connected struct {
-	address string
-	at      time.Time
 }
 
 // pendingConnect is a connection that is being opened.
@@ -205,39 +199,33 @@
 	delete(m.failed, p.address)
 }
 
-// recordReached records the time of a connection that was opened, and reports whether any
-// endpoint has failed.
+// recordReached records a connection that was opened, and reports whether any endpoint has
+// failed.
 func (m *Monitor) recordReached(p *pendingConnect) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.pending, p)
-	if m.reached.address != p.address {
-		m.before = m.reached
-	}
-	m.reached = connected{
-		address: p.address,
-		at:      m.svc.Now(),
-	}
 	return len(m.failed) > 0 || m.anyUnreachable()
 }
 
-// ReachedOther reports whether an endpoint at another address has accepted a connection
-// since a time. If none has, a failure to reach the one at this address may be this host's.
-func (m *Monitor) ReachedOther(address string, since time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	last := m.reached
-	if last.address == address {
-		last = m.before
+// ReachesOthers reports whether this host reaches an endpoint at another address, by
+// connecting to some. If it reaches none, a failure to reach the one at this address may be
+// its own. Where there is no other endpoint nothing speaks against that one's failure.
+func (m *Monitor) ReachesOthers(ctx context.Context, address string) bool {
+	var others []string
+	for _, addresses := range m.endpoints.EndpointAddresses() {
+		for _, a := range addresses {
+			if a != address {
+				others = append(others, a)
+			}
+		}
 	}
-	return last.address != "" && !last.at.Before(since)
-}
-
-// LostSince reports whether a service was unreachable at any time since.
-func (m *Monitor) LostSince(since time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.anyUnreachable() || m.lastLost.After(since)
+	if len(others) == 0 {
+		return true
+	}
+	list := m.draw(others)
+	list = list[:min(len(list), confirmingEndpoints)]
+	return m.checkAll(ctx, list).alive > 0
 }
 
 func (m *Monitor) anyUnreachable() bool {
@@ -263,7 +251,6 @@
 		return
 	}
 	s.unreachable = false
-	m.lastLost = m.svc.Now()
 	m.log.Event(eventlog.ServiceReachable, eventlog.Str("service", name), eventlog.Ms("for_ms", m.svc.Now().Sub(s.since)))
 	m.updateGauge()
 }
@@ -271,7 +258,6 @@
 // setUnreachable records the result of a check. The caller holds mu.
 func (m *Monitor) setUnreachable(name string, t tally) {
 	s := m.services[name]
-	m.lastLost = m.svc.Now()
 	if s.unreachable {
 		return
 	}
@@ -432,6 +418,8 @@
 
 // draw returns checkedEndpoints of the addresses, chosen at random.
 func (m *Monitor) draw(addresses []string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	list := slices.Clone(addresses)
 	m.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(len(list), checkedEndpoints)]
@@ -465,6 +453,14 @@
 // result.
 func (m *Monitor) checkService(ctx context.Context, name string, list []string, total int) {
 	began := m.svc.Now()
+	t := m.checkAll(ctx, list)
+	if ctx.Err() == nil {
+		m.record(name, t, total, began)
+	}
+}
+
+// checkAll checks endpoints at the same time.
+func (m *Monitor) checkAll(ctx context.Context, list []string) tally {
 	results := make(chan Result, len(list))
 	grp := group.New(ctx)
 	for _, address := range list {
@@ -477,10 +473,7 @@
 	for range list {
 		t.add(<-results)
 	}
-	if ctx.Err() != nil {
-		return
-	}
-	m.record(name, t, total, began)
+	return t
 }
 
 // record applies the results of a check that began at a time. Connections that were being
--- a/pkg/reachability/monitor_test.go
+++ b/pkg/reachability/monitor_test.go
@@ -218,6 +218,8 @@
 				_, _ = b.connect(fmt.Sprintf("engine-%d", i%39))
 				time.Sleep(10 * time.Millisecond)
 			}
+			b.mu.Lock()
+			defer b.mu.Unlock()
 			Expect(b.dials).To(Equal(200))
 		})
 	})
@@ -235,6 +237,8 @@
 			time.Sleep(10 * time.Second)
 			Expect(b.monitor.Unreachable(apps)).To(BeTrue())
 			Expect(b.monitor.Unreachable(engines)).To(BeFalse())
+			b.mu.Lock()
+			defer b.mu.Unlock()
 			Expect(b.dials).To(BeNumerically("<=", 10*3*5))
 		})
 	})
@@ -259,16 +263,20 @@
 		})
 	})
 
-	It("tells whether another endpoint was reached since", func() {
-		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
-			began := time.Now()
-			_, _ = b.connect("engine-1")
-			Expect(b.monitor.ReachedOther("engine-1", began)).To(BeFalse())
-			_, _ = b.connect("engine-2")
-			Expect(b.monitor.ReachedOther("engine-1", began)).To(BeTrue())
-			Expect(b.monitor.ReachedOther("engine-2", began)).To(BeTrue())
-			time.Sleep(time.Millisecond)
-			Expect(b.monitor.ReachedOther("engine-1", time.Now())).To(BeFalse())
+	// Guards against a leader that takes endpoints for lost because it is cut off itself.
+	It("tells whether other endpoints are reached than one that failed", func() {
+		withMonitor(map[string]int{engines: 5, apps: 1}, func(b *fixture) {
+			ctx := context.Background()
+			b.setOne("engine-1", Refused)
+			Expect(b.monitor.ReachesOthers(ctx, "engine-1")).To(BeTrue())
+			for _, fault := range []Result{Refused, Silent} {
+				b.set(fault)
+				Expect(b.monitor.ReachesOthers(ctx, "engine-1")).To(BeFalse())
+			}
+		})
+		withMonitor(map[string]int{apps: 1}, func(b *fixture) {
+			b.set(Refused)
+			Expect(b.monitor.ReachesOthers(context.Background(), "app-0")).To(BeTrue(), "there is no other")
 		})
 	})
 })
