netutil: connections outlive a pause of more than a second

What callers could see: a request lost because its endpoint, which works, paused for a second or so. Found by checking the platform's lines on TCP_USER_TIMEOUT and silent endpoints. Cause: a user timeout of 1 s closes a connection whose bytes stay unacknowledged, or unread by a peer with a full buffer, for 1.3 to 1.5 s. With it set the count of keep-alive probes has no effect either: an idle connection ended at the second probe, after 2 s.

--- a/pkg/netutil/silent.go
+++ b/pkg/netutil/silent.go
@@ -9,16 +9,15 @@
 )
 
 const (
-	// ackTimeout is how long sent bytes may stay unacknowledged before the
-	// connection is closed: five retransmissions on a link with a latency of a few
-	// ms, and half of what a caller waits for the next event of a stream.
-	ackTimeout = time.Second
+	// ackTimeout is how long sent bytes may stay unacknowledged, or unread by a peer
+	// whose buffer is full, before the connection is closed. A peer that works may pause
+	// for more than a second.
+	ackTimeout = 2500 * time.Millisecond
 	// probeInterval is how long a connection may be idle before it is probed, and
 	// the time between probes. A second is the shortest time that the system allows.
+	// With a user timeout set, the system closes an idle connection at the first probe
+	// that is due later than that, whatever the count of probes.
 	probeInterval = time.Second
-	// probeCount is the number of unanswered probes after which the connection is
-	// closed.
-	probeCount = 2
 )
 
 // Dialer returns a dialer that dials from an IP address and whose connections fail
@@ -34,7 +33,6 @@
 			Enable:   true,
 			Idle:     probeInterval,
 			Interval: probeInterval,
-			Count:    probeCount,
 		},
 		Control: setUserTimeout,
 	}
