gateway: a stream that can't be resumed stays on a silent endpoint

What callers could see: a stream ended with 502 after 0.6 s of silence, while its endpoint went on after a second. Found by checking the platform's line on silent endpoints. Cause: two unanswered stall queries end the current send, also where no other can follow. Change: without one the stream waits for its connection or its deadline to end it.

--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -74,6 +74,9 @@
 	switch {
 	case ctx.Err() != nil:
 		return nil
+	case q.unresponsive() && !s.couldResume():
+		// The endpoint may go on: its silence is no reason to end what can't be continued.
+		w.arm(stallWait)
 	case q.unresponsive():
 		s.failedIDs[first.ID] = true
 		s.g.tracker.RecordFailure(first.ID, "silent: "+q.err.Error())
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -201,6 +201,12 @@
 	return s.retryPaid
 }
 
+// couldResume reports whether the stream may be sent once more if its current send is given
+// up.
+func (s *streamRun) couldResume() bool {
+	return s.j.route.Resumable && s.attempts+1+s.j.priorAttempts < s.j.route.MaxAttempts
+}
+
 func (s *streamRun) mayResume(cause error) bool {
 	return s.j.route.Resumable && s.attempts+s.j.priorAttempts < s.j.route.MaxAttempts && s.g.checkQuarantine(s.j) == nil && s.mayRetry(cause)
 }
