gateway: no request is blamed for connections that break with the host's links

What callers could see: a request refused for ten minutes, though it crashes nothing. Found by looking for the same cause elsewhere: a host whose links are reset loses all connections at once, and reported each as an endpoint that crashed under the request; it also reported every endpoint as suspected, which the leader then probed. Change: one broken connection counts at once, as before. When another endpoint of the service has failed, too, it counts once a check shows that the host reaches the service. A host that reaches no endpoint suspects none.

--- a/pkg/fleetentry/isolated_test.go
+++ b/pkg/fleetentry/isolated_test.go
@@ -40,7 +40,9 @@
 				Expect(client.Ready()).To(BeTrue())
 				Expect(client.Addresses()).To(Equal(c.want))
 				Expect(client.Peers()).To(Equal(c.peers))
+				client.loads = &suspectingLoads{list: []string{"e1"}}
 				Expect(client.sync(context.Background())).To(BeTrue())
+				Expect(len(sent.GetSuspects()) == 0).To(Equal(c.isolated))
 				Expect(sent.GetHost().GetReady()).To(Equal(!c.isolated))
 				Expect(sent.GetHost().GetIsolated()).To(Equal(c.isolated))
 			})
--- a/pkg/fleetentry/notices.go
+++ b/pkg/fleetentry/notices.go
@@ -54,7 +54,8 @@
 // the endpoints that are leaving, as long as the list held here has them as usable. Only a
 // control process on this host receives the endpoints in backoff, since its probes and
 // orders come from the same host. Endpoints in backoff aren't reported as suspects: they
-// have just answered, and a suspect would be probed.
+// have just answered, and a suspect would be probed. A host that reaches no endpoint suspects
+// none.
 func (c *ControlClient) addNotices(q *rpc.SyncRequest, address string) {
 	for id := range c.leavingSince {
 		if e, known := c.endpoints[id]; known && e.Usable() {
@@ -62,8 +63,9 @@
 		}
 	}
 	backingOff := c.backoffs.Active()
+	isolated := c.cfg.Isolated()
 	for _, id := range c.loads.Suspects() {
-		if backingOff[id] == 0 {
+		if backingOff[id] == 0 && !isolated {
 			q.Suspects = append(q.Suspects, id)
 		}
 	}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -33,19 +33,23 @@
 }
 
 // recordCrash records that an endpoint broke its connection or stopped answering while
-// it had a request that was sent to it at sentAt.
-func (g *Gateway) recordCrash(j *job, endpoint string, beforeResponse bool, sentAt time.Time) {
-	after := g.svc.Now().Sub(sentAt)
+// it had a request that was sent to it at sentAt. When this host doesn't reach the service at
+// all, its links are at fault and not the request.
+func (g *Gateway) recordCrash(j *job, endpoint, address string, beforeResponse bool, sentAt time.Time) {
 	g.metrics.Counter("sends_cut", metrics.Label{Name: "early", Value: yesNo(beforeResponse)}).Inc(1)
-	if g.quarantine.RecordCrash(quarantine.Crash{
+	crash := quarantine.Crash{
 		Fingerprint:    j.fingerprint(),
 		Endpoint:       fleet.LoadKey(endpoint),
 		BeforeResponse: beforeResponse,
-		After:          after,
-	}) {
-		g.log.Event(eventlog.RequestHeld, eventlog.Str("fingerprint", j.fingerprint().String()), eventlog.Str("by", "this host"),
-			eventlog.Str("request", j.req.ID), eventlog.Ms("for_ms", quarantine.LocalDuration))
+		After:          g.svc.Now().Sub(sentAt),
 	}
+	g.reach.Doubt(address, func(reached bool) {
+		if !reached || !g.quarantine.RecordCrash(crash) {
+			return
+		}
+		g.log.Event(eventlog.RequestHeld, eventlog.Str("fingerprint", crash.Fingerprint.String()), eventlog.Str("by", "this host"),
+			eventlog.Str("request", j.req.ID), eventlog.Ms("for_ms", quarantine.LocalDuration))
+	})
 }
 
 func yesNo(b bool) string {
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -61,10 +61,12 @@
 	return r.unreachable[service]
 }
 
-func (r *fakeReach) Doubt(address string) {
+func (r *fakeReach) Doubt(address string, then func(reached bool)) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.doubted = append(r.doubted, address)
+	reached := len(r.unreachable) == 0
+	r.mu.Unlock()
+	then(reached)
 }
 
 // isolate makes every service unreachable.
@@ -205,6 +207,21 @@
 		}
 	})
 
+	// Guards against requests that are quarantined because the links of their host were cut.
+	It("takes no connection that breaks for a sign that the request crashes endpoints", func() {
+		for _, reached := range []bool{true, false} {
+			withGateway(func(b *fixture) {
+				if !reached {
+					b.reach.isolate()
+				}
+				b.client.answer = func(int, *Call) (*Answer, error) { return nil, &SendError{Sent: true, Cause: syscall.ECONNRESET} }
+				b.serve("stream")
+				crashes, _ := b.gateway.Quarantine().Unreported(1)
+				Expect(len(crashes) > 0).To(Equal(reached))
+			})
+		}
+	})
+
 	// Guards against a service that no host serves although endpoints are only down for some.
 	It("tries its own connections if no other host takes the request", func() {
 		for _, route := range routes {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -387,8 +387,7 @@
 		return notRun, err
 	}
 	if connectionLost(err) {
-		s.g.reach.Doubt(s.path[0].Address)
-		s.g.recordCrash(s.j, s.path[0].ID, !s.gotEvent, s.sentAt)
+		s.g.recordCrash(s.j, s.path[0].ID, s.path[0].Address, !s.gotEvent, s.sentAt)
 	}
 	s.attempts++
 	return broken, err
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -74,8 +74,9 @@
 type Reachability interface {
 	// Unreachable reports whether no endpoint of a service accepts this host's connections.
 	Unreachable(service string) bool
-	// Doubt records that a connection to an endpoint broke before an answer came.
-	Doubt(address string)
+	// Doubt records that a connection to an endpoint broke. It calls then, now or later,
+	// with whether this host reaches the endpoint's service.
+	Doubt(address string, then func(reached bool))
 }
 
 // Call is one request as it is sent to an endpoint.
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -135,8 +135,7 @@
 		w.g.logFailedAttempt(w.j, r.endpoint.ID, w.failureReason(r))
 	}
 	if connectionLost(r.err) {
-		w.g.recordCrash(w.j, r.endpoint.ID, true, r.sentAt)
-		w.g.reach.Doubt(r.endpoint.Address)
+		w.g.recordCrash(w.j, r.endpoint.ID, r.endpoint.Address, true, r.sentAt)
 	}
 	if r.notRun || notSent(r.err) {
 		w.attempts--
--- a/pkg/reachability/monitor.go
+++ b/pkg/reachability/monitor.go
@@ -64,6 +64,7 @@
 	log     *eventlog.Log
 	metrics *metrics.Set
 	suspect chan struct{} // buffers one signal: an endpoint may have failed
+	group   *group.Group  // runs what waits for checks
 
 	// endpoints takes locks of its own, so mu must not be held while it is called.
 	endpoints Endpoints
@@ -74,6 +75,7 @@
 	failed   map[string]bool      // addresses that failed since an endpoint of their service was reached
 	pending  map[*pendingConnect]bool
 	services map[string]*serviceState
+	waiting  []waiter
 }
 
 // pendingConnect is a connection that is being opened.
@@ -101,6 +103,7 @@
 		log:      log,
 		metrics:  set,
 		suspect:  make(chan struct{}, 1),
+		group:    group.New(context.Background()),
 		failed:   map[string]bool{},
 		doubted:  map[string]time.Time{},
 		pending:  map[*pendingConnect]bool{},
@@ -166,15 +169,6 @@
 	m.wake()
 }
 
-// Doubt records that an endpoint's connection broke before an answer came. Many do at once
-// when a host is cut off by resets, also those that seem to open.
-func (m *Monitor) Doubt(address string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.doubted[address] = m.svc.Now()
-	m.wake()
-}
-
 // succeeded records that an address accepted a connection. That ends no time for which a
 // service was unreachable, since the connection may still be reset: it is checked at once.
 func (m *Monitor) succeeded(p *pendingConnect) {
@@ -283,6 +277,7 @@
 
 // Run checks services until ctx ends.
 func (m *Monitor) Run(ctx context.Context) {
+	defer m.group.Wait()
 	for ctx.Err() == nil {
 		wait := m.checkSuspected(ctx)
 		var next <-chan time.Time
@@ -327,6 +322,7 @@
 	defer m.mu.Unlock()
 	m.forgetOthers(all)
 	now := m.svc.Now()
+	m.expireWaiters(all, now)
 	for name, addresses := range all {
 		s := m.services[name]
 		if s == nil {
@@ -503,7 +499,9 @@
 		m.abortPending(addresses, began)
 	default:
 		s.checkDue = now.Add(inconclusiveCheckInterval)
+		return
 	}
+	m.release(func(w waiter) bool { return w.service == name }, t.alive > 0)
 }
 
 // abortPending gives up the connections to addresses that were being opened before a time.
--- a/pkg/reachability/monitor_test.go
+++ b/pkg/reachability/monitor_test.go
@@ -243,16 +243,34 @@
 		})
 	})
 
+	// Guards against a request that crashes endpoints and is taken for a fault of the links.
+	It("tells of broken connections that the service is reached, if endpoints accept others", func() {
+		withMonitor(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
+			told := make(chan bool, 10)
+			for i := range 10 {
+				b.monitor.Doubt(fmt.Sprintf("engine-%d", i), func(reached bool) { told <- reached })
+			}
+			time.Sleep(2 * time.Second)
+			for range 10 {
+				Expect(told).To(Receive(BeTrue()))
+			}
+		})
+	})
+
 	It("finds a host isolated whose connections open and are reset", func() {
 		withMonitor(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
 			b.accept = true
 			b.set(Refused)
+			told := make(chan bool, 2)
 			for i := range 2 {
 				_, err := b.connect(fmt.Sprintf("engine-%d", i))
 				Expect(err).NotTo(HaveOccurred())
-				b.monitor.Doubt(fmt.Sprintf("engine-%d", i))
+				b.monitor.Doubt(fmt.Sprintf("engine-%d", i), func(reached bool) { told <- reached })
 			}
+			Expect(told).To(Receive(BeTrue()), "one endpoint alone says nothing of this host")
+			Expect(told).NotTo(Receive(), "the second one is only known after a check")
 			time.Sleep(100 * time.Millisecond)
+			Expect(told).To(Receive(BeFalse()))
 			Expect(b.monitor.Isolated()).To(BeTrue())
 			_, _ = b.connect("engine-3")
 			time.Sleep(100 * time.Millisecond)
