gateway: refuse at once what no host can serve

Cause: a host that reaches no endpoint, and finds no other host that does, connected to one endpoint after the other, 0.4 s each, before it refused.

--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -37,7 +37,7 @@
 	if e == s.fullFailure {
 		return s.refuseFull(e)
 	}
-	if e.Kind() != failure.NoChain {
+	if e.Kind() != failure.NoChain && e.Kind() != failure.Isolated {
 		return e
 	}
 	service := s.j.service.Name
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -222,6 +222,21 @@
 		}
 	})
 
+	// Guards against a request that is known not to be served, and waits for one connection
+	// after the other.
+	It("refuses at once what no host can serve, after one connection of its own", func() {
+		for _, route := range routes {
+			withGateway(func(b *fixture) {
+				b.reach.isolate()
+				b.client.answer = func(int, *Call) (*Answer, error) { return nil, refusedConnection() }
+				out := b.serve(route)
+				Expect(out.refusal.Kind()).To(Equal(failure.Isolated), route)
+				Expect(out.refusal.Ran()).To(Equal(failure.RanNo), route)
+				Expect(b.client.sent()).To(HaveLen(1), route)
+			})
+		}
+	})
+
 	// Guards against a service that no host serves although endpoints are only down for some.
 	It("tries its own connections if no other host takes the request", func() {
 		for _, route := range routes {
--- a/pkg/gateway/relaystream.go
+++ b/pkg/gateway/relaystream.go
@@ -17,10 +17,8 @@
 			return end, e, cause
 		}
 	}
-	var e *failure.Error
-	if s.exhausted != nil {
-		e = s.rejectedError(s.exhausted)
-	} else if e = s.choosePath(ctx); e == nil {
+	e := s.choosePathIfReachable(ctx)
+	if e == nil {
 		end, cause := s.send(ctx)
 		return end, nil, cause
 	}
@@ -32,6 +30,18 @@
 	return notRun, e, nil
 }
 
+// choosePathIfReachable is choosePath, but fails at once if the stream may not be sent to
+// endpoints any more, or if one of them could not be connected to and none is reachable.
+func (s *streamRun) choosePathIfReachable(ctx context.Context) *failure.Error {
+	switch {
+	case s.exhausted != nil:
+		return s.rejectedError(s.exhausted)
+	case s.unreached && s.g.reach.Unreachable(s.j.service.Name):
+		return isolatedError(s.j)
+	}
+	return s.choosePath(ctx)
+}
+
 // sendToPeers sends the stream to one host after another until one takes it, and reports
 // whether one did.
 func (s *streamRun) sendToPeers(ctx context.Context) (end outcome, e *failure.Error, cause error, ok bool) {
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -180,8 +180,8 @@
 // resend sends the request once more if the limit of attempts and the retry budget
 // allow it.
 func (w *unaryRun) resend(reason sendReason, cause error) {
-	if !w.mayAttempt() || w.sends >= maxSends || w.g.relaysFirst(w.j) {
-		return // the request is relayed once no attempt is running
+	if !w.mayAttempt() || w.sends >= maxSends || w.g.reach.Unreachable(w.j.service.Name) {
+		return // to a service that isn't reachable, the request is relayed once no attempt is running
 	}
 	if notSent(cause) {
 		reason = afterUnsent
@@ -269,6 +269,8 @@
 		w.refuse(w.g.backoffError(w.g.backoffRemaining(w.j.service.Name)))
 	case r == nil:
 		w.refuse(failure.New(failure.NoEndpoint, "no endpoint of the service takes work").WithRetryAfter(lengthen(baseRetryAfter)))
+	case w.attempts == 0 && w.g.reach.Unreachable(w.j.service.Name):
+		w.refuse(isolatedError(w.j))
 	case w.attempts > 0:
 		w.refuse(failure.Wrap(r.err, failure.EndpointFailed, "endpoint %s", r.endpoint.ID))
 	default:
