--- /dev/null
+++ b/pkg/reachability/checks.go
@@ -0,0 +1,243 @@
+package reachability
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/group"
+)
+
+// Run checks services until ctx ends.
+func (m *Monitor) Run(ctx context.Context) {
+	defer m.group.Wait()
+	for ctx.Err() == nil {
+		wait := m.checkSuspected(ctx)
+		var next <-chan time.Time
+		if wait > 0 {
+			next = m.svc.After(wait)
+		}
+		select {
+		case <-m.suspect:
+		case <-next:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// checkSuspected checks the services that are due for a check, and returns when to call it
+// again; 0 if only once a connection is opened or fails.
+func (m *Monitor) checkSuspected(ctx context.Context) time.Duration {
+	names, lists, wait := m.due()
+	if len(names) == 0 {
+		return wait
+	}
+	grp := group.New(ctx)
+	for i, name := range names {
+		list := m.draw(lists[i])
+		grp.Go(func(ctx context.Context) {
+			m.checkService(ctx, name, list, len(lists[i]))
+		})
+	}
+	grp.Wait()
+	return time.Millisecond // the result may make other services due
+}
+
+// due returns the services that must be checked now, with their endpoints, and the time
+// until one may have to be.
+func (m *Monitor) due() (names []string, lists [][]string, wait time.Duration) {
+	slow, wait, needed := m.pendingWork()
+	if !needed {
+		return nil, nil, wait
+	}
+	all := m.endpoints.EndpointAddresses()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.forgetOthers(all)
+	now := m.svc.Now()
+	m.expireWaiters(all, now)
+	for name, addresses := range all {
+		s := m.services[name]
+		if s == nil {
+			s = &serviceState{}
+			m.services[name] = s
+		}
+		if !s.unreachable && !s.verify && m.countFailed(addresses, slow) < min(suspectEndpoints, len(addresses)) {
+			continue
+		}
+		if left := s.checkDue.Sub(now); left > 0 {
+			wait = sooner(wait, left)
+			continue
+		}
+		names = append(names, name)
+		lists = append(lists, addresses)
+	}
+	return names, lists, wait
+}
+
+// pendingWork returns the addresses to which connecting takes long, the time until the next
+// connection that is being opened counts as slow, and whether any service may need a check.
+func (m *Monitor) pendingWork() (slow map[string]bool, next time.Duration, needed bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	slow, next = m.slowConnects(m.svc.Now())
+	return slow, next, len(m.failed) > 0 || len(m.doubted) > 0 || len(slow) > 0 || m.anyUnreachable()
+}
+
+// countFailed counts the addresses that failed, whose connections broke just now, or to
+// which connecting takes long. The caller holds mu.
+func (m *Monitor) countFailed(addresses []string, slow map[string]bool) int {
+	n := 0
+	for _, a := range addresses {
+		if _, doubted := m.doubted[a]; doubted || m.failed[a] || slow[a] {
+			n++
+		}
+	}
+	return n
+}
+
+// sooner returns the shorter of two times, of which 0 means never.
+func sooner(a, b time.Duration) time.Duration {
+	if a == 0 || b < a {
+		return b
+	}
+	return a
+}
+
+// forgetOthers drops services and addresses that no longer exist. The caller holds mu.
+func (m *Monitor) forgetOthers(all map[string][]string) {
+	for name := range m.services {
+		if len(all[name]) == 0 {
+			delete(m.services, name)
+		}
+	}
+	known := map[string]bool{}
+	for _, addresses := range all {
+		for _, a := range addresses {
+			known[a] = true
+		}
+	}
+	for a := range m.failed {
+		if !known[a] {
+			delete(m.failed, a)
+		}
+	}
+	now := m.svc.Now()
+	for a, at := range m.doubted {
+		if !known[a] || now.Sub(at) > doubtLifetime {
+			delete(m.doubted, a)
+		}
+	}
+}
+
+// draw returns checkedEndpoints of the addresses, chosen at random.
+func (m *Monitor) draw(addresses []string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	list := slices.Clone(addresses)
+	m.rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(len(list), checkedEndpoints)]
+}
+
+// tally counts the results of the checks of a service's endpoints.
+type tally struct {
+	alive, refused, silent, inconclusive int
+}
+
+func (t *tally) add(r Result) {
+	switch {
+	case r == Alive:
+		t.alive++
+	case r == Refused:
+		t.refused++
+	case r == Silent:
+		t.silent++
+	default:
+		t.inconclusive++
+	}
+}
+
+// unreachable reports whether a service with total endpoints is unreachable by these
+// results. Without enough of them it isn't.
+func (t *tally) unreachable(total int) bool {
+	return t.alive == 0 && t.refused+t.silent >= min(minLostEndpoints, total)
+}
+
+// checkService checks endpoints of a service, which has total of them, and records the
+// result.
+func (m *Monitor) checkService(ctx context.Context, name string, list []string, total int) {
+	began := m.svc.Now()
+	t := m.checkAll(ctx, list)
+	if ctx.Err() == nil {
+		m.record(name, t, total, began)
+	}
+}
+
+// checkAll checks endpoints at the same time.
+func (m *Monitor) checkAll(ctx context.Context, list []string) tally {
+	results := make(chan Result, len(list))
+	grp := group.New(ctx)
+	for _, address := range list {
+		grp.Go(func(ctx context.Context) {
+			results <- m.checker.Check(ctx, address, 0)
+		})
+	}
+	grp.Wait()
+	t := tally{}
+	for range list {
+		t.add(<-results)
+	}
+	return t
+}
+
+// record applies the results of a check that began at a time. Connections that were being
+// opened then are given up if none of the endpoints is reachable.
+func (m *Monitor) record(name string, t tally, total int, began time.Time) {
+	addresses := m.endpoints.EndpointAddresses()[name]
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.services[name]
+	if s == nil {
+		return // the service was removed meanwhile
+	}
+	now := m.svc.Now()
+	switch {
+	case t.alive > 0:
+		for _, a := range addresses {
+			delete(m.failed, a)
+			delete(m.doubted, a)
+		}
+		s.verify = false
+		s.checkDue = now.Add(reachableCheckInterval)
+		m.setReachable(name)
+	case t.unreachable(total):
+		s.verify = false
+		s.checkDue = now.Add(unreachableCheckInterval)
+		m.setUnreachable(name, t)
+		m.abortPending(addresses, began)
+	default:
+		s.checkDue = now.Add(inconclusiveCheckInterval)
+		return
+	}
+	m.release(func(w waiter) bool { return w.service == name }, t.alive > 0)
+}
+
+// ReachesOthers reports whether this host reaches an endpoint at another address, by
+// connecting to some. If it reaches none, a failure to reach the one at this address may be
+// its own. Where there is no other endpoint nothing speaks against that one's failure.
+func (m *Monitor) ReachesOthers(ctx context.Context, address string) bool {
+	var others []string
+	for _, addresses := range m.endpoints.EndpointAddresses() {
+		for _, a := range addresses {
+			if a != address {
+				others = append(others, a)
+			}
+		}
+	}
+	if len(others) == 0 {
+		return true
+	}
+	list := m.draw(others)
+	list = list[:min(len(list), confirmingEndpoints)]
+	return m.checkAll(ctx, list).alive > 0
+}
--- a/pkg/reachability/monitor_test.go
+++ b/pkg/reachability/monitor_test.go
@@ -108,6 +108,9 @@
 // Dial implements Connector.
 func (n *network) Dial(ctx context.Context, address string) error {
 	_, err := n.DialContext(ctx, "tcp", address)
+	if err == nil {
+		time.Sleep(resetGrace)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.results[address] == Refused && err == nil {
@@ -125,6 +128,7 @@
 // withMonitor runs f in a synctest bubble beside a running monitor.
 func withMonitor(services map[string]int, f func(b *fixture)) {
 	synctest.Test(suite, func(*testing.T) {
+		defer GinkgoRecover()
 		n := newNetwork(services)
 		svc := bubbleTimer{}
 		m := New(Checker{Connector: n, Timer: svc, SecondDelay: 30 * time.Millisecond, VerdictDelay: 70 * time.Millisecond, MaxLateness: 30 * time.Millisecond},
@@ -239,7 +243,7 @@
 			Expect(b.monitor.Unreachable(engines)).To(BeFalse())
 			b.mu.Lock()
 			defer b.mu.Unlock()
-			Expect(b.dials).To(BeNumerically("<=", 10*3*5))
+			Expect(b.dials).To(BeNumerically("<=", 3*(10*time.Second/unreachableCheckInterval+1)))
 		})
 	})
 
