reachability: an endpoint that answers ends the check whether others are reached

Cause: the leader's verdict on an endpoint that failed waited for three others, 0.1 s if one of them was silent. Change: the first that answers is enough. Figures: in a spec, 20 verdicts beside two silent endpoints take the 10 ms each that a probe waits for a reset.

--- a/pkg/reachability/checks.go
+++ b/pkg/reachability/checks.go
@@ -173,16 +173,22 @@
 	}
 }
 
-// checkAll checks endpoints at the same time.
-func (m *Monitor) checkAll(ctx context.Context, list []string) tally {
+// startChecks begins a check of each endpoint in grp, and returns where the results come.
+func (m *Monitor) startChecks(grp *group.Group, list []string) <-chan Result {
 	results := make(chan Result, len(list))
-	grp := group.New(ctx)
 	for _, address := range list {
 		grp.Go(func(ctx context.Context) {
 			results <- m.checker.Check(ctx, address, 0)
 		})
 	}
-	grp.Wait()
+	return results
+}
+
+// checkAll checks endpoints at the same time.
+func (m *Monitor) checkAll(ctx context.Context, list []string) tally {
+	grp := group.New(ctx)
+	defer grp.Stop()
+	results := m.startChecks(grp, list)
 	t := tally{}
 	for range list {
 		t.add(<-results)
@@ -238,6 +244,18 @@
 		return true
 	}
 	list := m.draw(others)
-	list = list[:min(len(list), confirmingEndpoints)]
-	return m.checkAll(ctx, list).alive > 0
+	return m.anyAlive(ctx, list[:min(len(list), confirmingEndpoints)])
+}
+
+// anyAlive checks endpoints at the same time until one is found alive.
+func (m *Monitor) anyAlive(ctx context.Context, list []string) bool {
+	grp := group.New(ctx)
+	defer grp.Stop()
+	results := m.startChecks(grp, list)
+	for range list {
+		if <-results == Alive {
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/reachability/monitor_test.go
+++ b/pkg/reachability/monitor_test.go
@@ -291,6 +291,13 @@
 			ctx := context.Background()
 			b.setOne("engine-1", Refused)
 			Expect(b.monitor.ReachesOthers(ctx, "engine-1")).To(BeTrue())
+			b.setOne("engine-2", Silent)
+			b.setOne("app-0", Silent)
+			began := time.Now()
+			for range 20 {
+				Expect(b.monitor.ReachesOthers(ctx, "engine-1")).To(BeTrue())
+			}
+			Expect(time.Since(began)).To(Equal(20*resetGrace), "it waits for no silent one")
 			for _, fault := range []Result{Refused, Silent} {
 				b.set(fault)
 				Expect(b.monitor.ReachesOthers(ctx, "engine-1")).To(BeFalse())
