--- a/pkg/pathing/pathing_test.go
+++ b/pkg/pathing/pathing_test.go
@@ -81,6 +81,12 @@
 		Expect(ids(path)).To(Equal([]string{"s=0-4", "f=4-10"}))
 	})
 
+	// Guards against a path that passes the same endpoint twice, where that would cost less.
+	It("returns to no endpoint after a faster one", func() {
+		path := Choose(engine(), []Candidate{candidate("s", "a", "slow", 0, 10), candidate("f", "a", "fast", 1, 9)}, demand, noJitter)
+		Expect(ids(path)).To(Equal([]string{"s=0-10"}))
+	})
+
 	It("stays in a domain though a faster endpoint is in another", func() {
 		path := Choose(engine(), []Candidate{
 			candidate("x", "a", "slow", 0, 5), candidate("y", "a", "slow", 5, 10), candidate("z", "b", "fast", 5, 10),
