mutate-fleet: a run that times out isn't a broken rule that was caught

Cause: the tests of platform take longer than the limit of 120 s now, so each of their entries would have counted as caught. Change: 600 s, and a verdict of its own for the limit.

--- a/_scripts/mutate-fleet.sh
+++ b/_scripts/mutate-fleet.sh
@@ -14,10 +14,14 @@
     verdict="no change"
   elif ! (cd "$copy" && go vet "./$package" >mutate.log 2>&1); then
     verdict="does not build"
-  elif (cd "$copy" && timeout 120 go test "./$package" >mutate.log 2>&1); then
-    verdict="SURVIVED"
   else
-    verdict="caught"
+    status=0
+    (cd "$copy" && timeout 600 go test "./$package" >mutate.log 2>&1) || status=$?
+    case $status in
+    0) verdict="SURVIVED" ;;
+    124) verdict="timed out" ;;
+    *) verdict="caught" ;;
+    esac
   fi
   echo "$verdict: $rule"
   [ "$verdict" = caught ] || survived=$((survived + 1))
