reachability: a spec of too few lost endpoints

Cause: the mutation that lets one lost endpoint make a service unreachable survived. Change: two refuse while connections to the others fail for a reason of this host.

--- a/pkg/reachability/monitor_test.go
+++ b/pkg/reachability/monitor_test.go
@@ -192,6 +192,8 @@
 	It("draws no conclusion from connections that fail for a reason of this host", func() {
 		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
 			b.set(Failed)
+			b.setOne("engine-0", Refused)
+			b.setOne("engine-1", Refused)
 			for i := range 10 {
 				_, _ = b.connect(fmt.Sprintf("engine-%d", i))
 			}
