gateway, reachability: refusals of a host that is cut off beside all others

Cause: while all hosts were cut off, a request was offered to up to four others, waited for an own connection that only the next check of the service gave up (300 ms in the spec), and was then offered to up to four more. Ruled out: the offers alone; on the same code an own connection takes most. Change: a request is offered to at most four others until it has run somewhere; connections to a service that is known to be unreachable are given up after 60 ms, or when the check that runs then ends. Specs failed before (8 offers, 300 ms); three mutations, all caught.

--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -237,6 +238,24 @@
 		}
 	})
 
+	// Guards against a refusal that takes long because a request is offered to the same hosts,
+	// or to many of them, before and after this host's own connection.
+	It("offers a request that no host can take to a few others, once", func() {
+		for _, route := range routes {
+			withGateway(func(b *fixture) {
+				for i := range 3 * maxRelayTries {
+					b.source.peers = append(b.source.peers, fmt.Sprintf("h%d:1", i+2))
+				}
+				b.reach.isolate()
+				b.client.answer = func(int, *Call) (*Answer, error) { return nil, refusedConnection() }
+				b.peers.answer = func(int, *RelayCall) (*RelayAnswer, error) { return peerRefuses(failure.Isolated), nil }
+				Expect(b.serve(route).refusal.Kind()).To(Equal(failure.Isolated), route)
+				Expect(b.client.sent()).To(HaveLen(1), route)
+				Expect(b.peers.sent()).To(HaveLen(maxRelayTries), route)
+			})
+		}
+	})
+
 	// Guards against a service that no host serves although endpoints are only down for some.
 	It("tries its own connections if no other host takes the request", func() {
 		for _, route := range routes {
--- a/pkg/gateway/relaystream.go
+++ b/pkg/gateway/relaystream.go
@@ -12,7 +12,7 @@
 // sendNext sends the stream along a path of endpoints, or to another host if this one doesn't
 // reach them. Its failure says that neither is possible.
 func (s *streamRun) sendNext(ctx context.Context) (outcome, *failure.Error, error) {
-	if s.g.relaysFirst(s.j) {
+	if !s.noPeer && s.g.relaysFirst(s.j) {
 		if end, e, cause, ok := s.sendToPeers(ctx); ok {
 			return end, e, cause
 		}
@@ -20,9 +20,10 @@
 	e := s.choosePathIfReachable(ctx)
 	if e == nil {
 		end, cause := s.send(ctx)
+		s.noPeer = s.noPeer && end == notRun
 		return end, nil, cause
 	}
-	if s.unreached && s.j.req.Relayed == nil {
+	if s.unreached && s.j.req.Relayed == nil && !s.noPeer {
 		if end, peerFailure, cause, ok := s.sendToPeers(ctx); ok {
 			return end, peerFailure, cause
 		}
@@ -59,6 +60,8 @@
 		return end, e, cause, true
 	}
 	s.peer = ""
+	s.noPeer = true
+	clear(s.triedPeers)
 	return notRun, nil, nil, false
 }
 
--- a/pkg/gateway/relayunary.go
+++ b/pkg/gateway/relayunary.go
@@ -12,7 +12,7 @@
 // mayRelay reports whether the request may be sent to another host after this one's attempts
 // failed: none of them can have run, or it may be repeated.
 func (w *unaryRun) mayRelay() bool {
-	if w.j.req.Relayed != nil {
+	if w.j.req.Relayed != nil || w.noPeer {
 		return false
 	}
 	if r := w.best; r != nil && !notSent(r.err) && !w.g.reach.Unreachable(w.j.service.Name) {
@@ -28,13 +28,14 @@
 	for range maxRelayTries {
 		peer, ok := w.g.relays.pick(tried)
 		if !ok {
-			return false
+			break
 		}
 		tried[peer] = true
 		if w.relayTo(ctx, peer) {
 			return true
 		}
 	}
+	w.noPeer = true
 	return false
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -61,6 +61,7 @@
 	unreached   bool              // an endpoint could not be connected to
 	peer        string            // the host that the current send is relayed to; empty if none
 	triedPeers  map[string]bool   // hosts that couldn't take the stream
+	noPeer      bool              // none of the hosts that were asked could take the stream since it last ran
 	exhausted   error             // why it may not be sent to endpoints any more; nil if it may
 	path        []fleet.Stage
 	releases    []func() // undo the load counted for the current path
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -69,7 +69,8 @@
 	results  chan *attemptResult
 	sends    int
 	running  int
-	attempts int // attempts that may have run
+	attempts int  // attempts that may have run
+	noPeer   bool // none of the hosts that were asked could take the request
 	best     *attemptResult
 	// permitRequests is how often the leader was asked for permits. If it granted none,
 	// permitAvailableIn is the time until one is available.
--- a/pkg/reachability/checks.go
+++ b/pkg/reachability/checks.go
@@ -65,6 +65,9 @@
 		if !s.unreachable && !s.verify && m.countFailed(addresses, slow) < min(suspectEndpoints, len(addresses)) {
 			continue
 		}
+		if s.unreachable {
+			m.abortPending(addresses, now.Add(-slowConnect))
+		}
 		if left := s.checkDue.Sub(now); left > 0 {
 			wait = sooner(wait, left)
 			continue
--- a/pkg/reachability/connects.go
+++ b/pkg/reachability/connects.go
@@ -94,11 +94,11 @@
 	return slow, next
 }
 
-// abortPending gives up the connections to addresses that were being opened before a time.
-// The caller holds mu.
-func (m *Monitor) abortPending(addresses []string, before time.Time) {
+// abortPending gives up the connections to addresses that began to be opened by a time. The
+// caller holds mu.
+func (m *Monitor) abortPending(addresses []string, began time.Time) {
 	for p := range m.pending {
-		if p.since.Before(before) && slices.Contains(addresses, p.address) {
+		if !p.since.After(began) && slices.Contains(addresses, p.address) {
 			p.abort()
 		}
 	}
--- a/pkg/reachability/monitor_test.go
+++ b/pkg/reachability/monitor_test.go
@@ -218,6 +218,20 @@
 		})
 	})
 
+	It("gives up a connection to a service that is unreachable soon", func() {
+		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
+			b.set(Silent)
+			_, _ = b.connect("engine-1")
+			_, _ = b.connect("engine-2")
+			for i := range 30 {
+				time.Sleep(time.Duration(i) * time.Millisecond) // at any time between checks
+				took, err := b.connect("engine-3")
+				Expect(err).To(MatchError(ErrUnreachable))
+				Expect(took).To(BeNumerically("<", 200*time.Millisecond))
+			}
+		})
+	})
+
 	It("makes no check while connections open", func() {
 		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
 			for i := range 200 {
