admission: fair shares for accounts that aren't listed; nothing is promised while streams wait

(a) An allocation lists 48 account shares, and all other accounts of a class had one share in common: at 450 hosts, 300 accounts and 3 times the capacity small ones were cut like those that ask for three times as much. (b) Shares grew to 1 from an age of 5 s on, but a successor of a leader that was missing for 5 s allocates up to 1 s later. (c) After a third of the endpoints was lost, refused callers were still told times at which capacity would be there; their retries are late and took a third of what was left. Change: 16 listed shares and a table of 480 cells, two for each account, that distributes accounts anew with each allocation (new field, which older hosts ignore: they use the class's share, as before); allocations are trusted for 6 s; no bookings while more than 1.2 times the capacity is in flight.

--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -86,6 +86,7 @@
 	Class    Class
 	Share    float64
 	Accounts []AccountShare
+	Others   *ShareTable // of the accounts that aren't listed; nil if all of them have Share
 }
 
 // AccountShare is the admitted share of the requests of one client account.
--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -92,6 +92,7 @@
 	residence     residence
 	shortageSince time.Time
 	limitedAt     time.Time // when a class was last limited
+	allocations   uint32    // made so far
 }
 
 // NewAllocator returns an allocator that has no reports yet.
@@ -229,7 +230,8 @@
 		expected += unexpectedPart * max(0, finished-expected)
 	}
 	finishing := min(expected, maxOfFinished*finished)
-	shares, limited := divide(classes, func(c Class) float64 {
+	s.allocations++
+	shares, limited := divide(classes, s.allocations, func(c Class) float64 {
 		switch {
 		case c.Late:
 			return admissibleRate(finishing, inFlight, lateTarget, capacity)
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -7,10 +7,10 @@
 )
 
 const (
-	// trustedAge is the age up to which an allocation is applied as it is. Hosts get one every
-	// 0.4 s, and a leader may be missing for 5 s. If shares grow earlier, the accounts that ask
-	// for most get most of the capacity.
-	trustedAge = 5 * time.Second
+	// trustedAge is the age up to which an allocation is applied as it is: a leader may be
+	// missing for 5 s, and its successor allocates once hosts have called it twice, 0.4 s apart.
+	// If shares grow earlier, the accounts that ask for most get most of the capacity.
+	trustedAge = 6 * time.Second
 	// growthTime is the time over which the shares of an older allocation grow to 1.
 	growthTime = 3 * time.Second
 	// minSends is the number of sends in the last second below which the host doesn't refuse by
@@ -239,7 +239,8 @@
 }
 
 // mayBook draws whether a refused request may get a booking. Callers retry once, so that late
-// ones get none. An account over its share has most of the refusals. Its chance is lower, so
+// ones get none. Nothing is promised while the admitted streams still wait for capacity, as
+// they do after endpoints were lost. An account over its share has most of the refusals. Its chance is lower, so
 // that its bookings are in proportion to what it is admitted, as those of the class are.
 func (g *Gate) mayBook(q Query, now time.Time) bool {
 	a := g.services[q.Service].allocation
@@ -249,6 +250,9 @@
 	if a == nil || a.age(now) > trustedAge {
 		return true
 	}
+	if a.allocation.InFlight > urgentTarget*a.allocation.Capacity {
+		return false
+	}
 	own, ofAccount := a.share(q.Class, q.Account)
 	class, _ := a.share(q.Class, 0)
 	return !ofAccount || class >= 1 || g.random.Float64() < odds(own)/odds(class)
--- a/pkg/admission/held.go
+++ b/pkg/admission/held.go
@@ -80,6 +80,10 @@
 	if own, ok := h.accounts[i][account]; ok {
 		return own, own < share
 	}
+	if t := h.allocation.Classes[i].Others; t != nil && account != 0 {
+		own := t.share(account)
+		return own, own < share
+	}
 	return share, false
 }
 
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -7,7 +7,7 @@
 
 // maxAccountShares bounds the account shares of a service, over all classes, so that an
 // allocation takes less than 500 bytes.
-const maxAccountShares = 48
+const maxAccountShares = 16
 
 // accountDemand is what one client account asks for; account 0 is several together.
 type accountDemand struct {
@@ -31,8 +31,9 @@
 
 // divide returns the shares of classes that are in the order of admission, and whether any
 // class is limited. The tokens admitted up to and including a rank are at most
-// admissible(rank), as far as the more urgent ranks leave any.
-func divide(classes []classDemand, admissible func(c Class) float64) (list []ClassShare, limited bool) {
+// admissible(rank), as far as the more urgent ranks leave any. The seed decides which accounts
+// that aren't listed share a cell.
+func divide(classes []classDemand, seed uint32, admissible func(c Class) float64) (list []ClassShare, limited bool) {
 	admitted := 0.0
 	left := make([]float64, len(classes)) // for the classes that are admitted in part
 	for i := range classes {
@@ -57,14 +58,42 @@
 		list = append(list, share)
 	}
 	listed := largestAccounts(classes, left)
+	table := mostUnlisted(classes, left, listed)
 	for i := range classes {
 		if left[i] > 0 {
 			list[i].divideAmongAccounts(classes[i].accounts, listed[i], left[i])
 		}
+		if i == table {
+			list[i].divideAmongOthers(classes[i].accounts, listed[i], seed)
+		}
 	}
 	return list, limited
 }
 
+// mostUnlisted returns the position of the class whose unlisted accounts ask for most, which
+// gets the only table of an allocation, or -1 if there are none.
+func mostUnlisted(classes []classDemand, left []float64, listed []map[uint32]bool) int {
+	position, most := -1, 0.0
+	for i := range classes {
+		if left[i] <= 0 {
+			continue
+		}
+		unlisted, unknown := 0.0, 0.0
+		for _, a := range classes[i].accounts {
+			switch {
+			case a.account == 0:
+				unknown += a.tokens
+			case !listed[i][a.account]:
+				unlisted += a.tokens
+			}
+		}
+		if unlisted > max(most, unknown) { // with less known, the accounts' parts are a guess
+			position, most = i, unlisted
+		}
+	}
+	return position
+}
+
 // largestAccounts returns, for each class with tokens left, the accounts that get a share of
 // their own: those that ask for most, maxAccountShares over all classes.
 func largestAccounts(classes []classDemand, left []float64) []map[uint32]bool {
@@ -125,6 +154,24 @@
 	})
 }
 
+// divideAmongOthers gives the accounts that aren't listed shares of their own, of the tokens
+// that the listed ones leave.
+func (s *ClassShare) divideAmongOthers(accounts []accountDemand, listed map[uint32]bool, seed uint32) {
+	var others []accountDemand
+	sum := 0.0
+	for _, a := range spreadUnknown(accounts, listed) {
+		if a.account != 0 && !listed[a.account] {
+			others = append(others, a)
+			sum += a.tokens
+		}
+	}
+	rest := 1.0 // who has asked for nothing lately asks for little
+	if slices.ContainsFunc(accounts, func(a accountDemand) bool { return a.account == 0 }) {
+		rest = s.Share // it may be one of those that hosts report together
+	}
+	s.Others = newShareTable(seed, others, s.Share*sum, rest)
+}
+
 // spreadUnknown returns the accounts without account 0, whose tokens are added to those of
 // the others in proportion: to those of the accounts that aren't listed, since hosts report
 // the smallest accounts together; or to all, if the others ask for less than account 0 and so
--- a/pkg/admission/wire.go
+++ b/pkg/admission/wire.go
@@ -18,6 +18,8 @@
 	maxWireServices = 64
 	maxWireDemands  = 256
 	maxWireAccounts = 256
+	// maxWireLevels bounds the bytes of a table, which have two cells each.
+	maxWireLevels = 1024
 	// maxWireStreams bounds the streams of one demand, and maxWireFinished the tokens that
 	// ended, which a float64 holds exactly up to there.
 	maxWireStreams  = 1 << 20
@@ -113,6 +115,10 @@
 		w.Accounts = append(w.Accounts, a.Account)
 		w.AccountShares = append(w.AccountShares, shareToWire(a.Share))
 	}
+	if c.Others != nil {
+		w.OtherLevels = c.Others.levels()
+		w.OtherSeed = c.Others.Seed
+	}
 	return w
 }
 
@@ -144,8 +150,9 @@
 
 func classFromWire(w *rpc.AdmissionClass) ClassShare {
 	c := ClassShare{
-		Class: ClassAt(int(w.GetClass())),
-		Share: shareFromWire(w.GetShare()),
+		Class:  ClassAt(int(w.GetClass())),
+		Share:  shareFromWire(w.GetShare()),
+		Others: tableOfLevels(w.GetOtherSeed(), w.GetOtherLevels()),
 	}
 	accounts, shares := w.GetAccounts(), w.GetAccountShares()
 	if len(accounts) != len(shares) || len(accounts) > maxWireAccounts {
--- a/pkg/admission/wire_test.go
+++ b/pkg/admission/wire_test.go
@@ -62,6 +62,10 @@
 			Share:   0.321,
 		})
 	}
+	a.Classes[2].Others = &ShareTable{Seed: math.MaxUint32, Shares: make([]float64, tableCells)}
+	for i := range a.Classes[2].Others.Shares {
+		a.Classes[2].Others.Shares[i] = levelShare(byte(i % (maxLevel + 1)))
+	}
 	return a
 }
 
