--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -66,6 +66,22 @@
 		_, err = Unpack(packed[:len(packed)/2])
 		Expect(err).To(HaveOccurred())
 	})
+
+	// Guards against a configuration that is cut and taken for a whole one.
+	It("isn't unpacked if it is too large", func() {
+		for _, c := range []struct {
+			size int
+			ok   bool
+		}{{maxUnpackedBytes, true}, {maxUnpackedBytes + 1, false}} {
+			packed, err := Pack(make([]byte, c.size))
+			Expect(err).NotTo(HaveOccurred())
+			content, err := Unpack(packed)
+			Expect(err == nil).To(Equal(c.ok))
+			if c.ok {
+				Expect(len(content)).To(Equal(c.size))
+			}
+		}
+	})
 })
 
 var _ = Describe("an endpoint on the wire", func() {
--- a/pkg/fleet/pack.go
+++ b/pkg/fleet/pack.go
@@ -29,16 +29,19 @@
 	return b.Bytes(), nil
 }
 
-// Unpack returns the content that Pack compressed, at most its first
-// maxUnpackedBytes.
+// Unpack returns the content that Pack compressed. It fails if that has more than
+// maxUnpackedBytes, or is damaged.
 func Unpack(packed []byte) ([]byte, error) {
 	r, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack")
 	}
-	content, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes))
+	content, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "unpack")
 	}
+	if len(content) > maxUnpackedBytes {
+		return nil, errors.Errorf("unpack: more than %d bytes", maxUnpackedBytes)
+	}
 	return content, nil
 }
