gateway: no caller is told to return before it can be served

Cause: the retry-after time of refused streams varied by a quarter in both directions, also below the least time that the cause of the refusal gives. Change: it varies between that and a quarter more where the cause's time is the larger one, and in both directions otherwise. The spec that allowed a third less is replaced by one that allows nothing less; it failed before. It also asks for different times.

--- a/pkg/gateway/retryafter.go
+++ b/pkg/gateway/retryafter.go
@@ -68,8 +68,7 @@
 	}
 }
 
-// estimate returns when a caller of a service should retry. The result is minimum or
-// longer before it is varied.
+// estimate returns when a caller of a service should retry, minimum or later.
 func (e *retryAfterEstimator) estimate(service string, minimum time.Duration) time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -77,6 +76,8 @@
 	if s := e.shortages[service]; s != nil && !s.since.IsZero() {
 		d = max(d, e.svc.Now().Sub(s.since))
 	}
-	d = time.Duration(float64(d) * (1 - shortageRetryJitter + 2*shortageRetryJitter*rand.Float64()))
+	shortest := max(minimum, time.Duration((1-shortageRetryJitter)*float64(d)))
+	longest := time.Duration((1 + shortageRetryJitter) * float64(d))
+	d = shortest + time.Duration(rand.Float64()*float64(longest-shortest))
 	return min(max(d, baseRetryAfter), maxRetryAfter)
 }
--- a/pkg/gateway/retryafter_test.go
+++ b/pkg/gateway/retryafter_test.go
@@ -36,9 +36,17 @@
 		within(baseRetryAfter)
 	})
 
-	It("is never much below the time that the cause of the refusal gives", func() {
+	// Guards against callers that return before there can be anything for them.
+	It("is never below the time that the cause of the refusal gives, and differs by caller", func() {
 		e := newRetryAfterEstimator(timer.NewManual(time.Unix(1000, 0)))
-		Expect(e.estimate("s", 3*time.Second)).To(BeNumerically(">=", 2*time.Second))
+		seen := map[time.Duration]bool{}
+		for range 100 {
+			d := e.estimate("s", 3*time.Second)
+			Expect(d).To(BeNumerically(">=", 3*time.Second))
+			Expect(d).To(BeNumerically("<=", 3750*time.Millisecond))
+			seen[d] = true
+		}
+		Expect(len(seen)).To(BeNumerically(">", 50))
 	})
 
 	It("does not change after a single refusal among many served streams", func() {
