gateway: permits and the call in a backoff are taken together or not at all

Cause: a query took a permit before it asked for the one call that a backoff allows, and lost it if another query took that; paths took the calls of their stages one after the other, then the permits, and lost what they had when a later stage had none. Change: acquireCalls takes all of both or nothing; used by paths, requests to one endpoint and queries. Shown by two specs that failed before: permits missing after eight queries at once, and a call in a backoff that was gone without being made.

--- a/pkg/backoff/backoff.go
+++ b/pkg/backoff/backoff.go
@@ -173,20 +173,35 @@
 	return !e.probed && t.svc.Now().Sub(e.requestedAt) >= probeDelay
 }
 
-// TryAcquire is MayCall for a caller that then makes the call; during the same backoff no
-// other call is allowed.
-func (t *Tracker) TryAcquire(id string) bool {
+// TryAcquire is MayCall for a caller that then calls all of these endpoints, or none if the
+// result is false; during the same backoffs no other call is allowed.
+func (t *Tracker) TryAcquire(ids ...string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.mayCall(id) {
-		return false
+	for _, id := range ids {
+		if !t.mayCall(id) {
+			return false
+		}
 	}
-	if t.remaining(id) > 0 {
-		t.find(id).probed = true
+	for _, id := range ids {
+		if t.remaining(id) > 0 {
+			t.find(id).probed = true
+		}
 	}
 	return true
 }
 
+// Release returns what TryAcquire allowed, for calls that were not made.
+func (t *Tracker) Release(ids ...string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, id := range ids {
+		if t.remaining(id) > 0 {
+			t.find(id).probed = false
+		}
+	}
+}
+
 // Active returns the remaining time of each endpoint that is in backoff.
 func (t *Tracker) Active() map[string]time.Duration {
 	t.mu.Lock()
--- a/pkg/backoff/backoff_test.go
+++ b/pkg/backoff/backoff_test.go
@@ -56,6 +56,21 @@
 		})
 	})
 
+	It("allows the calls to several endpoints only together, and again if they were not made", func() {
+		withTracker(func(t *Tracker, clock *timer.Manual) {
+			t.Record("p", 3*time.Second)
+			t.Record("q", 3*time.Second)
+			clock.Advance(probeDelay)
+			Expect(t.TryAcquire("q")).To(BeTrue())
+			Expect(t.TryAcquire("p", "q")).To(BeFalse(), "the call to q was made")
+			Expect(t.TryAcquire("p", "free")).To(BeTrue(), "the call to p was not")
+			t.Release("p", "free")
+			Expect(t.TryAcquire("p")).To(BeTrue())
+			Expect(t.TryAcquire("p")).To(BeFalse())
+			Expect(t.TryAcquire("q")).To(BeFalse())
+		})
+	})
+
 	It("applies to the incarnation that asked for it, or to one that had started by then", func() {
 		cases := []struct {
 			name        string
--- a/pkg/gateway/backoff_test.go
+++ b/pkg/gateway/backoff_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -367,6 +369,55 @@
 		})
 	})
 
+	// Guards against permits, and calls in a backoff, that are used up by calls which aren't made.
+	It("keeps its one call, and permits stay, if the call also needs what isn't there", func() {
+		withGateway(func(b *fixture) {
+			g := b.gateway
+			b.reportLimit("limited", "both")
+			for _, id := range []string{"resting", "both"} {
+				g.observeNotice(id, fleet.Notice{Backoff: testBackoff})
+			}
+			b.clock.Advance(probeDelay)
+			Expect(g.acquireCalls("resting", "limited")).To(BeFalse(), "there is no permit")
+			Expect(g.acquireCalls("both")).To(BeFalse(), "there is no permit")
+			b.grantPermits("limited", "both")
+			Expect(g.acquireCalls("both", "limited")).To(BeTrue())
+			Expect(g.acquireCalls("resting")).To(BeTrue())
+			b.grantPermits("limited", "both")
+			Expect(g.acquireCalls("limited", "both")).To(BeFalse(), "the call to both was made")
+			Expect(g.acquireCalls("limited")).To(BeTrue(), "the permit is still there")
+			Expect(g.acquireCalls("limited")).To(BeFalse())
+		})
+	})
+
+	// Guards against a permit that a query loses to another query of the same endpoint.
+	It("takes one permit for one query, however many ask at once", func() {
+		for range 50 {
+			withGateway(func(b *fixture) {
+				b.reportLimit("p")
+				b.gateway.observeNotice("p", fleet.Notice{Backoff: testBackoff})
+				b.clock.Advance(probeDelay)
+				for range 8 {
+					b.grantPermits("p")
+				}
+				admitted := atomic.Int64{}
+				grp := group.New(context.Background())
+				for range 8 {
+					grp.Go(func(context.Context) {
+						if b.gateway.admitQuery("p") {
+							admitted.Add(1)
+						}
+					})
+				}
+				grp.Wait()
+				Expect(admitted.Load()).To(BeEquivalentTo(1))
+				for range 7 {
+					Expect(b.gateway.permits.TryAcquire("p")).To(BeTrue(), "permits of queries that weren't sent")
+				}
+			})
+		}
+	})
+
 	It("gets at most one stall query in its backoff and no new path for a stream", func() {
 		withGateway(func(b *fixture) {
 			b.source.setEndpoints("llm", engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4), engineEndpoint("z", 2, 4))
--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -91,8 +91,8 @@
 		changed := s.g.source.Changed()
 		path, e := s.findPath()
 		if e == nil && (pathing.DomainCrossings(path) == 0 || s.g.source.Settled()) {
-			if !s.g.permits.TryAcquire(endpointIDs(path)...) {
-				continue // another request took the permits
+			if !s.g.acquireCalls(endpointIDs(path)...) {
+				continue // another request took a permit, or the call in a backoff
 			}
 			s.setPath(path)
 			return nil
@@ -106,7 +106,7 @@
 		if s.g.awaitEndpoints(ctx, s.j.req, changed) || s.awaitCapacity(ctx, e) {
 			continue
 		}
-		if e == nil && !s.g.permits.TryAcquire(endpointIDs(path)...) {
+		if e == nil && !s.g.acquireCalls(endpointIDs(path)...) {
 			continue
 		}
 		if e == nil {
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -99,16 +99,21 @@
 	g.log.Event(eventlog.EndpointResting, eventlog.Str("endpoint", id), eventlog.Ms("for_ms", n.Backoff))
 }
 
-// acquireLastChoice reports whether an endpoint may be called as the last choice, and
-// counts and logs the call if the endpoint is in backoff.
-func (g *Gateway) acquireLastChoice(id string) bool {
-	left := g.backoffs.Remaining(id)
-	if !g.backoffs.TryAcquire(id) {
+// acquireCalls acquires what calls to these endpoints need, all or none: permits, and the one
+// call that an endpoint in backoff may get. It reports whether the calls must be made now.
+func (g *Gateway) acquireCalls(ids ...string) bool {
+	if !g.backoffs.TryAcquire(ids...) {
 		return false
 	}
-	if left > 0 {
-		g.metrics.Counter("calls_in_rest").Inc(1)
-		g.log.Event(eventlog.CallInRest, eventlog.Str("endpoint", id), eventlog.Ms("left_ms", left))
+	if !g.permits.TryAcquire(ids...) {
+		g.backoffs.Release(ids...)
+		return false
+	}
+	for _, id := range ids {
+		if left := g.backoffs.Remaining(id); left > 0 {
+			g.metrics.Counter("calls_in_rest").Inc(1)
+			g.log.Event(eventlog.CallInRest, eventlog.Str("endpoint", id), eventlog.Ms("left_ms", left))
+		}
 	}
 	return true
 }
@@ -181,19 +186,12 @@
 }
 
 // lastChoicePath returns a path over endpoints that may be called in spite of a
-// backoff, for a stream that was not sent yet and has no other path, and records these
-// calls.
+// backoff, for a stream that was not sent yet and has no other path.
 func (s *streamRun) lastChoicePath() []fleet.Stage {
 	if s.sends > 0 || !s.g.backoffs.HasAny() {
 		return nil
 	}
-	path := s.pathUsing(func(id string) bool {
+	return s.pathUsing(func(id string) bool {
 		return s.g.backoffs.MayCall(id) && s.g.permits.MayCall(id) && !s.leftOut(id)
 	})
-	for _, p := range path {
-		if !s.g.acquireLastChoice(p.ID) {
-			return nil // another stream took the one call that was allowed
-		}
-	}
-	return path
 }
--- a/pkg/gateway/stallquery.go
+++ b/pkg/gateway/stallquery.go
@@ -43,7 +43,7 @@
 
 // admitQuery implements queryPolicy.
 func (g *Gateway) admitQuery(id string) bool {
-	if !g.backoffs.MayCall(id) || !g.permits.TryAcquire(id) || !g.backoffs.TryAcquire(id) {
+	if !g.acquireCalls(id) {
 		return false
 	}
 	g.countLimitedCall("question", id)
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -231,7 +231,7 @@
 		if !ok || !paid {
 			return e, false
 		}
-		if w.g.permits.TryAcquire(e.ID) {
+		if w.g.acquireCalls(e.ID) {
 			return e, true
 		}
 	}
@@ -316,10 +316,9 @@
 }
 
 // lastChoice chooses an endpoint that is in backoff but may be called once
-// nevertheless, and records that call.
+// nevertheless.
 func (g *Gateway) lastChoice(service string, tried map[string]bool) (fleet.Endpoint, bool) {
-	e, ok := g.best(service, func(id string) bool { return !tried[id] && g.backoffs.MayCall(id) && g.permits.MayCall(id) })
-	return e, ok && g.acquireLastChoice(e.ID)
+	return g.best(service, func(id string) bool { return !tried[id] && g.backoffs.MayCall(id) && g.permits.MayCall(id) })
 }
 
 // best returns the endpoint with the lowest score of those for which fits returns true.
