admission: small accounts are judged by several seconds

Cause: with shares of their own, small accounts were still cut: the division of each second is fair by what accounts asked for in it, and one that sends a request in two seconds is cut when it sends two, and loses its part when it sends none.

--- a/pkg/admission/allocator.go
+++ b/pkg/admission/allocator.go
@@ -221,7 +221,7 @@
 	// as the others. Otherwise their part would be given to the others as well.
 	inFlight *= float64(hosts) / float64(max(1, min(active, hosts)))
 	perSecond := a.coverage.perSecond(max(active, hosts))
-	classes := s.demand.classes(perSecond)
+	classes := s.demand.classes(perSecond, now)
 	finished := s.demand.finished * perSecond
 	served := min(inFlight, urgentTarget*capacity) // the others wait
 	s.residence.update(now, served, finished)
--- a/pkg/admission/demand.go
+++ b/pkg/admission/demand.go
@@ -31,11 +31,13 @@
 	reports  []recentReport
 	sums     map[demandKey]*demandSum
 	finished float64
+	averages *averages
 }
 
 func newRecentDemand() *recentDemand {
 	return &recentDemand{
-		sums: map[demandKey]*demandSum{},
+		sums:     map[demandKey]*demandSum{},
+		averages: newAverages(),
 	}
 }
 
@@ -54,6 +56,7 @@
 		}
 		s.tokens += wanted.Tokens
 		s.reports++
+		d.averages.add(wanted, r.at)
 	}
 }
 
@@ -86,8 +89,9 @@
 }
 
 // classes returns the demand by class and account in the order of admission, multiplied by
-// scale.
-func (d *recentDemand) classes(scale float64) []classDemand {
+// scale. That of a class is the window's. It is divided among its accounts by what they have
+// asked for on average.
+func (d *recentDemand) classes(scale float64, now time.Time) []classDemand {
 	byClass := map[Class]*classDemand{}
 	for key, s := range d.sums {
 		if s.tokens <= 0 {
@@ -105,9 +109,19 @@
 			tokens:  s.tokens * scale,
 		})
 	}
+	for key := range d.averages.byKey {
+		if c := byClass[key.class]; c != nil && d.sums[key] == nil {
+			c.accounts = append(c.accounts, accountDemand{
+				account: key.account,
+			})
+		}
+	}
 	list := make([]classDemand, 0, len(byClass))
 	for _, c := range byClass {
 		slices.SortFunc(c.accounts, compareDemand) // sums of floats depend on the order
+		c.divideBy(func(a accountDemand) float64 {
+			return d.averages.estimate(demandKey{class: c.class, account: a.account}, a.tokens, now)
+		})
 		list = append(list, *c)
 	}
 	slices.SortFunc(list, func(a, b classDemand) int {
--- a/pkg/admission/shares.go
+++ b/pkg/admission/shares.go
@@ -5,9 +5,13 @@
 	"slices"
 )
 
-// maxAccountShares bounds the account shares of a service, over all classes, so that an
-// allocation takes less than 500 bytes.
-const maxAccountShares = 16
+const (
+	// maxAccountShares bounds the account shares of a service, over all classes, so that an
+	// allocation takes less than 500 bytes.
+	maxAccountShares = 48
+	// tabledAccountShares is the bound if there are more accounts, and a table of the others.
+	tabledAccountShares = 16
+)
 
 // accountDemand is what one client account asks for; account 0 is several together.
 type accountDemand struct {
@@ -29,6 +33,36 @@
 	return sum
 }
 
+// divideBy divides what the accounts, but for account 0, ask for in sum in proportion to
+// weights. Accounts without a part are dropped.
+func (c *classDemand) divideBy(weight func(a accountDemand) float64) {
+	known, weights := 0.0, 0.0
+	list := make([]accountDemand, 0, len(c.accounts))
+	for _, a := range c.accounts {
+		if a.account == 0 {
+			continue
+		}
+		known += a.tokens
+		a.tokens = weight(a)
+		weights += a.tokens
+		if a.tokens > 0 {
+			list = append(list, a)
+		}
+	}
+	if weights <= 0 {
+		return
+	}
+	for i := range list {
+		list[i].tokens *= known / weights
+	}
+	for _, a := range c.accounts {
+		if a.account == 0 {
+			list = append(list, a)
+		}
+	}
+	c.accounts = list
+}
+
 // divide returns the shares of classes that are in the order of admission, and whether any
 // class is limited. The tokens admitted up to and including a rank are at most
 // admissible(rank), as far as the more urgent ranks leave any. The seed decides which accounts
@@ -95,7 +129,7 @@
 }
 
 // largestAccounts returns, for each class with tokens left, the accounts that get a share of
-// their own: those that ask for most, maxAccountShares over all classes.
+// their own: all if they are few, and else those that ask for most, over all classes.
 func largestAccounts(classes []classDemand, left []float64) []map[uint32]bool {
 	type candidate struct {
 		class int
@@ -117,7 +151,10 @@
 	slices.SortFunc(all, func(a, b candidate) int {
 		return compareDemand(b.accountDemand, a.accountDemand)
 	})
-	for _, c := range all[:min(len(all), maxAccountShares)] {
+	if len(all) > maxAccountShares {
+		all = all[:tabledAccountShares]
+	}
+	for _, c := range all {
 		listed[c.class][c.account] = true
 	}
 	return listed
--- a/pkg/admission/shares_test.go
+++ b/pkg/admission/shares_test.go
@@ -111,7 +111,7 @@
 		Expect(list[2].Accounts).To(BeEmpty())
 	})
 
-	ginkgo.It("are listed for at most 16 accounts over all classes, those that ask for most", func() {
+	ginkgo.It("are listed for 16 accounts over all classes if there are more than 48, those that ask for most", func() {
 		var wanted []float64
 		for n := range 100 {
 			wanted = append(wanted, float64(100+n))
@@ -120,7 +120,7 @@
 		other.accounts = append(other.accounts, accountDemand{account: 999, tokens: 5000})
 		rates := []float64{urgent.tokens() / 2, urgent.tokens()/2 + 1000} // both are admitted in part
 		list, _ := divide([]classDemand{urgent, other}, 7, func(c Class) float64 { return rates[c.Rank] })
-		Expect(len(list[0].Accounts) + len(list[1].Accounts)).To(Equal(maxAccountShares))
+		Expect(len(list[0].Accounts) + len(list[1].Accounts)).To(Equal(tabledAccountShares))
 		Expect(list[1].shareOf(999)).To(BeNumerically("<", list[1].Share), "the largest has its own share")
 		Expect(list[0].shareOf(100)).To(BeNumerically("<", list[0].Share))
 		Expect(list[0].admittedTokens(urgent)).To(BeNumerically("~", rates[0], 1e-6))
--- a/pkg/admission/sharetable.go
+++ b/pkg/admission/sharetable.go
@@ -6,7 +6,7 @@
 
 const (
 	// tableCells is the number of cells of a table, at half a byte each on the wire.
-	tableCells = 480
+	tableCells = 440
 	// maxLevel is the highest level of a share on the wire. Level n is a share of 2^(-n/2).
 	maxLevel = 15
 	// levelSteps is the number of bisections by which the tokens of an account are found.
--- a/pkg/admission/wire_test.go
+++ b/pkg/admission/wire_test.go
@@ -40,8 +40,18 @@
 	return r
 }
 
-// largestAllocation is an allocation with as many account shares as are allowed.
+// largestAllocation is an allocation with as many account shares as are allowed beside a table.
 func largestAllocation() Allocation {
+	a := listedAllocation(tabledAccountShares)
+	a.Classes[2].Others = &ShareTable{Seed: math.MaxUint32, Shares: make([]float64, tableCells)}
+	for i := range a.Classes[2].Others.Shares {
+		a.Classes[2].Others.Shares[i] = levelShare(byte(i % (maxLevel + 1)))
+	}
+	return a
+}
+
+// listedAllocation is an allocation with n account shares and no table.
+func listedAllocation(n int) Allocation {
 	a := Allocation{
 		Service:   testService,
 		Capacity:  90_000_000,
@@ -55,17 +65,13 @@
 			Share: 0.9,
 		})
 	}
-	for i := range maxAccountShares {
+	for i := range n {
 		c := &a.Classes[i%len(a.Classes)]
 		c.Accounts = append(c.Accounts, AccountShare{
 			Account: AccountKey(fmt.Sprint("account", i)),
 			Share:   0.321,
 		})
 	}
-	a.Classes[2].Others = &ShareTable{Seed: math.MaxUint32, Shares: make([]float64, tableCells)}
-	for i := range a.Classes[2].Others.Shares {
-		a.Classes[2].Others.Shares[i] = levelShare(byte(i % (maxLevel + 1)))
-	}
 	return a
 }
 
@@ -216,10 +222,11 @@
 	report := proto.Size(&rpc.SyncRequest{Admission: ReportsToWire([]Report{largestReport()})})
 	g.Expect(report).To(BeNumerically("<", 560))
 	t.Logf("allocation with %d account shares: %d bytes; report with %d demands: %d bytes; both a second: %.0f bytes",
-		maxAccountShares, allocation, maxDemands, report, hostCallsPerSecond*float64(allocation+report))
-	long := largestAllocation()
-	long.Service = strings.Repeat("s", 64)
-	g.Expect(proto.Size(AllocationsToWire([]Allocation{long})[0])).To(BeNumerically("<", maxAllocationBytes), "also with a long name")
+		tabledAccountShares, allocation, maxDemands, report, hostCallsPerSecond*float64(allocation+report))
+	for _, long := range []Allocation{largestAllocation(), listedAllocation(maxAccountShares)} {
+		long.Service = strings.Repeat("s", 64)
+		g.Expect(proto.Size(AllocationsToWire([]Allocation{long})[0])).To(BeNumerically("<", maxAllocationBytes), "also with a long name")
+	}
 }
 
 // The leader receives all hosts' reports: 450 hosts that report as much as they may.
