control: a rollout doesn't wait for hosts that are gone

Cause: hosts without a heartbeat for longer than hostGoneAfter were counted among those on which the newest revision has to become active. Change: they are left out.

--- a/pkg/control/admin_hosts.go
+++ b/pkg/control/admin_hosts.go
@@ -62,11 +62,19 @@
 // rollout reports at how many entry hosts the newest revision is active, in total
 // and for each failure domain.
 func (s *Server) rollout(_ *http.Request, _ config.Operator) (any, error) {
+	return rolloutOf(s.stateMachine.Revision(), s.presence.hosts(s.svc.Now())), nil
+}
+
+// rolloutOf counts the hosts that are present. A host that is gone activates no revision.
+func rolloutOf(revision uint64, hosts []api.HostView) api.Rollout {
 	out := api.Rollout{
-		Revision: s.stateMachine.Revision(),
+		Revision: revision,
 		Domains:  []api.DomainView{},
 	}
-	for _, h := range s.presence.hosts(s.svc.Now()) {
+	for _, h := range hosts {
+		if h.AgeMS > hostGoneAfter.Milliseconds() {
+			continue
+		}
 		out.Hosts++
 		domain := domainOf(&out, h)
 		domain.Hosts++
@@ -77,7 +85,7 @@
 		}
 	}
 	sort.Slice(out.Domains, func(i, j int) bool { return out.Domains[i].Domain < out.Domains[j].Domain })
-	return out, nil
+	return out
 }
 
 func domainOf(out *api.Rollout, h api.HostView) *api.DomainView {
