fleetcontrol: a notice beside another incarnation's status is about that one

Cause: a status query that another incarnation of the endpoint answered lost the notice in the answer, so that the leader went on to probe an endpoint that had just asked for backoff, or said that it leaves, until it heard that elsewhere. Change: the error names the incarnation that answered, and its notice and rate limit are booked there; still nothing on the one that was asked.

--- a/pkg/fleet/notice.go
+++ b/pkg/fleet/notice.go
@@ -46,3 +46,15 @@
 func (e *RejectedError) Error() string {
 	return "status " + strconv.Itoa(e.Status) + ": " + e.Text
 }
+
+// OtherIncarnationError is the error of a call to an incarnation that another incarnation of
+// the endpoint answered. The notice is about that one.
+type OtherIncarnationError struct {
+	ID     string // of the one that answered
+	Notice Notice
+}
+
+// Error implements error.
+func (e *OtherIncarnationError) Error() string {
+	return "answered by another incarnation, " + e.ID
+}
--- a/pkg/fleetcontrol/notices.go
+++ b/pkg/fleetcontrol/notices.go
@@ -69,6 +69,12 @@
 	c.granter.ChargeProbe(permit.EndpointKey(id))
 	sentAt := c.svc.Now()
 	report, err := c.client.Report(ctx, id, address)
+	var other *fleet.OtherIncarnationError
+	if errors.As(err, &other) {
+		c.observe(other.ID, other.Notice)
+		c.observeLimit(other.ID, other.Notice.Limit, sentAt)
+		return report, err
+	}
 	c.observe(id, report.Notice)
 	c.observeLimit(id, report.Notice.Limit, sentAt)
 	return report, err
--- a/pkg/fleetcontrol/notices_test.go
+++ b/pkg/fleetcontrol/notices_test.go
@@ -87,6 +87,24 @@
 		}
 	})
 
+	// Guards against a notice that is booked on the incarnation that was asked, or lost.
+	It("are not made to another incarnation that answered with the notice", func() {
+		e := &countingEndpoints{err: &fleet.OtherIncarnationError{ID: "e1@2000", Notice: fleet.Notice{Leaving: true, Backoff: backoff}}}
+		withEndpointClient(e, func(c *endpointClient, table *registry.Table, _ *timer.Manual) {
+			newer := announcement(false, 1)
+			newer.ID, newer.Address = "e1@2000", "127.0.2.9:80"
+			table.Announce(newer)
+			_, _ = c.Report(context.Background(), "e1@1000", "127.0.2.1:80") // the fake's error
+			for id, leaving := range map[string]bool{"e1": false, "e1@2000": true} {
+				got, _ := table.Get(id)
+				Expect(got.Leaving).To(Equal(leaving), id)
+			}
+			_, err := c.Report(context.Background(), "e1@2000", "127.0.2.1:80")
+			Expect(err).To(MatchError(errInBackoff))
+			Expect(e.reports).To(Equal(1))
+		})
+	})
+
 	It("don't mark an endpoint as silent if it rejects a probe with backoff", func() {
 		backsOff := func(string) (placement.Report, error) {
 			return placement.Report{Notice: fleet.Notice{Backoff: backoff}}, errors.New("report: status 503")
--- a/pkg/placement/controller.go
+++ b/pkg/placement/controller.go
@@ -48,9 +48,10 @@
 	// given number of orders before. The error of a rejected order is a
 	// *fleet.RejectedError.
 	Place(ctx context.Context, o Order, address string, accepted uint64) (Outcome, error)
-	// Report queries what an incarnation holds. It fails if another incarnation
-	// answers, and with ErrNoReport if the endpoint is no engine. The notice in the
-	// report is set with any answer, also beside an error.
+	// Report queries what an incarnation holds. It fails with a
+	// *fleet.OtherIncarnationError if another incarnation answers, and with ErrNoReport if
+	// the endpoint is no engine. The notice in the report is set with any other answer,
+	// also beside an error.
 	Report(ctx context.Context, id, address string) (Report, error)
 }
 
