fleetcontrol, fleetentry: how many hosts run which build

Hosts tell the leader the commit that their program was built from; it shows in entry_hosts{commit} and in the line host_builds how many run each, whenever that changes. Hosts of older builds don't say and count as unnamed. Operators could see the build of each process only, by its own metrics and start line.

--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -18,6 +18,7 @@
 	"github.com/larchwinch/larchwinch/pkg/fleetentry"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
 	"github.com/larchwinch/larchwinch/pkg/timer"
+	"github.com/larchwinch/larchwinch/pkg/version"
 	"github.com/larchwinch/larchwinch/platform"
 	"github.com/oklog/run"
 )
@@ -78,6 +79,7 @@
 		Name:               cfg.Host,
 		Domain:             cfg.Domain,
 		CallerAddress:      cfg.Listen.Callers,
+		Commit:             version.Commit(),
 		RelayPort:          cfg.RelayPort(),
 		Isolated:           m.Isolated,
 		Seeds:              func() []string { return p.cfg.Load().SeedAddresses() },
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -35,6 +35,7 @@
 	StreamStalled   Event = "stream_stalled"
 	EndpointAvoided Event = "endpoint_avoided"
 	EndpointResting Event = "endpoint_resting"
+	HostBuilds      Event = "host_builds"
 	EndpointAsked   Event = "endpoint_asked"
 	CallInRest      Event = "call_in_rest"
 	EndpointLimit   Event = "endpoint_limit"
@@ -70,7 +71,7 @@
 var Events = []Event{
 	Started, Stopping, Stopped, Reloaded,
 	RequestRefused, RequestFailed, RequestServed, RequestLeft, AttemptFailed, StreamRepathed, StreamResumed, StreamStalled,
-	EndpointAvoided, EndpointResting, EndpointAsked, CallInRest, EndpointLimit,
+	EndpointAvoided, EndpointResting, HostBuilds, EndpointAsked, CallInRest, EndpointLimit,
 	EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
 	ServiceUnreachable, ServiceReachable,
 	ConfigInForce, ConfigAccepted, ConfigRefused, ConfigFailed,
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -236,6 +236,10 @@
 // lead runs the leader's periodic work: it expires entry hosts and rate limits, probes
 // endpoints, and reconciles their placement with the configuration.
 func (s *Server) lead(ctx context.Context) {
+	builds := &buildRecord{
+		log:     s.cfg.Log,
+		metrics: s.cfg.Metrics,
+	}
 	timer.Loop(ctx, s.cfg.Timer, leadInterval, func(now time.Time) {
 		s.recordCommitted()
 		machine, term, _ := s.replica.Leads(ctx)
@@ -243,10 +247,12 @@
 			s.recordLeading(0, now)
 			s.hosts.reset()
 			s.controller.Reset()
+			builds.update(nil)
 			return
 		}
 		since := s.recordLeading(term, now)
 		s.expireHosts(now)
+		builds.update(s.hosts.builds())
 		s.logLimitChanges(s.granter.Expire())
 		if now.Sub(since) < settleHeartbeats*s.cfg.Heartbeat {
 			return
--- a/pkg/fleetentry/controlclient.go
+++ b/pkg/fleetentry/controlclient.go
@@ -58,6 +58,8 @@
 	Name          string
 	Domain        string
 	CallerAddress string
+	// Commit is what this program was built from.
+	Commit string
 	// RelayPort is the port at which entry hosts take each other's requests, the same on
 	// every host.
 	RelayPort string
@@ -254,6 +256,7 @@
 			CallerAddress: c.cfg.CallerAddress,
 			Ready:         c.ready() && !c.cfg.Isolated(),
 			Isolated:      c.ready() && c.cfg.Isolated(),
+			Commit:        c.cfg.Commit,
 		},
 		Epoch:            c.epoch,
 		EndpointsVersion: c.endpointsVersion,
