--- a/pkg/admission/faults_test.go
+++ b/pkg/admission/faults_test.go
@@ -127,6 +127,22 @@
 			expectFair(m, recovered, loadTo, 1/1.25, 1.25)
 		})
 
+		if hosts > 100 { // fewer accounts need no table
+			s := overload(hosts, 3)
+			s.each = func(m *model, _ float64) {
+				for i, h := range m.hosts {
+					h.noTables = i%2 == 0
+				}
+			}
+			upgrading := prepare("half of the hosts on a release without tables"+about, s)
+			ginkgo.It("keeps the order of ranks and the work done on time while half of the hosts run a release without tables"+about, func() {
+				Expect(upgrading.onTime(0, loadFrom, loadTo)).To(BeNumerically(">=", 0.98))
+				expectOrder(upgrading, loadFrom, loadTo)
+				Expect(upgrading.goodput(loadFrom, loadTo)).To(BeNumerically(">=", 0.9*usual.goodput(loadFrom, loadTo)))
+				expectSomeAdmitted(upgrading)
+			})
+		}
+
 		off := overload(hosts, 3)
 		off.off = true
 		without := prepare("without admission control"+about, off)
--- a/pkg/admission/model_test.go
+++ b/pkg/admission/model_test.go
@@ -79,6 +79,7 @@
 	nextCall time.Duration
 	up       bool
 	cutOff   bool          // from the leader
+	noTables bool          // it runs a release that doesn't know tables of shares
 	applied  time.Duration // when the allocation that it holds was made
 }
 
@@ -377,7 +378,7 @@
 		for i := len(m.history) - 1; i >= 0; i-- {
 			if al := m.history[i]; m.now-al.at >= m.oldest {
 				if al.at > h.applied {
-					h.c.Apply(al.list, m.now-al.at)
+					h.c.Apply(h.known(al.list), m.now-al.at)
 					h.applied = al.at
 				}
 				break
@@ -392,3 +393,18 @@
 	m.leader.Reset()
 	m.history = nil
 }
+
+// known returns allocations as the host's release reads them.
+func (h *modelHost) known(list []Allocation) []Allocation {
+	if !h.noTables {
+		return list
+	}
+	list = slices.Clone(list)
+	for i := range list {
+		list[i].Classes = slices.Clone(list[i].Classes)
+		for k := range list[i].Classes {
+			list[i].Classes[k].Others = nil
+		}
+	}
+	return list
+}
