gateway: a leave right after the choice of a path is noticed at once

Cause: a stream fetched the channel that tells of changes only once it had been sent. A stage that left, or released its layers, after the choice of the path and before that was noticed at the next change of any endpoint only. Ruled out by trials: a late answer (300 ms) and late stall queries (30 ms) don't make it fail; 100 ms before the channel is fetched do, each time. Change: the path is checked when the watch begins. The new spec failed before; the rule has its mutation. As old as the watch.

--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -126,6 +126,7 @@
 
 // fakeSource is a Source whose state a test sets.
 type fakeSource struct {
+	onChanged  func() // if set, runs before each call of Changed
 	mu         sync.Mutex
 	view       View
 	endpoints  map[string][]fleet.Endpoint
@@ -196,6 +197,9 @@
 }
 
 func (s *fakeSource) Changed() <-chan struct{} {
+	if s.onChanged != nil {
+		s.onChanged()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.changed
--- a/pkg/gateway/leave.go
+++ b/pkg/gateway/leave.go
@@ -45,7 +45,7 @@
 		s: s,
 	}
 	if s.j.service.Engine != nil {
-		l.changed = s.g.source.Changed()
+		l.check() // a stage may have changed since the path was chosen
 	}
 	return l
 }
