--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -118,11 +118,6 @@
 // layers.
 const slowLimit = 4
 
-// degraded reports whether an endpoint serves less than its layers may be asked for.
-func (s EndpointState) degraded() bool {
-	return s.Slowdown >= slowLimit || s.BelowDemand
-}
-
 // count adds an endpoint's layers to the counts.
 func (p *planner) count(s EndpointState) {
 	p.add(s, 1)
@@ -149,7 +144,7 @@
 	switch {
 	case s.OrderPending:
 		return p.loading
-	case s.degraded():
+	case s.Slowdown >= slowLimit || s.BelowDemand:
 		return p.degraded
 	default:
 		return p.serving
