--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -239,8 +239,7 @@
 }
 
 // mayBook draws whether a refused request may get a booking. Callers retry once, so that late
-// ones get none. Nothing is promised while the admitted streams still wait for capacity, as
-// they do after endpoints were lost. An account over its share has most of the refusals. Its chance is lower, so
+// ones get none. An account over its share has most of the refusals. Its chance is lower, so
 // that its bookings are in proportion to what it is admitted, as those of the class are.
 func (g *Gate) mayBook(q Query, now time.Time) bool {
 	a := g.services[q.Service].allocation
@@ -250,9 +249,6 @@
 	if a == nil || a.age(now) > trustedAge {
 		return true
 	}
-	if a.allocation.InFlight > urgentTarget*a.allocation.Capacity {
-		return false
-	}
 	own, ofAccount := a.share(q.Class, q.Account)
 	class, _ := a.share(q.Class, 0)
 	return !ofAccount || class >= 1 || g.random.Float64() < odds(own)/odds(class)
