--- a/pkg/gateway/leaves_test.go
+++ b/pkg/gateway/leaves_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -70,6 +71,30 @@
 		})
 	})
 
+	// Guards against a leave that is noticed only at the next change of any endpoint.
+	It("is replaced if it leaves between the choice of the path and the stream's first look at it", func() {
+		withGateway(func(b *fixture) {
+			calls := 0 // by the stream's goroutine: for the choice of the path, and then to watch it
+			b.source.onChanged = func() {
+				if calls++; calls == 2 {
+					Eventually(func() int { return len(b.client.sent()) }, "5s", "1ms").Should(Equal(1))
+					b.source.leave(b.client.sent()[0].Path[1].ID)
+				}
+			}
+			b.client.answer = func(int, *Call) (*Answer, error) {
+				return &Answer{Status: 200, Verified: true, Body: hangingBody(events(1, 1))}, nil
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			_, done := b.stream(ctx)
+			Eventually(func() int {
+				b.clock.Advance(leaveRetryInterval)
+				return b.client.repathCount()
+			}, "5s", "5ms").Should(BeNumerically(">", 0))
+			cancel()
+			Eventually(done, "5s").Should(Receive())
+		})
+	})
+
 	It("is replaced only once the first endpoint of the path is out of backoff and can be called with a new path", func() {
 		withGateway(func(b *fixture) {
 			end := b.streamInFlight()
--- a/pkg/gateway/stream_test.go
+++ b/pkg/gateway/stream_test.go
@@ -272,30 +272,6 @@
 		})
 	})
 
-	// Guards against a leave that is noticed only at the next change of any endpoint.
-	It("has a stage replaced that leaves between the choice of the path and the first look at it", func() {
-		withGateway(func(b *fixture) {
-			calls := 0 // by the stream's goroutine: for the choice of the path, and then to watch it
-			b.source.onChanged = func() {
-				if calls++; calls == 2 {
-					Eventually(func() int { return len(b.client.sent()) }, "5s", "1ms").Should(Equal(1))
-					b.source.leave(b.client.sent()[0].Path[1].ID)
-				}
-			}
-			b.client.answer = func(int, *Call) (*Answer, error) {
-				return &Answer{Status: 200, Verified: true, Body: hangingBody(events(1, 1))}, nil
-			}
-			ctx, cancel := context.WithCancel(context.Background())
-			_, done := b.stream(ctx)
-			Eventually(func() int {
-				b.clock.Advance(leaveRetryInterval)
-				return b.client.repathCount()
-			}, "5s", "5ms").Should(BeNumerically(">", 0))
-			cancel()
-			Eventually(done, "5s").Should(Receive())
-		})
-	})
-
 	It("has a stage that released its layers replaced well before a leaving one would be, but stays on a first stage", func() {
 		withGateway(func(b *fixture) {
 			end := b.streamInFlight()
