gateway: logs say why an interrupted stream wasn't sent again, and that a plain request's caller left

Of the incident's hypotheses, the logs couldn't tell a stream that broke for good from one that was given up and then had no retry left; and a plain request whose context ended left no line at all. Change: request_failed has not_resumed, and request_left is written for plain requests too.

--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -24,7 +24,7 @@
 	s.g.log.Event(eventlog.RequestFailed, eventlog.Str("request", s.j.req.ID), eventlog.Str("kind", e.Kind().String()),
 		eventlog.Str("path", formatPath(s.path)),
 		eventlog.Str("why", e.Error()), eventlog.Str("route", s.j.route.Name), eventlog.Str("after", s.lastEvent),
-		eventlog.Str("fingerprint", s.j.fingerprint().String()))
+		eventlog.Str("fingerprint", s.j.fingerprint().String()), eventlog.Str("not_resumed", string(s.obstacle)))
 	s.g.metrics.Counter("streams_broken").Inc(1)
 	s.j.out.Abort()
 }
--- a/pkg/gateway/relayunary.go
+++ b/pkg/gateway/relayunary.go
@@ -55,6 +55,7 @@
 	}
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
+		w.logLeft(ctx)
 		return true // the caller has disconnected
 	case notSent(r.err) && ctx.Err() == nil:
 		return false
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -66,6 +66,7 @@
 	triedPeers  map[string]bool   // hosts that couldn't take the stream
 	noPeer      bool              // none of the hosts that were asked could take the stream since it last ran
 	exhausted   error             // why it may not be sent to endpoints any more; nil if it may
+	obstacle    obstacle          // because of which an interruption ends the stream
 	path        []fleet.Stage
 	releases    []func() // undo the load counted for the current path
 	// unsent says that the current send reached no endpoint.
@@ -140,11 +141,11 @@
 			s.expire(ctx)
 			return
 		case notRun:
-			if !s.mayRetry(cause) {
+			if s.checkRetry(cause) != resumable {
 				s.exhausted = cause
 			}
 		case broken:
-			if !s.mayResume(cause) {
+			if s.obstacle = s.checkResume(cause); s.obstacle != resumable {
 				s.fail(failure.Wrap(cause, failure.EndpointFailed, "the stream broke"))
 				return
 			}
@@ -188,16 +189,30 @@
 	s.releases = nil
 }
 
-// mayRetry reports whether the stream may be sent again after a send that ended with
-// cause, and charges the retry budget. A send after one that reached no endpoint is
-// free.
-func (s *streamRun) mayRetry(cause error) bool {
+// obstacle is why an interrupted stream isn't sent again.
+type obstacle string
+
+const (
+	resumable        obstacle = ""
+	routeForbids     obstacle = "route" // its streams may run once only
+	attemptsUsed     obstacle = "attempts"
+	sendsUsed        obstacle = "sends"
+	retryBudgetSpent obstacle = "retry_budget"
+	inQuarantine     obstacle = "quarantine"
+)
+
+// checkRetry returns why the stream may not be sent again after a send that ended with cause. If
+// it may, it charges the retry budget. A send after one that reached no endpoint is free.
+func (s *streamRun) checkRetry(cause error) obstacle {
 	if s.sends >= maxStreamSends {
-		return false
+		return sendsUsed
 	}
 	paid := s.retryPaid
 	s.retryPaid = false
-	return paid || notSent(cause) || s.g.retries.withdraw(s.g.source.HostCount())
+	if paid || notSent(cause) || s.g.retries.withdraw(s.g.source.HostCount()) {
+		return resumable
+	}
+	return retryBudgetSpent
 }
 
 // reserveRetry charges the retry budget before a stream that still runs is given up for
@@ -213,8 +228,17 @@
 	return s.j.route.Resumable && s.attempts+1+s.j.priorAttempts < s.j.route.MaxAttempts
 }
 
-func (s *streamRun) mayResume(cause error) bool {
-	return s.j.route.Resumable && s.attempts+s.j.priorAttempts < s.j.route.MaxAttempts && s.g.checkQuarantine(s.j) == nil && s.mayRetry(cause)
+// checkResume is checkRetry for a stream that an endpoint may have run.
+func (s *streamRun) checkResume(cause error) obstacle {
+	switch {
+	case !s.j.route.Resumable:
+		return routeForbids
+	case s.attempts+s.j.priorAttempts >= s.j.route.MaxAttempts:
+		return attemptsUsed
+	case s.g.checkQuarantine(s.j) != nil:
+		return inQuarantine
+	}
+	return s.checkRetry(cause)
 }
 
 // resumeFrom returns the ID of the event after which the next send continues.
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
@@ -297,6 +298,7 @@
 // that.
 func (w *unaryRun) expire(ctx context.Context) {
 	if errors.Is(ctx.Err(), context.Canceled) {
+		w.logLeft(ctx)
 		return // the caller has disconnected
 	}
 	w.group.Stop()
@@ -317,6 +319,12 @@
 	w.refuse(failure.New(failure.DeadlineExceeded, "no answer in time from %d endpoints", w.sends))
 }
 
+// logLeft logs that the caller disconnected before it had an answer.
+func (w *unaryRun) logLeft(ctx context.Context) {
+	w.g.log.Event(eventlog.RequestLeft, eventlog.Str("request", w.j.req.ID), eventlog.Int("attempts", int64(w.attempts)),
+		eventlog.Ms("after_ms", w.g.svc.Now().Sub(w.j.req.Received)), eventlog.Err(ctx.Err()))
+}
+
 func (w *unaryRun) refuse(e *failure.Error) {
 	w.g.refuse(w.j.req, w.j, w.j.out, e)
 }
