gateway: a stream whose endpoint is silent stays open there while it is sent elsewhere

What callers saw: beside a change of the configuration, a request that was read whole ended with neither an answer nor a refusal (LOST); in the specs, a stream that had begun was cut. Cause: two stall queries without an answer, 0.6 s of silence, ended the send, and only then the host looked whether anything else could go on with the stream. A spent retry budget, no other endpoint for the first layers, refusals, failed connections, a quarantined part, a second silent or failing endpoint, an isolated host: each of them cut a stream whose endpoint would have gone on. The class of fault: an attempt is given up before its successor is certain. A stream that was to be sent elsewhere because of a stalled later stage was given up the same way, and its silence counted as a crash. Change: the silent send is suspended, not ended. The stream is sent to another endpoint after its last event, and the send that brings the next event goes on, the other is closed; if the other can't be sent, is refused or breaks, the suspended one is current again. At most one is suspended, and its retry is charged before. Silence records no crash any more: a crash is a connection that is lost, also of a suspended send. An endpoint that goes on isn't avoided any longer.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -88,6 +88,9 @@
 // a path within one failure domain before it takes one that crosses domains.
 func (s *streamRun) choosePath(ctx context.Context) *failure.Error {
 	for {
+		if s.suspendedSpoke() {
+			return errOvertaken
+		}
 		changed := s.g.source.Changed()
 		path, e := s.findPath()
 		if e == nil && (pathing.DomainCrossings(path) == 0 || s.g.source.Settled()) {
--- a/pkg/gateway/livenesswatch.go
+++ b/pkg/gateway/livenesswatch.go
@@ -140,8 +140,8 @@
 }
 
 // replaceLost gives the stream another path if the lost endpoint is a later stage of its
-// path and no event has come since the check began. Its error says that the stream must
-// be sent anew.
+// path and no event has come since the check began. Its error says that the stream should
+// be sent elsewhere.
 func (w *livenessWatch) replaceLost(ctx context.Context, k *livenessCheck, r *answerReader, stall *stallWatch) error {
 	s := w.s
 	if len(r.items) > 0 || !w.idleSince(k.startedAt) || !s.passesThrough(k.id) {
--- a/pkg/gateway/relaystream.go
+++ b/pkg/gateway/relaystream.go
@@ -6,12 +6,15 @@
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/failure"
-	"github.com/larchwinch/larchwinch/pkg/group"
 )
 
 // sendNext sends the stream along a path of endpoints, or to another host if this one doesn't
 // reach them. Its failure says that neither is possible.
 func (s *streamRun) sendNext(ctx context.Context) (outcome, *failure.Error, error) {
+	if s.isOpen() { // it was suspended
+		end, cause := s.relayUntilClosed(ctx)
+		return end, nil, cause
+	}
 	if !s.noPeer && s.g.relaysFirst(s.j) {
 		if end, e, cause, ok := s.sendToPeers(ctx); ok {
 			return end, e, cause
@@ -26,7 +29,7 @@
 		s.noPeer = s.noPeer && end == notRun
 		return end, nil, cause
 	}
-	if s.unreached && s.j.req.Relayed == nil && !s.noPeer {
+	if s.unreached && s.j.req.Relayed == nil && !s.noPeer && !s.suspendedSpoke() {
 		if end, peerFailure, cause, ok := s.sendToPeers(ctx); ok {
 			return end, peerFailure, cause
 		}
@@ -77,32 +80,31 @@
 	s.gotEvent = false
 	s.unsent = false
 	defer s.g.relays.begin(s.peer)()
-	grp := group.New(ctx)
-	defer grp.Stop()
-	r := newAnswerReader()
+	defer s.close()
 	var refusal *failure.Error
-	grp.Go(func(ctx context.Context) {
-		r.read(ctx, func(ctx context.Context) (*Answer, error) {
-			a, err := s.g.relay(ctx, s.j, s.peer, s.resumeFrom(), s.attempts)
-			if err != nil {
-				return nil, err
-			}
-			refusal = a.Failure
-			return &a.Answer, nil
-		})
+	peer, after, attempts := s.peer, s.resumeFrom(), s.attempts
+	s.open(ctx, func(ctx context.Context) (*Answer, error) {
+		a, err := s.g.relay(ctx, s.j, peer, after, attempts)
+		if err != nil {
+			return nil, err
+		}
+		refusal = a.Failure
+		return &a.Answer, nil
 	})
 	for {
 		select {
-		case it := <-r.items:
+		case it := <-s.reader.items:
 			if it.head != nil && refusal != nil {
 				return s.handlePeerFailure(refusal)
 			}
 			if end, cause, done := s.handlePeerItem(ctx, it); done {
 				return end, nil, cause
 			}
+		case it := <-s.suspendedItems():
+			if s.handleSuspended(it) {
+				return overtaken, nil, nil
+			}
 		case <-ctx.Done():
-			grp.Stop()
-			s.unsent = r.unsent.Load()
 			return abandoned, nil, ctx.Err()
 		}
 	}
--- a/pkg/gateway/repath.go
+++ b/pkg/gateway/repath.go
@@ -17,7 +17,7 @@
 var errResendElsewhere = errors.New("no other endpoint in the failure domain; continued elsewhere")
 
 // repath replaces the endpoint at address in the path if it is not the first one and
-// another path is found and accepted. Its error says that the stream must be sent anew.
+// another path is found and accepted. Its error says that the stream should be sent elsewhere.
 func (s *streamRun) repath(ctx context.Context, address string) error {
 	if address == s.path[0].Address {
 		return nil
@@ -134,16 +134,27 @@
 // betterElsewhere reports whether the stream should be sent anew rather than continue
 // on path. If so, the new send is charged to the retry budget already.
 func (s *streamRun) betterElsewhere(path []fleet.Stage) bool {
-	if !s.j.route.Resumable || s.attempts+1 >= s.j.route.MaxAttempts || path != nil && pathing.DomainCrossings(path) == 0 {
+	if s.suspended != nil || !s.couldResume() || path != nil && pathing.DomainCrossings(path) == 0 {
 		return false
 	}
-	other := s.pathFrom(nil)
+	other := s.pathFromOther()
 	if other == nil || path != nil && pathing.DomainCrossings(other) >= pathing.DomainCrossings(path) {
 		return false
 	}
 	return s.reserveRetry()
 }
 
+// pathFromOther returns a new path that begins with another endpoint than the current one, which
+// stays open until the new one has brought an event. It returns nil if there is none.
+func (s *streamRun) pathFromOther() []fleet.Stage {
+	first := s.path[0].ID
+	if !s.failedIDs[first] {
+		s.failedIDs[first] = true
+		defer delete(s.failedIDs, first)
+	}
+	return s.pathFrom(nil)
+}
+
 // pathAround returns the path of the stream with other endpoints for the stages for
 // which replace returns true, and the other stages unchanged: an endpoint that joins a
 // path has to process all tokens so far, while one that stays keeps its KV cache. It
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -54,7 +54,7 @@
 )
 
 // check finds out whether a stage is stalled and replaces it. Its error says that the
-// stream must be sent anew.
+// stream should be sent elsewhere.
 func (w *stallWatch) check(ctx context.Context) error {
 	if w.queries >= maxStallQueries {
 		w.timer = nil
@@ -74,14 +74,9 @@
 	switch {
 	case ctx.Err() != nil:
 		return nil
-	case q.unresponsive() && !s.couldResume():
-		// The endpoint may go on: its silence is no reason to end what can't be continued.
+	case q.unresponsive() && !s.maySuspend():
 		w.arm(stallWait)
 	case q.unresponsive():
-		s.failedIDs[first.ID] = true
-		s.g.tracker.RecordFailure(first.ID, "silent: "+q.err.Error())
-		s.g.logFailedAttempt(s.j, first.ID, "silent", s.progressFields()...)
-		s.recordCrash()
 		return errors.Wrap(q.err, "the first endpoint is silent")
 	case q.err != nil:
 		w.arm(stallQueryRetry)
--- a/pkg/gateway/streamprogress.go
+++ b/pkg/gateway/streamprogress.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/quarantine"
 )
@@ -15,14 +13,6 @@
 	return []eventlog.Field{eventlog.Ms("writing_ms", s.writing())}
 }
 
-// writing returns the time from the first event of the current send to the last one.
-func (s *streamRun) writing() time.Duration {
-	if !s.gotEvent {
-		return 0
-	}
-	return s.lastEventAt.Sub(s.firstEventAt)
-}
-
 // recordProgress records the time of an event, and that the stream survived once it has been
 // written for long enough.
 func (s *streamRun) recordProgress() {
@@ -44,15 +34,15 @@
 	}
 }
 
-// recordCrash records that the first endpoint of the path crashed under the current send.
-func (s *streamRun) recordCrash() {
-	first := s.path[0]
+// recordCrashOf records that the first endpoint of the path crashed under a send.
+func (s *streamRun) recordCrashOf(d *streamSend) {
+	first := d.path[0]
 	s.g.recordCrash(s.j, crashedSend{
 		endpoint:       first.ID,
 		address:        first.Address,
 		domain:         first.Domain,
-		sentAt:         s.sentAt,
-		beforeResponse: !s.gotEvent,
-		writing:        s.writing(),
+		sentAt:         d.sentAt,
+		beforeResponse: !d.gotEvent,
+		writing:        d.writing(),
 	})
 }
--- /dev/null
+++ b/pkg/gateway/suspend.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/failure"
+)
+
+// A stream whose first endpoint is silent is sent to another one, but its send stays open: it is
+// suspended. The send that brings the next event goes on, and the other is closed. So silence alone
+// never ends an answer: an endpoint may go on after it, and every other one may fail to take over.
+
+// maySuspend reports whether the current send may be suspended. The retry is charged already then.
+func (s *streamRun) maySuspend() bool {
+	return s.suspended == nil && s.couldResume() && s.reserveRetry()
+}
+
+// suspend keeps the current send open while the stream is sent elsewhere because of cause.
+func (s *streamRun) suspend(cause error) {
+	first := s.path[0].ID
+	if !errors.Is(cause, errResendElsewhere) {
+		s.g.tracker.RecordFailure(first, cause.Error())
+		s.g.logFailedAttempt(s.j, first, "silent", s.progressFields()...)
+	}
+	s.failedIDs[first] = true
+	s.attempts++
+	s.suspended = s.streamSend
+	s.suspendedAfter = s.sends
+	s.streamSend = &streamSend{}
+}
+
+// unsuspend goes on with the suspended send in place of the current one, and reports whether
+// there is one.
+func (s *streamRun) unsuspend() bool {
+	d := s.suspended
+	if d == nil {
+		return false
+	}
+	s.closeSend()
+	s.suspended = nil
+	s.streamSend = d
+	s.attempts--
+	s.exhausted = nil
+	s.retryPaid = s.sends == s.suspendedAfter
+	delete(s.failedIDs, d.path[0].ID)
+	return true
+}
+
+// dropSuspended closes the suspended send.
+func (s *streamRun) dropSuspended() {
+	if d := s.suspended; d != nil {
+		s.suspended = nil
+		s.closeSendOf(d)
+	}
+}
+
+// closeSend closes the current send and removes its load.
+func (s *streamRun) closeSend() {
+	s.closeSendOf(s.streamSend)
+}
+
+func (s *streamRun) closeSendOf(d *streamSend) {
+	d.close()
+	d.release()
+	if d.pending != nil {
+		s.g.waits.end(d.pending)
+	}
+}
+
+// suspendedItems returns the channel of the suspended answer; nil if there is none.
+func (s *streamRun) suspendedItems() <-chan answerItem {
+	if s.suspended == nil {
+		return nil
+	}
+	return s.suspended.reader.items
+}
+
+// suspendedSpoke reports whether there is something to read of the suspended answer.
+func (s *streamRun) suspendedSpoke() bool {
+	return len(s.suspendedItems()) > 0
+}
+
+// errOvertaken says that the stream isn't sent elsewhere, because its suspended send goes on. No
+// caller is told.
+var errOvertaken = failure.New(failure.Overloaded, "the endpoint goes on")
+
+// handleSuspended processes an item of the suspended answer, and reports whether that answer goes
+// on, so that the current send must be closed.
+func (s *streamRun) handleSuspended(it answerItem) bool {
+	d := s.suspended
+	first := d.path[0].ID
+	switch {
+	case it.ended && it.err != nil:
+		s.g.logFailedAttempt(s.j, first, it.err.Error())
+		if connectionLost(it.err) {
+			s.recordCrashOf(d)
+		}
+		s.dropSuspended()
+		return false
+	case it.head != nil && (it.head.Status != http.StatusOK || it.head.NotRun || !it.head.Verified):
+		if it.head.NotRun || it.head.Misdirected {
+			s.attempts--
+		}
+		s.dropSuspended()
+		return false
+	}
+	d.next = append(d.next, it)
+	if it.head != nil {
+		return false
+	}
+	s.g.tracker.Restore(first)
+	return true
+}
--- a/pkg/gateway/tracker.go
+++ b/pkg/gateway/tracker.go
@@ -156,6 +156,16 @@
 	e.latency += latencyWeight * (ms - e.latency)
 }
 
+// Restore records that an endpoint which was silent goes on. It isn't avoided any longer.
+func (t *Tracker) Restore(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil {
+		e.failures = 0
+		e.avoidUntil = time.Time{}
+	}
+}
+
 // Latency returns the moving average of an endpoint's answer times in ms; 0 if unknown.
 func (t *Tracker) Latency(id string) float64 {
 	t.mu.Lock()
