--- a/pkg/gateway/suspend_test.go
+++ b/pkg/gateway/suspend_test.go
@@ -137,6 +137,7 @@
 			b.source.view.Index = fleet.NewIndex(cfg)
 		}, func(s *silentStream) {
 			Expect(s.second).To(BeNil())
+			Expect(s.gateway.Tracker().Avoided(s.client.sent()[0].ID)).To(BeFalse())
 			s.finish(s.first, events(2, 4))
 		})
 	})
