gateway: a stream isn't sent from one silent endpoint to another

If all endpoints that hold the first layers pause at once, a stream was sent to another silent one: its prompt was processed twice when they went on, and a retry was spent for nothing. Change: an endpoint counts as silent until it answers anything, for 3 s at most; a suspended stream isn't sent to one. While it waits for a path it takes the next event of the suspended answer at once, not after the next 100 ms. Any event and any answer to a stall query end the avoidance for silence.

--- a/pkg/gateway/choose.go
+++ b/pkg/gateway/choose.go
@@ -8,7 +8,6 @@
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/pathing"
-	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
 // demand estimates what the request needs. The caller's own figures are all that is known if
@@ -55,6 +54,9 @@
 		if e.Layers.Len() <= 0 || e.Loading || e.Silent || skip(e) {
 			continue
 		}
+		if s.suspended != nil && s.g.tracker.Silent(e.ID) {
+			continue // nothing is gained there
+		}
 		own := s.g.tracker.Load(e.ID)
 		others := s.g.source.PeerLoad(e.ID)
 		out = append(out, pathing.Candidate{
@@ -88,7 +90,7 @@
 // a path within one failure domain before it takes one that crosses domains.
 func (s *streamRun) choosePath(ctx context.Context) *failure.Error {
 	for {
-		if s.suspendedSpoke() {
+		if s.suspendedGoesOn() {
 			return errOvertaken
 		}
 		changed := s.g.source.Changed()
@@ -137,9 +139,15 @@
 		return false
 	}
 	s.capacityWaited += capacityPollInterval
-	err := timer.Sleep(ctx, s.g.svc, capacityPollInterval)
+	select {
+	case <-s.g.svc.After(capacityPollInterval):
+	case it := <-s.suspendedItems():
+		s.handleSuspended(it)
+	case <-ctx.Done():
+		return false
+	}
 	s.forgetRefusals()
-	return err == nil
+	return true
 }
 
 // findPath returns a path without the endpoints that failed this request and those that
--- a/pkg/gateway/relaystream.go
+++ b/pkg/gateway/relaystream.go
@@ -29,7 +29,7 @@
 		s.noPeer = s.noPeer && end == notRun
 		return end, nil, cause
 	}
-	if s.unreached && s.j.req.Relayed == nil && !s.noPeer && !s.suspendedSpoke() {
+	if s.unreached && s.j.req.Relayed == nil && !s.noPeer && !s.suspendedGoesOn() {
 		if end, peerFailure, cause, ok := s.sendToPeers(ctx); ok {
 			return end, peerFailure, cause
 		}
--- a/pkg/gateway/streamsend.go
+++ b/pkg/gateway/streamsend.go
@@ -65,3 +65,8 @@
 	}
 	return d.lastEventAt.Sub(d.firstEventAt)
 }
+
+// hasNext reports whether an item other than the head was read while the send was suspended.
+func (d *streamSend) hasNext() bool {
+	return len(d.next) > 0 && d.next[len(d.next)-1].head == nil
+}
--- a/pkg/gateway/suspend.go
+++ b/pkg/gateway/suspend.go
@@ -20,7 +20,7 @@
 func (s *streamRun) suspend(cause error) {
 	first := s.path[0].ID
 	if !errors.Is(cause, errResendElsewhere) {
-		s.g.tracker.RecordFailure(first, cause.Error())
+		s.g.tracker.RecordSilence(first, cause.Error())
 		s.g.logFailedAttempt(s.j, first, "silent", s.progressFields()...)
 	}
 	s.failedIDs[first] = true
@@ -76,9 +76,9 @@
 	return s.suspended.reader.items
 }
 
-// suspendedSpoke reports whether there is something to read of the suspended answer.
-func (s *streamRun) suspendedSpoke() bool {
-	return len(s.suspendedItems()) > 0
+// suspendedGoesOn reports whether there is something to pass on of the suspended answer.
+func (s *streamRun) suspendedGoesOn() bool {
+	return s.suspended != nil && (len(s.suspended.reader.items) > 0 || s.suspended.hasNext())
 }
 
 // errOvertaken says that the stream isn't sent elsewhere, because its suspended send goes on. No
--- a/pkg/gateway/suspend_test.go
+++ b/pkg/gateway/suspend_test.go
@@ -128,6 +128,17 @@
 		})
 	})
 
+	It("stays there while all other ones are silent, too", func() {
+		withSilentStream(func(b *fixture) {
+			for _, id := range []string{"x", "w"} {
+				b.gateway.Tracker().RecordSilence(id, "test")
+			}
+		}, func(s *silentStream) {
+			Expect(s.second).To(BeNil())
+			s.finish(s.first, events(2, 4))
+		})
+	})
+
 	It("stays there with one attempt left", func() {
 		withSilentStream(func(b *fixture) {
 			cfg := configuration()
--- a/pkg/gateway/tracker.go
+++ b/pkg/gateway/tracker.go
@@ -30,8 +30,9 @@
 type trackerEntry struct {
 	load       Load
 	avoidUntil time.Time
-	failures   int     // in a row
-	latency    float64 // moving average in ms; 0 if there was no answer yet
+	silentAt   time.Time // when it was found silent; zero if it isn't
+	failures   int       // in a row
+	latency    float64   // moving average in ms; 0 if there was no answer yet
 	lastUsed   time.Time
 }
 
@@ -126,6 +127,38 @@
 	}
 }
 
+// silenceLifetime is how long an endpoint counts as silent that nothing is heard of. By then it has
+// missed heartbeats, or a connection to it has timed out, if it is lost.
+const silenceLifetime = 3 * time.Second
+
+// RecordSilence records that an endpoint has stopped answering, which is a failure that it may recover
+// from at any moment.
+func (t *Tracker) RecordSilence(id, why string) {
+	t.RecordFailure(id, why)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.entry(id).silentAt = t.svc.Now()
+}
+
+// Silent reports whether an endpoint was silent when it was last heard of.
+func (t *Tracker) Silent(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.entries[id]
+	return e != nil && !e.silentAt.IsZero() && t.svc.Now().Sub(e.silentAt) < silenceLifetime
+}
+
+// Restore records that an endpoint has answered. If it was silent, it isn't avoided any longer.
+func (t *Tracker) Restore(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil && !e.silentAt.IsZero() {
+		e.failures = 0
+		e.avoidUntil = time.Time{}
+		e.silentAt = time.Time{}
+	}
+}
+
 // Suspects returns the endpoints that are currently avoided.
 func (t *Tracker) Suspects() []string {
 	t.mu.Lock()
@@ -148,6 +181,7 @@
 	e := t.entry(id)
 	e.failures = 0
 	e.avoidUntil = time.Time{}
+	e.silentAt = time.Time{}
 	ms := float64(d) / float64(time.Millisecond)
 	if e.latency == 0 {
 		e.latency = ms
@@ -156,16 +190,6 @@
 	e.latency += latencyWeight * (ms - e.latency)
 }
 
-// Restore records that an endpoint which was silent goes on. It isn't avoided any longer.
-func (t *Tracker) Restore(id string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if e := t.entries[id]; e != nil {
-		e.failures = 0
-		e.avoidUntil = time.Time{}
-	}
-}
-
 // Latency returns the moving average of an endpoint's answer times in ms; 0 if unknown.
 func (t *Tracker) Latency(id string) float64 {
 	t.mu.Lock()
