gateway: a suspended send that never reached its endpoint isn't an attempt

Cause: a stream whose first send was still connecting when its endpoint was found silent counted that send as one that may have run, also after connecting had failed. If nothing else took the stream, it was answered 502, ran unknown, though nothing had run (seen on the real programs with all endpoints' backlogs full), and one attempt was missing for later. Change: a suspended send that fails before it was sent gives its attempt back. Operators see a suspension's end in stream_returned and the counter streams_suspended; the fingerprint that logs need is computed before two goroutines may log. Spec: sent twice only before, three times now; mutation caught.

--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -31,6 +31,7 @@
 	RequestLeft     Event = "request_left"
 	AttemptFailed   Event = "attempt_failed"
 	StreamRepathed  Event = "stream_repathed"
+	StreamReturned  Event = "stream_returned"
 	StreamResumed   Event = "stream_resumed"
 	StreamStalled   Event = "stream_stalled"
 	EndpointAvoided Event = "endpoint_avoided"
@@ -73,7 +74,7 @@
 // Events lists all events in the order of the documentation.
 var Events = []Event{
 	Started, Stopping, Stopped, Reloaded,
-	RequestRefused, RequestFailed, RequestServed, RequestLeft, AttemptFailed, StreamRepathed, StreamResumed, StreamStalled,
+	RequestRefused, RequestFailed, RequestServed, RequestLeft, AttemptFailed, StreamRepathed, StreamResumed, StreamReturned, StreamStalled,
 	EndpointAvoided, EndpointResting, HostBuilds, EndpointAsked, CallInRest, EndpointLimit,
 	EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
 	ServiceUnreachable, ServiceReachable,
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -297,12 +297,6 @@
 	}
 	s.close()
 	s.g.waits.end(s.pending)
-	if end == broken && s.unsent { // the send was given up while connecting
-		s.attempts--
-		return notRun, &SendError{
-			Cause: cause,
-		}
-	}
 	return end, cause
 }
 
@@ -414,7 +408,10 @@
 }
 
 func (s *streamRun) forward(ev event) error {
-	s.dropSuspended()
+	if s.suspended != nil {
+		s.countSuspended("taken_over")
+		s.dropSuspended()
+	}
 	if s.lastEvent == "" && s.callerLastEvent == "" || s.sends == 1 && s.lastEvent == "" {
 		metrics.Observe(s.g.metrics.Histogram("first_event_us"), s.g.svc.Now().Sub(s.j.req.Received))
 	}
--- a/pkg/gateway/suspend.go
+++ b/pkg/gateway/suspend.go
@@ -4,7 +4,9 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
 )
 
 // A stream whose first endpoint is silent is sent to another one, but its send stays open: it is
@@ -23,6 +25,7 @@
 		s.g.tracker.RecordSilence(first, cause.Error())
 		s.g.logFailedAttempt(s.j, first, "silent", s.progressFields()...)
 	}
+	_ = s.j.fingerprint() // from now on two goroutines may log attempts
 	s.failedIDs[first] = true
 	s.attempts++
 	s.suspended = s.streamSend
@@ -38,6 +41,8 @@
 		return false
 	}
 	s.closeSend()
+	s.countSuspended("goes_on")
+	s.g.log.Event(eventlog.StreamReturned, eventlog.Str("request", s.j.req.ID), eventlog.Str("endpoint", d.path[0].ID), eventlog.Str("after", s.lastEvent))
 	s.suspended = nil
 	s.streamSend = d
 	s.attempts--
@@ -55,6 +60,11 @@
 	}
 }
 
+// countSuspended counts how a suspension ended.
+func (s *streamRun) countSuspended(end string) {
+	s.g.metrics.Counter("streams_suspended", metrics.Label{Name: "end", Value: end}).Inc(1)
+}
+
 // closeSend closes the current send and removes its load.
 func (s *streamRun) closeSend() {
 	s.closeSendOf(s.streamSend)
@@ -93,15 +103,20 @@
 	switch {
 	case it.ended && it.err != nil:
 		s.g.logFailedAttempt(s.j, first, it.err.Error())
+		if notSent(it.err) {
+			s.attempts--
+		}
 		if connectionLost(it.err) {
 			s.recordCrashOf(d)
 		}
+		s.countSuspended("lost")
 		s.dropSuspended()
 		return false
 	case it.head != nil && (it.head.Status != http.StatusOK || it.head.NotRun || !it.head.Verified):
 		if it.head.NotRun || it.head.Misdirected {
 			s.attempts--
 		}
+		s.countSuspended("refused")
 		s.dropSuspended()
 		return false
 	}
--- a/pkg/gateway/suspend_test.go
+++ b/pkg/gateway/suspend_test.go
@@ -128,6 +128,32 @@
 		})
 	})
 
+	It("may be sent twice more if the silent one was never connected to", func() {
+		withGateway(func(b *fixture) {
+			b.source.endpoints["llm"] = append(b.source.endpoints["llm"], engineEndpoint("v", 0, 2))
+			connectFails := make(chan bool)
+			b.client.answerCtx = func(ctx context.Context, n int) (*Answer, error) {
+				switch n {
+				case 1:
+					<-connectFails
+					return nil, &SendError{Cause: errReset}
+				case 2:
+					<-ctx.Done()
+					return nil, &SendError{Sent: true, Cause: ctx.Err()}
+				}
+				return completeAnswer(200, events(1, 4)), nil
+			}
+			b.client.setStallErr(errReset)
+			out, done := b.stream(context.Background())
+			sent := func() int { b.advance(50 * time.Millisecond); return len(b.client.sent()) }
+			Eventually(sent, "10s").Should(Equal(2))
+			close(connectFails)
+			Eventually(sent, "10s").Should(Equal(3))
+			Eventually(done, "5s").Should(Receive())
+			Expect(out.text()).To(Equal(events(1, 4)))
+		})
+	})
+
 	It("stays there while all other ones are silent, too", func() {
 		withSilentStream(func(b *fixture) {
 			for _, id := range []string{"x", "w"} {
