fleetcontrol: a cluster of the specs claims its port while it runs

Cause: the specs took a free port of 127.0.0.1, gave it back, and had their hosts listen on that port of 127.0.1.1 to 127.0.1.9. A test process beside it could be given the same port meanwhile, and its hosts have the same addresses. Ruled out: the other packages' specs listen on ports that the kernel chose, and platform's on a loopback network of its own. Change (specs only): the listener on 127.0.0.1 stays open as long as the cluster. Before: the new spec printed "Expected an error, got nil". After: it passes. The collision itself wasn't seen in a run.

--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -106,7 +107,8 @@
 	withHeartbeat(200*time.Millisecond, f)
 }
 
-// withHeartbeat is withCluster with a given heartbeat interval.
+// withHeartbeat is withCluster with a given heartbeat interval. A listener on 127.0.0.1 keeps the
+// port claimed while f runs, so that clusters of other test processes have other ports.
 func withHeartbeat(heartbeat time.Duration, f func(c *cluster)) {
 	folder, err := os.MkdirTemp("", "fleetcontrol")
 	Expect(err).NotTo(HaveOccurred())
@@ -114,7 +116,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	_, port, err := net.SplitHostPort(l.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
-	Expect(l.Close()).To(Succeed())
+	defer func() { Expect(l.Close()).To(Succeed()) }()
 	c := &cluster{
 		folder:    folder,
 		port:      port,
@@ -259,3 +261,13 @@
 		f()
 	})
 }
+
+// Guards against test processes side by side whose clusters listen on the same addresses.
+var _ = Describe("the port of a cluster", func() {
+	It("is chosen by no other test process while the cluster uses it", func() {
+		withCluster(func(c *cluster) {
+			_, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", c.port))
+			Expect(err).To(MatchError(syscall.EADDRINUSE))
+		})
+	})
+})
