--- a/pkg/fleetentry/admission_test.go
+++ b/pkg/fleetentry/admission_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/admission"
@@ -17,6 +16,10 @@
 	. "github.com/onsi/gomega"
 )
 
+// refusingAddress is one that nothing listens on: the kernel chooses no port below 1024 for a test
+// process beside this one.
+const refusingAddress = "127.0.0.1:1"
+
 // fakeAdmission has the reports that a test sets, and records what it is given.
 type fakeAdmission struct {
 	reports []admission.Report
@@ -184,11 +187,8 @@
 	It("goes on with the next call after a lost one", func() {
 		withControl(func(int, *rpc.SyncRequest) *rpc.SyncReply { return allocationReply(0) }, func(c *fakeControl, address string) {
 			withAdmission(func(client *ControlClient, a *fakeAdmission, _ *fakeFull, _ *timer.Manual) {
-				closed, err := net.Listen("tcp", "127.0.0.1:0")
-				Expect(err).NotTo(HaveOccurred())
-				Expect(closed.Close()).To(Succeed())
 				a.reports = []admission.Report{demandReport(300)}
-				client.leaderHint = closed.Addr().String()
+				client.leaderHint = refusingAddress
 				Expect(client.sync(context.Background())).To(BeFalse())
 				Expect(a.applied).To(BeEmpty())
 				a.reports = []admission.Report{demandReport(40)}
