gateway: the spec of a stall query after a liveness check finds a silent stage, too

Cause: since liveness checks begin earlier, a stage that refuses is found more than 0.2 s before the stall query, and the first endpoint no longer reports it. Change (specs only): the same with a silent stage, which is found later.

--- a/pkg/gateway/liveness_test.go
+++ b/pkg/gateway/liveness_test.go
@@ -103,11 +103,14 @@
 	})
 
 	It("keeps its new path while the first endpoint still reports the old stage as stalled", func() {
-		s := simulate(1, simGoal, func(s *simRun) {
-			s.engines.prefill = simReportAge + 50*time.Millisecond
-			s.engines.lose(s.lost.Address, refuses)
-		})
-		Expect(s.engines.repaths["r1"]).To(Equal(1))
+		// A silent stage is found later, so that the stall query comes while the report is still old.
+		for _, f := range []dialFault{refuses, silent} {
+			s := simulate(1, simGoal, func(s *simRun) {
+				s.engines.prefill = simReportAge + 50*time.Millisecond
+				s.engines.lose(s.lost.Address, f)
+			})
+			Expect(s.engines.repaths["r1"]).To(Equal(1))
+		}
 	})
 
 	It("stays where it is if there is no other path, and ends as before", func() {
