fleetcontrol: the spec of an earlier release's data folder gives its replica an HTTP client

Cause: the replica of the spec had no client, which is required, and a replica that doesn't lead yet asks its members (the folder of names an address that is gone) for endpoints: nil pointer in withoutRedirects. Whether it led by then was a matter of speed. Found by a run of the whole package with the race detector and one processor.

--- a/pkg/fleetcontrol/release_test.go
+++ b/pkg/fleetcontrol/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -35,6 +36,7 @@
 		Decoder:      jsonDecoder{},
 		Orders:       fakeEndpoints{},
 		Reachability: reachesAll{},
+		Client:       &http.Client{},
 		Timer:        timer.NewSystem(),
 		Metrics:      metrics.New(),
 	}, g)
