placement: a service whose endpoints are all silent isn't placed anew

While none of a service's endpoints could be placed, each round took the service for one that gets its first orders: endpoints that joined within 10 s after that weren't kept for a gap.

The new spec failed before with one order to an endpoint that joined after all were silent for 1.2 s (expected none). Not the cause: the time of the first orders after a change of leader, which the controller resets on purpose.

--- a/pkg/placement/controller.go
+++ b/pkg/placement/controller.go
@@ -177,8 +177,11 @@
 // stillJoining reports whether the endpoints of a service that holds no layers yet are
 // still joining: the last one did so within a heartbeat interval, and the first one within
 // joiningHeartbeats. Orders for the first ones alone would put layers on slow accelerators
-// that belong on fast ones.
+// that belong on fast ones. A service none of whose endpoints can be placed waits, too.
 func (c *Controller) stillJoining(service string, states []EndpointState, now time.Time) bool {
+	if len(states) == 0 {
+		return true
+	}
 	oldest, newest := now, time.Time{}
 	for _, s := range states {
 		if s.Layers.Len() > 0 || s.OrderPending {
--- /dev/null
+++ b/pkg/placement/silent_test.go
@@ -0,0 +1,75 @@
+package placement_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/fleet"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// coverTwice announces ten endpoints that hold every layer once, and ten that do so again.
+func (f *fixture) coverTwice() {
+	f.cover()
+	for i := range 10 {
+		f.announce(fmt.Sprintf("f%d", i), fmt.Sprintf("10.0.1.%d:80", i), fleet.Range{From: 8 * i, To: 8*i + 8})
+	}
+}
+
+// silence marks endpoints as silent.
+func (f *fixture) silence(prefix string, n int) {
+	for i := range n {
+		f.table.MarkSilent(fmt.Sprint(prefix, i))
+	}
+}
+
+// hear makes endpoints send a heartbeat.
+func (f *fixture) hear(prefix string, from, to int) {
+	for i := from; i < to; i++ {
+		e, _ := f.table.Get(fmt.Sprint(prefix, i))
+		e.Sequence++
+		f.table.Announce(e)
+	}
+}
+
+const round = 300 * time.Millisecond // between two rounds of the leader
+
+// pass reconciles in each round for a time.
+func (f *fixture) pass(d time.Duration) {
+	for range d / round {
+		f.reconcile()
+		f.clock.Advance(round)
+	}
+	f.reconcile()
+}
+
+var _ = Describe("a controller whose endpoints are silent for a second", func() {
+	It("fills the layers of one that accepts no connection at once", func() {
+		withController(func(f *fixture) {
+			f.coverTwice()
+			f.reconcile()
+			f.table.MarkGone("f0")
+			f.silence("e", 1)
+			f.reconcile()
+			Expect(f.client.sent()).To(HaveLen(1))
+			Expect(f.client.sent()[0].Layers).To(Equal(fleet.Range{From: 0, To: 8}))
+		})
+	})
+
+	// Guards against an endpoint that joins after a pause of all and is taken for one of the first.
+	It("keeps a new endpoint for a gap after all were silent", func() {
+		withController(func(f *fixture) {
+			f.cover()
+			f.reconcile()
+			f.clock.Advance(time.Minute)
+			f.hear("e", 0, 10)
+			f.silence("e", 10)
+			f.pass(1200 * time.Millisecond)
+			f.hear("e", 0, 10)
+			f.announce("new", "10.0.0.50:80", fleet.Range{})
+			f.reconcile()
+			Expect(f.client.sent()).To(BeEmpty())
+		})
+	})
+})
