placement: layers aren't given to others while most endpoints of a service are silent

When all or most endpoints of a service paused and accepted no connection, the leader marked them as silent, and what was left looked like the whole service: once some were heard again and others not yet, endpoints were moved to the layers of those. Silent endpoints keep their layers for 2 s while more than half of the service's are silent, and one heartbeat interval after that. Half of a service or fewer that are silent are replaced in the same round as before; more than half that are really lost, up to 2 s later.

Ruled out: orders that were pending before the pause; the choice of endpoints in the planner, which is right for what it is given.

--- a/pkg/placement/controller.go
+++ b/pkg/placement/controller.go
@@ -93,6 +93,7 @@
 	joined    map[string]joinedEndpoint // by incarnation
 	addresses map[string]bool           // at which incarnations were seen
 	crashes   *crashTracker
+	silences  *silenceTracker
 	// startedAt is, by service, until when endpoints that joined replace no others.
 	startedAt map[string]time.Time
 	// placedAt is, by service, when the first orders were sent to endpoints none of which held
@@ -134,6 +135,7 @@
 		joined:      map[string]joinedEndpoint{},
 		addresses:   map[string]bool{},
 		crashes:     newCrashTracker(),
+		silences:    newSilenceTracker(heartbeat),
 		startedAt:   map[string]time.Time{},
 		placedAt:    map[string]time.Time{},
 		inFlight:    make(chan struct{}, maxOrdersInFlight),
@@ -148,6 +150,7 @@
 	c.joined = map[string]joinedEndpoint{}
 	c.addresses = map[string]bool{}
 	c.crashes = newCrashTracker()
+	c.silences = newSilenceTracker(c.heartbeat)
 	c.startedAt = map[string]time.Time{}
 	c.placedAt = map[string]time.Time{}
 }
@@ -223,9 +226,11 @@
 	if c.startedAt[svc.Name].IsZero() {
 		c.startedAt[svc.Name] = now
 	}
+	c.silences.update(svc.Name, endpoints, now)
 	for i := range endpoints {
 		e := &endpoints[i]
-		if e.Service != svc.Name || !e.Usable() || e.Silent || c.hasUnknownOrder(e) || c.inBackoff(e, now) {
+		paused := e.Silent && c.silences.keepsLayers(e, now)
+		if e.Service != svc.Name || !e.Usable() || e.Silent && !paused || c.hasUnknownOrder(e) || c.inBackoff(e, now) {
 			continue
 		}
 		byID[e.ID] = e
@@ -238,7 +243,7 @@
 			BelowDemand:  c.belowDemand(e.ID),
 			JustJoined:   c.justJoined(e, now),
 			Initial:      c.initial(e),
-			OrderPending: c.orderPending(e, now),
+			OrderPending: paused || c.orderPending(e, now),
 		})
 	}
 	joining := c.stillJoining(svc.Name, states, now)
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -37,8 +37,8 @@
 	Kind   string
 	// Layers are those that it holds or was ordered to hold; empty if none.
 	Layers fleet.Range
-	// OrderPending says that an order may still be in progress. The endpoint gets no
-	// other one meanwhile.
+	// OrderPending says that an order may still be in progress, or that the endpoint is silent
+	// and may go on. It gets no other order meanwhile.
 	OrderPending bool
 	// Slowdown is how many times as slow as its kind the endpoint is.
 	Slowdown float64
--- a/pkg/placement/silent_test.go
+++ b/pkg/placement/silent_test.go
@@ -57,6 +57,50 @@
 		})
 	})
 
+	// Guards against weights that are loaded anew after all endpoints have paused.
+	It("moves no layers while most are silent, nor while they are heard again one after the other", func() {
+		for _, silent := range []int{10, 6} { // of 10 in each copy
+			withController(func(f *fixture) {
+				f.coverTwice()
+				f.reconcile()
+				f.silence("e", silent)
+				f.silence("f", silent)
+				f.pass(1200 * time.Millisecond)
+				for i := range silent {
+					f.hear("e", i, i+1)
+					f.hear("f", i, i+1)
+					f.clock.Advance(50 * time.Millisecond)
+					f.reconcile()
+				}
+				Expect(f.client.sent()).To(BeEmpty(), "%d of 10 silent", silent)
+			})
+		}
+	})
+
+	It("fills the layers of most of them if they stay silent", func() {
+		withController(func(f *fixture) {
+			f.coverTwice()
+			f.reconcile()
+			f.silence("e", 6)
+			f.silence("f", 6)
+			f.pass(1800 * time.Millisecond)
+			Expect(f.client.sent()).To(BeEmpty())
+			f.pass(round)
+			Expect(f.client.sent()).NotTo(BeEmpty())
+		})
+	})
+
+	It("fills the layers of half of them at once, if these accept no connection", func() {
+		withController(func(f *fixture) {
+			f.coverTwice()
+			f.announce("spare0", "10.0.2.0:80", fleet.Range{})
+			f.silence("e", 1)
+			f.silence("f", 5)
+			f.reconcile()
+			Expect(f.ordersTo("spare")).To(Equal(1))
+		})
+	})
+
 	// Guards against an endpoint that joins after a pause of all and is taken for one of the first.
 	It("keeps a new endpoint for a gap after all were silent", func() {
 		withController(func(f *fixture) {
@@ -65,7 +109,7 @@
 			f.clock.Advance(time.Minute)
 			f.hear("e", 0, 10)
 			f.silence("e", 10)
-			f.pass(1200 * time.Millisecond)
+			f.pass(3 * time.Second)
 			f.hear("e", 0, 10)
 			f.announce("new", "10.0.0.50:80", fleet.Range{})
 			f.reconcile()
