placement: an endpoint that pauses but accepts connections keeps its layers for 2 s

Two probes in a row that time out mark an endpoint as silent, 0.7 to 1.7 s into a pause, and the same round gave its layers to another one, whose streams were interrupted. The leader now looks whether the endpoint accepts connections. If so it is paused: hosts avoid it as before, but placement takes it for lost only 2 s later, or once it accepts none. One that accepts none (a dark one, a process that ended) is replaced as before; the check takes 0.1 s at most, while hosts avoid it already.

The spec failed before with one order in the round of the mark (expected none). A process that hangs for good with its port open is replaced 2 s later than before. A pause of a single endpoint that accepts no connection can't be told from a loss, and still moves layers if two probes fall into it.

--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -78,6 +78,7 @@
 type reachesAll struct{}
 
 func (reachesAll) ReachesOthers(context.Context, string) bool { return true }
+func (reachesAll) Lost(context.Context, string) bool          { return false }
 func (reachesAll) Isolated() bool                             { return false }
 
 // cluster is a set of control hosts, each at its own loopback address.
--- a/pkg/fleetcontrol/probe.go
+++ b/pkg/fleetcontrol/probe.go
@@ -167,10 +167,22 @@
 		s.table.MarkAnswered(e.ID)
 	case (s.probes.missed(e.ID) >= maxMissedProbes || !timedOut) && s.cfg.Reachability.ReachesOthers(ctx, e.Address):
 		s.cfg.Log.Event(eventlog.EndpointAvoided, eventlog.Str("endpoint", e.ID), eventlog.Str("why", "report"), eventlog.Err(err))
-		s.table.MarkSilent(e.ID)
+		s.markSilent(ctx, e, timedOut)
 	}
 }
 
+// markSilent marks an endpoint as silent. If a probe has only timed out, the endpoint may be one
+// that pauses, and is lost only if it accepts no connection. Hosts avoid it during that check.
+func (s *Server) markSilent(ctx context.Context, e fleet.Endpoint, timedOut bool) {
+	if timedOut {
+		s.table.MarkPaused(e.ID)
+		if !s.cfg.Reachability.Lost(ctx, e.Address) {
+			return
+		}
+	}
+	s.table.MarkSilent(e.ID)
+}
+
 // EndpointAddresses implements reachability.Endpoints.
 func (s *Server) EndpointAddresses() map[string][]string {
 	return fleet.AddressesByService(s.table.All())
--- a/pkg/fleetcontrol/probe_test.go
+++ b/pkg/fleetcontrol/probe_test.go
@@ -53,8 +53,53 @@
 type reachesNone struct{}
 
 func (reachesNone) ReachesOthers(context.Context, string) bool { return false }
+func (reachesNone) Lost(context.Context, string) bool          { return true }
 func (reachesNone) Isolated() bool                             { return true }
 
+// losesOne is the Reachability of a host that reaches all endpoints but the probed one.
+type losesOne struct {
+	reachesAll
+}
+
+func (losesOne) Lost(context.Context, string) bool { return true }
+
+// Guards against weights that are loaded anew because an endpoint paused.
+var _ = Describe("an endpoint whose probes time out", func() {
+	It("is silent, and paused if it accepts connections", func() {
+		silent := func(string) (placement.Report, error) {
+			time.Sleep(probeTimeout + 50*time.Millisecond)
+			return placement.Report{}, errors.New("no answer")
+		}
+		for _, r := range []Reachability{reachesAll{}, losesOne{}} {
+			withServer(silent, func(s *Server, g *group.Group) {
+				s.cfg.Reachability = r
+				s.table.Announce(announcement(false, 1))
+				for range maxMissedProbes {
+					s.probeSuspected([]string{"e1"})
+					g.Wait()
+				}
+				e, _ := s.table.Get("e1")
+				Expect(e.Silent).To(BeTrue())
+				_, paused := s.table.Silence("e1")
+				Expect(paused).To(Equal(r == reachesAll{}))
+			})
+		}
+	})
+
+	It("isn't paused if a later probe fails otherwise", func() {
+		withServer(func(string) (placement.Report, error) { return placement.Report{}, errors.New("connection refused") }, func(s *Server, g *group.Group) {
+			s.table.Announce(announcement(false, 1))
+			s.table.MarkPaused("e1")
+			s.probeSuspected([]string{"e1"})
+			g.Wait()
+			_, paused := s.table.Silence("e1")
+			Expect(paused).To(BeFalse())
+			e, _ := s.table.Get("e1")
+			Expect(e.Silent).To(BeTrue())
+		})
+	})
+})
+
 // Guards against a leader that is cut off from the endpoints, marks them all as silent, and
 // so takes them from hosts that reach them.
 var _ = Describe("a leader that reaches no endpoint", func() {
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -49,6 +49,8 @@
 type Reachability interface {
 	// ReachesOthers reports whether this host reaches an endpoint at another address.
 	ReachesOthers(ctx context.Context, address string) bool
+	// Lost reports whether the endpoint at an address accepts no connection.
+	Lost(ctx context.Context, address string) bool
 	// Isolated reports whether this host reaches no endpoint.
 	Isolated() bool
 }
--- a/pkg/placement/controller.go
+++ b/pkg/placement/controller.go
@@ -135,7 +135,7 @@
 		joined:      map[string]joinedEndpoint{},
 		addresses:   map[string]bool{},
 		crashes:     newCrashTracker(),
-		silences:    newSilenceTracker(heartbeat),
+		silences:    newSilenceTracker(table, heartbeat),
 		startedAt:   map[string]time.Time{},
 		placedAt:    map[string]time.Time{},
 		inFlight:    make(chan struct{}, maxOrdersInFlight),
@@ -150,7 +150,7 @@
 	c.joined = map[string]joinedEndpoint{}
 	c.addresses = map[string]bool{}
 	c.crashes = newCrashTracker()
-	c.silences = newSilenceTracker(c.heartbeat)
+	c.silences = newSilenceTracker(c.table, c.heartbeat)
 	c.startedAt = map[string]time.Time{}
 	c.placedAt = map[string]time.Time{}
 }
@@ -229,8 +229,11 @@
 	c.silences.update(svc.Name, endpoints, now)
 	for i := range endpoints {
 		e := &endpoints[i]
+		if e.Service != svc.Name {
+			continue
+		}
 		paused := e.Silent && c.silences.keepsLayers(e, now)
-		if e.Service != svc.Name || !e.Usable() || e.Silent && !paused || c.hasUnknownOrder(e) || c.inBackoff(e, now) {
+		if !e.Usable() || e.Silent && !paused || c.hasUnknownOrder(e) || c.inBackoff(e, now) {
 			continue
 		}
 		byID[e.ID] = e
--- a/pkg/placement/silent_test.go
+++ b/pkg/placement/silent_test.go
@@ -57,6 +57,34 @@
 		})
 	})
 
+	// Guards against weights that are loaded anew because an endpoint paused.
+	It("keeps the layers of one that accepts connections, unless it stays silent or accepts none any more", func() {
+		withController(func(f *fixture) {
+			f.coverTwice()
+			f.reconcile()
+			f.table.MarkGone("f0")
+			f.table.MarkPaused("e0")
+			f.pass(1800 * time.Millisecond)
+			Expect(f.client.sent()).To(BeEmpty())
+			f.hear("e", 0, 1)
+			f.table.MarkPaused("e0")
+			f.pass(1800 * time.Millisecond)
+			Expect(f.client.sent()).To(BeEmpty())
+			f.pass(round)
+			Expect(f.client.sent()).To(HaveLen(1))
+		})
+		withController(func(f *fixture) {
+			f.coverTwice()
+			f.table.MarkGone("f0")
+			f.table.MarkPaused("e0")
+			f.reconcile()
+			Expect(f.client.sent()).To(BeEmpty())
+			f.table.MarkSilent("e0")
+			f.reconcile()
+			Expect(f.client.sent()).To(HaveLen(1))
+		})
+	})
+
 	// Guards against weights that are loaded anew after all endpoints have paused.
 	It("moves no layers while most are silent, nor while they are heard again one after the other", func() {
 		for _, silent := range []int{10, 6} { // of 10 in each copy
--- a/pkg/reachability/checks.go
+++ b/pkg/reachability/checks.go
@@ -252,6 +252,11 @@
 	return m.anyAlive(ctx, list[:min(len(list), confirmingEndpoints)])
 }
 
+// Lost reports whether the endpoint at an address accepts no connection from this host.
+func (m *Monitor) Lost(ctx context.Context, address string) bool {
+	return m.checker.Check(ctx, address, 0).Lost()
+}
+
 // anyAlive checks endpoints at the same time until one is found alive.
 func (m *Monitor) anyAlive(ctx context.Context, list []string) bool {
 	grp := group.New(ctx)
--- a/pkg/reachability/monitor_test.go
+++ b/pkg/reachability/monitor_test.go
@@ -337,4 +337,15 @@
 			Expect(b.monitor.ReachesOthers(context.Background(), "app-0")).To(BeTrue(), "there is no other")
 		})
 	})
+
+	It("tells soon whether an endpoint accepts no connection", func() {
+		withMonitor(map[string]int{engines: 5}, func(b *fixture) {
+			for r, lost := range map[Result]bool{Alive: false, Failed: false, Refused: true, Silent: true} {
+				b.setOne("engine-1", r)
+				began := time.Now()
+				Expect(b.monitor.Lost(context.Background(), "engine-1")).To(Equal(lost), string(r))
+				Expect(time.Since(began)).To(BeNumerically("<=", 100*time.Millisecond))
+			}
+		})
+	})
 })
--- a/pkg/registry/query.go
+++ b/pkg/registry/query.go
@@ -17,6 +17,18 @@
 	return fleet.Endpoint{}, false
 }
 
+// Silence returns for how long an endpoint has been marked as silent, 0 if it isn't, and whether it
+// accepts connections nevertheless.
+func (t *Table) Silence(id string) (d time.Duration, paused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ent := t.entries[id]
+	if ent == nil || !ent.Silent {
+		return 0, false
+	}
+	return t.svc.Now().Sub(ent.silentAt), ent.accepting
+}
+
 // Find returns any incarnation that fits; empty if there is none.
 func (t *Table) Find(fits func(id string) bool) string {
 	t.mu.Lock()
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -50,6 +50,9 @@
 	// answeredAt is when the endpoint last answered a status query. Another incarnation at its
 	// address may have answered, so it doesn't show which one is newer.
 	answeredAt time.Time
+	// silentAt is when a silent endpoint was marked so; accepting says that it accepts connections.
+	silentAt  time.Time
+	accepting bool
 }
 
 // sinceLastContact returns the time since the last heartbeat or answer.
@@ -324,16 +327,30 @@
 	return late
 }
 
-// MarkSilent marks an endpoint that doesn't answer as silent; its next heartbeat or answer
-// resets that.
+// MarkSilent marks an endpoint that neither answers nor accepts connections as silent; its next
+// heartbeat or answer resets that.
 func (t *Table) MarkSilent(id string) {
+	t.markSilent(id, false)
+}
+
+// MarkPaused marks an endpoint that doesn't answer but accepts connections as silent.
+func (t *Table) MarkPaused(id string) {
+	t.markSilent(id, true)
+}
+
+func (t *Table) markSilent(id string, accepting bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ent := t.entries[id]
-	if ent == nil || ent.Silent || ent.Gone {
+	if ent == nil || ent.Gone {
+		return
+	}
+	ent.accepting = accepting
+	if ent.Silent {
 		return
 	}
 	ent.Silent = true
+	ent.silentAt = t.svc.Now()
 	t.markChanged(ent)
 	t.log.Event(eventlog.EndpointSilent, eventlog.Str("endpoint", id), eventlog.Str("address", ent.Address),
 		eventlog.Str("why", "doesn't answer"), eventlog.Ms("age_ms", ent.sinceLastContact(t.svc.Now())))
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -127,6 +127,28 @@
 		})
 	})
 
+	It("tells for how long an endpoint is silent, and whether it accepts connections", func() {
+		withTable(func(t *Table, clock *timer.Manual) {
+			t.Announce(endpoint("a", 1))
+			t.MarkPaused("a")
+			clock.Advance(interval)
+			d, paused := t.Silence("a")
+			Expect(d).To(Equal(interval))
+			Expect(paused).To(BeTrue())
+			t.MarkSilent("a")
+			d, paused = t.Silence("a")
+			Expect(d).To(Equal(interval), "it has been silent all the time")
+			Expect(paused).To(BeFalse())
+			t.Announce(endpoint("a", 2))
+			d, paused = t.Silence("a")
+			Expect(d).To(BeZero())
+			Expect(paused).To(BeFalse())
+			t.MarkSilent("a")
+			d, _ = t.Silence("a")
+			Expect(d).To(BeZero(), "it was heard in between")
+		})
+	})
+
 	It("keeps that an endpoint is loading over heartbeats, which don't include it", func() {
 		withTable(func(t *Table, _ *timer.Manual) {
 			e := endpoint("a", 1)
--- a/pkg/registry/restore.go
+++ b/pkg/registry/restore.go
@@ -23,6 +23,7 @@
 		e.LastHeartbeat = time.Time{}
 		t.entries[e.ID] = &entry{
 			Endpoint: e,
+			silentAt: t.svc.Now(),
 		}
 		t.markChanged(t.entries[e.ID])
 		n++
