fleetcontrol: an endpoint that sent a heartbeat during its last probe isn't marked as silent

A probe that began in a pause and timed out just after its end marked the endpoint as silent, although a heartbeat had come meanwhile: hosts avoided one that works until its next answer or heartbeat. A heartbeat that comes during the probe now counts; the probe still counts as missed, so an endpoint that is lost after it is found no later than with the next one.

--- a/pkg/fleetcontrol/probe.go
+++ b/pkg/fleetcontrol/probe.go
@@ -143,19 +143,20 @@
 	if e.Kind == "" { // engines are probed all the time
 		s.cfg.Log.Event(eventlog.EndpointAsked, eventlog.Str("endpoint", e.ID), eventlog.Str("why", reason))
 	}
+	began := s.cfg.Timer.Now()
 	s.group.Go(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		report, err := s.endpointClient.Report(ctx, e.ID, e.Address)
-		s.handleProbeResult(context.WithoutCancel(ctx), e, report, err, ctx.Err() != nil)
+		s.handleProbeResult(context.WithoutCancel(ctx), e, began, report, err, ctx.Err() != nil)
 	})
 }
 
-// handleProbeResult applies the outcome of a probe. An endpoint is marked as silent if
+// handleProbeResult applies the outcome of a probe that began at a time. An endpoint is marked as silent if
 // the probe failed other than by a timeout, or if maxMissedProbes in a row timed out, and
 // this host reaches other endpoints. One that has no status to report, or asks for backoff,
-// is reachable.
-func (s *Server) handleProbeResult(ctx context.Context, e fleet.Endpoint, report placement.Report, err error, timedOut bool) {
+// is reachable. One that sent a heartbeat during the last probe goes on.
+func (s *Server) handleProbeResult(ctx context.Context, e fleet.Endpoint, began time.Time, report placement.Report, err error, timedOut bool) {
 	switch {
 	case err == nil:
 		s.probes.answered(e.ID)
@@ -165,12 +166,21 @@
 	case errors.Is(err, placement.ErrNoReport), errors.Is(err, errInBackoff), report.Notice.Backoff > 0:
 		s.probes.answered(e.ID)
 		s.table.MarkAnswered(e.ID)
+	case timedOut && s.heardSince(e.ID, began):
+		s.probes.missed(e.ID)
 	case (s.probes.missed(e.ID) >= maxMissedProbes || !timedOut) && s.cfg.Reachability.ReachesOthers(ctx, e.Address):
 		s.cfg.Log.Event(eventlog.EndpointAvoided, eventlog.Str("endpoint", e.ID), eventlog.Str("why", "report"), eventlog.Err(err))
 		s.markSilent(ctx, e, timedOut)
 	}
 }
 
+// heardSince reports whether a heartbeat of an endpoint was received after a time. Other replicas
+// pass theirs on later.
+func (s *Server) heardSince(id string, at time.Time) bool {
+	e, ok := s.table.Get(id)
+	return ok && e.LastHeartbeat.After(at)
+}
+
 // markSilent marks an endpoint as silent. If a probe has only timed out, the endpoint may be one
 // that pauses, and is lost only if it accepts no connection. Hosts avoid it during that check.
 func (s *Server) markSilent(ctx context.Context, e fleet.Endpoint, timedOut bool) {
--- a/pkg/fleetcontrol/probe_test.go
+++ b/pkg/fleetcontrol/probe_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/placement"
@@ -86,6 +87,38 @@
 		}
 	})
 
+	// Guards against an endpoint that is found silent at the end of its pause, and avoided until its
+	// next heartbeat; and against one that is lost and found later because another replica passed an
+	// older heartbeat on.
+	It("isn't silent if a heartbeat was received since the last of them was sent", func() {
+		for _, passedOn := range []bool{false, true} {
+			var s *Server
+			withServer(func(string) (placement.Report, error) {
+				time.Sleep(probeTimeout + 50*time.Millisecond)
+				e := announcement(false, 2)
+				if passedOn {
+					e.LastHeartbeat = s.cfg.Timer.Now()
+				}
+				s.cfg.Timer.(*timer.Manual).Advance(time.Millisecond)
+				if passedOn {
+					s.table.Merge([]fleet.Endpoint{e})
+				} else {
+					s.table.Announce(e)
+				}
+				return placement.Report{}, errors.New("no answer")
+			}, func(server *Server, g *group.Group) {
+				s = server
+				s.table.Announce(announcement(false, 1))
+				s.cfg.Timer.(*timer.Manual).Advance(time.Second)
+				s.probes.missed("e1")
+				s.probeSuspected([]string{"e1"})
+				g.Wait()
+				e, _ := s.table.Get("e1")
+				Expect(e.Silent).To(Equal(passedOn))
+			})
+		}
+	})
+
 	It("isn't paused if a later probe fails otherwise", func() {
 		withServer(func(string) (placement.Report, error) { return placement.Report{}, errors.New("connection refused") }, func(s *Server, g *group.Group) {
 			s.table.Announce(announcement(false, 1))
