gateway: an endpoint that is avoided for silence is used again once it is heard

Silence ended with an answer to a stall query, the first event of a send, or the end of a suspension, but not with the other events of streams, nor for later stages that a liveness check found silent. And nothing but an answer to a plain request reset the number of failures of a later stage: where endpoints only serve streams, each stall was a further failure in a row, 0.5 s avoided after the first, 4 s after the fourth, for good. Now silence is over with the next event that passed through the endpoint; a stall that the first stage reported keeps its 0.5 s, since an endpoint that has become slow still passes events on, but what is heard after that resets the count. Connections that were refused, 5xx and refusals count as before, and silence that follows or precedes such a failure doesn't make up for it.

Ruled out: events that were under way when the endpoint fell silent (25 ms are allowed for those).

--- a/pkg/gateway/liveness.go
+++ b/pkg/gateway/liveness.go
@@ -74,7 +74,12 @@
 
 // recordLost implements checkPolicy.
 func (g *Gateway) recordLost(id string, r checkResult) {
-	g.tracker.RecordFailure(id, "liveness check: "+string(r))
+	why := "liveness check: " + string(r)
+	if r == checkSilent {
+		g.tracker.RecordSilence(id, why)
+		return
+	}
+	g.tracker.RecordFailure(id, why)
 }
 
 // livenessChecker finds lost endpoints by opening connections to them. A check serves
--- a/pkg/gateway/livenesswatch.go
+++ b/pkg/gateway/livenesswatch.go
@@ -74,6 +74,11 @@
 	}
 	w.eventAt.Store(now.UnixNano())
 	w.pausedAt = now
+	if w.s.peer == "" {
+		for i := range w.s.path {
+			w.s.g.tracker.Heard(w.s.path[i].ID, now)
+		}
+	}
 	if w.pause > 0 && w.timer == nil {
 		w.timer = w.checker.svc.After(w.pause)
 	}
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -99,7 +99,7 @@
 func (s *streamRun) avoidAddress(address, why string) {
 	for _, p := range s.path {
 		if p.Address == address {
-			s.g.tracker.RecordFailure(p.ID, why)
+			s.g.tracker.RecordStall(p.ID, why)
 		}
 	}
 }
--- a/pkg/gateway/tracker.go
+++ b/pkg/gateway/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
@@ -25,6 +26,8 @@
 
 	mu      sync.Mutex
 	entries map[string]*trackerEntry
+	// restorable is the number of entries with a restorableFrom, so that most events take no lock.
+	restorable atomic.Int32
 }
 
 type trackerEntry struct {
@@ -32,8 +35,11 @@
 	avoidUntil time.Time
 	silentAt   time.Time // when it was found silent; zero if it isn't
 	failures   int       // in a row
-	latency    float64   // moving average in ms; 0 if there was no answer yet
-	lastUsed   time.Time
+	// restorableFrom is the time from which on whatever is heard of the endpoint shows that it works;
+	// zero if only an answer to a request does.
+	restorableFrom time.Time
+	latency        float64 // moving average in ms; 0 if there was no answer yet
+	lastUsed       time.Time
 }
 
 // idleEntryLifetime is how long an entry without load is kept.
@@ -101,15 +107,46 @@
 			continue
 		}
 		if now.Sub(e.lastUsed) > idleEntryLifetime {
+			t.setRestorable(e, time.Time{})
 			delete(t.entries, id)
 		}
 	}
 	return list
 }
 
+// silenceLifetime is how long an endpoint counts as silent that nothing is heard of. By then it has
+// missed heartbeats, or a connection to it has timed out, if it is lost.
+const silenceLifetime = 3 * time.Second
+
 // RecordFailure records that an endpoint failed. For a while it is avoided: it gets new
 // work only if no other endpoint can take it.
 func (t *Tracker) RecordFailure(id, why string) {
+	t.avoid(id, why, afterFailing)
+}
+
+// RecordSilence records that an endpoint has stopped answering, which is a failure that it may recover
+// from at any moment. It is avoided until it is heard, but no longer than after another failure.
+func (t *Tracker) RecordSilence(id, why string) {
+	t.avoid(id, why, afterSilence)
+}
+
+// RecordStall records that a stream stalled at an endpoint. It is avoided for as long as after a
+// failure, since other streams may still pass through one that is slow; whatever is heard of it
+// after that shows that it works.
+func (t *Tracker) RecordStall(id, why string) {
+	t.avoid(id, why, afterStall)
+}
+
+// avoidance is why an endpoint is avoided.
+type avoidance int
+
+const (
+	afterFailing avoidance = iota
+	afterSilence
+	afterStall
+)
+
+func (t *Tracker) avoid(id, why string, a avoidance) {
 	t.mu.Lock()
 	e := t.entry(id)
 	now := t.svc.Now()
@@ -121,23 +158,32 @@
 	if until := now.Add(d); until.After(e.avoidUntil) {
 		e.avoidUntil = until
 	}
+	if a == afterSilence {
+		e.silentAt = now
+	}
+	switch {
+	case a == afterFailing || !wasAvailable && e.restorableFrom.IsZero():
+		t.setRestorable(e, time.Time{})
+	case a == afterSilence:
+		t.setRestorable(e, now.Add(inFlightTime))
+	default:
+		t.setRestorable(e, e.avoidUntil)
+	}
 	t.mu.Unlock()
 	if wasAvailable {
 		t.log.Event(eventlog.EndpointAvoided, eventlog.Str("endpoint", id), eventlog.Str("why", why), eventlog.Ms("for_ms", d))
 	}
 }
 
-// silenceLifetime is how long an endpoint counts as silent that nothing is heard of. By then it has
-// missed heartbeats, or a connection to it has timed out, if it is lost.
-const silenceLifetime = 3 * time.Second
-
-// RecordSilence records that an endpoint has stopped answering, which is a failure that it may recover
-// from at any moment.
-func (t *Tracker) RecordSilence(id, why string) {
-	t.RecordFailure(id, why)
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.entry(id).silentAt = t.svc.Now()
+// setRestorable sets the time from which on an endpoint can be restored. The caller holds mu.
+func (t *Tracker) setRestorable(e *trackerEntry, from time.Time) {
+	if !e.restorableFrom.IsZero() {
+		t.restorable.Add(-1)
+	}
+	if !from.IsZero() {
+		t.restorable.Add(1)
+	}
+	e.restorableFrom = from
 }
 
 // Silent reports whether an endpoint was silent when it was last heard of.
@@ -152,13 +198,31 @@
 func (t *Tracker) Restore(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.entries[id]; e != nil && !e.silentAt.IsZero() {
-		e.failures = 0
-		e.avoidUntil = time.Time{}
-		e.silentAt = time.Time{}
+	if e := t.entries[id]; e != nil && !e.silentAt.IsZero() && !e.restorableFrom.IsZero() {
+		t.restore(e)
 	}
 }
 
+// Heard notes an event of a stream that passed through an endpoint, received at a time.
+func (t *Tracker) Heard(id string, at time.Time) {
+	if t.restorable.Load() == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[id]; e != nil && !e.restorableFrom.IsZero() && at.After(e.restorableFrom) {
+		t.restore(e)
+	}
+}
+
+// restore ends the time for which an endpoint is avoided. The caller holds mu.
+func (t *Tracker) restore(e *trackerEntry) {
+	e.failures = 0
+	e.avoidUntil = time.Time{}
+	e.silentAt = time.Time{}
+	t.setRestorable(e, time.Time{})
+}
+
 // Suspects returns the endpoints that are currently avoided.
 func (t *Tracker) Suspects() []string {
 	t.mu.Lock()
@@ -179,9 +243,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e := t.entry(id)
-	e.failures = 0
-	e.avoidUntil = time.Time{}
-	e.silentAt = time.Time{}
+	t.restore(e)
 	ms := float64(d) / float64(time.Millisecond)
 	if e.latency == 0 {
 		e.latency = ms
