--- a/pkg/fleetcontrol/admission_test.go
+++ b/pkg/fleetcontrol/admission_test.go
@@ -59,6 +59,9 @@
 			x.server.table.MarkSilent(engineName(1))
 			x.update()
 			Expect(x.allocator.capacities["models"]).To(Equal(both / 2))
+			x.server.table.MarkAnswered(engineName(1))
+			x.update()
+			Expect(x.allocator.capacities["models"]).To(Equal(both), "with the next allocation after it is heard")
 		})
 	})
 
--- a/pkg/gateway/retryafter_test.go
+++ b/pkg/gateway/retryafter_test.go
@@ -61,4 +61,23 @@
 		}
 		Expect(e.estimate("s", baseRetryAfter)).To(BeNumerically("<=", 2*baseRetryAfter))
 	})
+
+	It("is short again after nine streams were served, if all endpoints were silent for a second", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		e := newRetryAfterEstimator(clock)
+		for range 24 {
+			e.record("s", true)
+			clock.Advance(50 * time.Millisecond)
+		}
+		longest := time.Duration(float64(1200*time.Millisecond) * (1 + shortageRetryJitter))
+		for range 20 {
+			Expect(e.estimate("s", baseRetryAfter)).To(BeNumerically("<=", longest))
+		}
+		for range 9 {
+			e.record("s", false)
+		}
+		for range 20 {
+			Expect(e.estimate("s", baseRetryAfter)).To(BeNumerically("<=", 2*baseRetryAfter))
+		}
+	})
 })
--- a/pkg/gateway/waits_test.go
+++ b/pkg/gateway/waits_test.go
@@ -57,4 +57,32 @@
 			Expect(w.entries).To(BeEmpty())
 		})
 	})
+
+	// Guards against an endpoint that looks slow long after it was silent for a moment.
+	It("is short again at most 2 s after a pause, and with the next quick stream of a window", func() {
+		for _, quick := range []bool{false, true} {
+			withWaitEstimator(func(w *waitEstimator, clock *timer.Manual) {
+				var sends []*pendingSend
+				for range 6 { // one in 0.1 s, until the endpoint is avoided
+					sends = append(sends, w.begin("x"))
+					clock.Advance(100 * time.Millisecond)
+				}
+				clock.Advance(600 * time.Millisecond)
+				Expect(w.estimate("x")).To(Equal(1200*time.Millisecond), "as long as the first one has waited")
+				for _, s := range sends {
+					w.firstEvent(s)
+				}
+				Expect(w.estimate("x")).To(Equal(700*time.Millisecond), "the last one's wait")
+				if quick {
+					s := w.begin("x")
+					clock.Advance(50 * time.Millisecond)
+					w.firstEvent(s)
+					Expect(w.estimate("x")).To(Equal(50 * time.Millisecond))
+					return
+				}
+				clock.Advance(2 * time.Second)
+				Expect(w.estimate("x")).To(BeZero())
+			})
+		}
+	})
 })
