--- a/pkg/placement/silent_test.go
+++ b/pkg/placement/silent_test.go
@@ -129,6 +129,26 @@
 		})
 	})
 
+	// Guards against weights that are loaded anew because a restarted leader has heard of some
+	// endpoints before the others.
+	It("moves no layers while endpoints read from disk answer one after the other", func() {
+		withController(func(f *fixture) {
+			f.coverTwice()
+			list := f.table.All()
+			withController(func(f *fixture) {
+				f.table.Restore(list)
+				for i := range 10 {
+					f.reconcile()
+					f.hear("e", i, i+1)
+					f.hear("f", i, i+1)
+					f.clock.Advance(50 * time.Millisecond)
+				}
+				f.reconcile()
+				Expect(f.client.sent()).To(BeEmpty())
+			})
+		})
+	})
+
 	// Guards against an endpoint that joins after a pause of all and is taken for one of the first.
 	It("keeps a new endpoint for a gap after all were silent", func() {
 		withController(func(f *fixture) {
