gateway: a stall query without an answer doesn't restore a silent endpoint

Where a stream can't be suspended (one attempt left, no retries), its unanswered stall query went on to the line for an answered one, and the endpoint was no longer avoided while it was silent: other streams were sent there, and suspended ones to it.

The new spec failed before: silent false, expected true, after two queries without an answer.

--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -82,7 +82,9 @@
 		w.arm(stallQueryRetry)
 		return nil
 	}
-	s.g.tracker.Restore(first.ID)
+	if q.err == nil {
+		s.g.tracker.Restore(first.ID)
+	}
 	if address, ok := q.report.Addresses[s.j.req.ID]; ok {
 		s.avoidAddress(address, "stalled")
 		s.g.log.Event(eventlog.StreamStalled, eventlog.Str("request", s.j.req.ID), eventlog.Str("at", address), eventlog.Str("after", s.lastEvent))
--- a/pkg/gateway/tracker_test.go
+++ b/pkg/gateway/tracker_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/fleet"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -125,4 +126,26 @@
 			end()
 		})
 	})
+
+	// Guards against new streams that are sent to a silent endpoint, since one that can't be sent
+	// elsewhere still asks it.
+	It("isn't used again after stall queries without an answer", func() {
+		withGateway(func(b *fixture) {
+			cfg := configuration()
+			for i := range cfg.Routes {
+				cfg.Routes[i].Resumable = false
+			}
+			b.source.view.Index = fleet.NewIndex(cfg)
+			end := b.streamInFlight()
+			first := b.client.sent()[0].ID
+			b.client.setStallErr(errReset)
+			b.advance(stallWait - 50*time.Millisecond)
+			b.gateway.Tracker().RecordSilence(first, "silent")
+			b.advance(300 * time.Millisecond)
+			Expect(b.client.stallQueries()).To(BeNumerically(">=", unresponsiveAfter))
+			Expect(b.gateway.Tracker().Silent(first)).To(BeTrue())
+			Expect(b.gateway.Tracker().Avoided(first)).To(BeTrue())
+			end()
+		})
+	})
 })
