gateway: an endpoint that doesn't accept a stream's connection in time is silent

A pause in which an endpoint accepts no connection was a failure, as if it had refused them: avoided for the whole 0.5 s, and longer after each such pause, though events went through it again.

The new spec failed with time-outs taken for failures: silent false, expected true. Ruled out: connections that are refused or reset, which still count as failures.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -434,7 +434,7 @@
 	if ctx.Err() != nil {
 		return abandoned, ctx.Err()
 	}
-	s.g.tracker.RecordFailure(s.path[0].ID, err.Error())
+	s.g.tracker.RecordError(s.path[0].ID, err)
 	s.failedIDs[s.path[0].ID] = true
 	s.g.logFailedAttempt(s.j, s.path[0].ID, err.Error(), s.progressFields()...)
 	if notSent(err) {
--- a/pkg/gateway/tracker.go
+++ b/pkg/gateway/tracker.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
@@ -124,6 +126,17 @@
 	t.avoid(id, why, afterFailing)
 }
 
+// RecordError records that a send to an endpoint failed with err. One that doesn't accept a connection
+// in time is silent.
+func (t *Tracker) RecordError(id string, err error) {
+	var timeout net.Error
+	if errors.As(err, &timeout) && timeout.Timeout() {
+		t.RecordSilence(id, err.Error())
+		return
+	}
+	t.RecordFailure(id, err.Error())
+}
+
 // RecordSilence records that an endpoint has stopped answering, which is a failure that it may recover
 // from at any moment. It is avoided until it is heard, but no longer than after another failure.
 func (t *Tracker) RecordSilence(id, why string) {
--- a/pkg/gateway/tracker_test.go
+++ b/pkg/gateway/tracker_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/fleet"
@@ -78,6 +81,25 @@
 		Expect(t.Avoided("e")).To(BeTrue())
 	})
 
+	It("is silent if it didn't accept a connection in time, and not if it refused one", func() {
+		for _, c := range []struct {
+			cause  error
+			silent bool
+		}{
+			{&net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}, true},
+			{&net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}, false},
+			{errReset, false},
+		} {
+			t.RecordError("e", &SendError{Cause: c.cause})
+			Expect(t.Avoided("e")).To(BeTrue())
+			Expect(t.Silent("e")).To(Equal(c.silent))
+			clock.Advance(inFlightTime + time.Millisecond)
+			hear()
+			Expect(t.Avoided("e")).To(Equal(!c.silent))
+			t.RecordSuccess("e", time.Millisecond)
+		}
+	})
+
 	It("isn't counted after it was forgotten", func() {
 		t.RecordSilence("e", "silent")
 		clock.Advance(idleEntryLifetime + time.Second)
