gateway: events alone restore an endpoint that was silent

A suspended send that goes on and a first event restored the endpoint, which the event itself does since it is noted for all endpoints of the path; the mutation of the first survived.

--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -360,7 +360,6 @@
 	s.g.waits.firstEvent(s.pending)
 	if !s.gotEvent {
 		s.recordAccepted()
-		s.g.tracker.Restore(s.path[0].ID)
 	}
 	if err := s.forward(it.event); err != nil {
 		return abandoned, err, true
--- a/pkg/gateway/suspend.go
+++ b/pkg/gateway/suspend.go
@@ -124,6 +124,5 @@
 	if it.head != nil {
 		return false
 	}
-	s.g.tracker.Restore(first)
 	return true
 }
