gateway: a caller that closes half of its connection gets an answer

What callers saw: an empty 200 without a signature for a plain request, or for a stream without an event, of which the host had read all, after the caller had closed its side of the connection.

Cause: net/http cancels a request's context when it reads the end of the connection. The gateway took that for a caller that is gone and wrote nothing, and for a handler that writes nothing net/http sends an empty success. An end of the connection for writing can't be told from one for good without writing, so work ends as before, within half a second; but the caller is told what became of the request: 503 if no endpoint was reached, 504 otherwise.

The spec printed before, on the first kind of route that it tries: Expected <int>: 200 to equal <int>: 504.

--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -45,22 +45,31 @@
 	return e.WithRetryAfter(s.g.retryAfters.estimate(service, e.RetryAfter()))
 }
 
-// expire ends a request whose time ran out or whose caller disconnected.
+// expire ends a request whose time ran out, whose caller disconnected or whose host stops.
 func (s *streamRun) expire(ctx context.Context) {
 	s.g.log.Event(eventlog.RequestLeft, eventlog.Str("request", s.j.req.ID), eventlog.Str("path", formatPath(s.path)),
-		eventlog.Str("after", s.lastEvent), eventlog.Ms("after_ms", s.g.svc.Now().Sub(s.j.req.Received)), eventlog.Err(ctx.Err()))
+		eventlog.Str("after", s.lastEvent), eventlog.Ms("after_ms", s.g.svc.Now().Sub(s.j.req.Received)), eventlog.Err(context.Cause(ctx)))
 	if s.headWritten {
 		s.j.out.Abort()
 		return
 	}
-	if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return
-	}
-	if s.attempts == 0 && s.unsent {
-		s.g.refuse(s.j.req, s.j, s.j.out, failure.New(failure.NoEndpoint, "no endpoint was reached in time").WithRetryAfter(baseRetryAfter))
-		return
+	s.g.refuseEnded(ctx, s.j, s.attempts > 0 || !s.unsent)
+}
+
+// refuseEnded answers a request whose context ended before its answer began. One whose caller
+// closed its side of the connection is answered, too, since the caller may still read: a
+// connection that was closed for writing can't be told from one that was closed for good.
+func (g *Gateway) refuseEnded(ctx context.Context, j *job, mayHaveRun bool) {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, context.DeadlineExceeded) && !mayHaveRun:
+		g.refuse(j.req, j, j.out, failure.New(failure.NoEndpoint, "no endpoint was reached in time").WithRetryAfter(baseRetryAfter))
+	case errors.Is(cause, context.DeadlineExceeded):
+		g.refuse(j.req, j, j.out, failure.New(failure.DeadlineExceeded, "no answer in time"))
+	case mayHaveRun:
+		j.out.Refuse(failure.New(failure.DeadlineExceeded, "no answer before the caller closed its connection"))
+	default:
+		j.out.Refuse(failure.New(failure.NoEndpoint, "not sent before the caller closed its connection").WithRetryAfter(baseRetryAfter))
 	}
-	s.g.refuse(s.j.req, s.j, s.j.out, failure.New(failure.DeadlineExceeded, "no event in time"))
 }
 
 // formatPath formats a path for the log, as endpoint and layers of each stage.
--- a/pkg/gateway/relayunary.go
+++ b/pkg/gateway/relayunary.go
@@ -54,15 +54,10 @@
 		r = readRelayed(a, r)
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		w.logLeft(ctx)
-		return true // the caller has disconnected
-	case notSent(r.err) && ctx.Err() == nil:
-		return false
+	case r.err != nil && ctx.Err() != nil:
+		w.end(ctx, w.attempts > 0 || !notSent(r.err))
 	case notSent(r.err):
-		w.refuse(failure.New(failure.NoEndpoint, "no host took the request in time").WithRetryAfter(baseRetryAfter))
-	case ctx.Err() != nil:
-		w.refuse(failure.New(failure.DeadlineExceeded, "no answer in time from host %s", peer))
+		return false
 	case r.err != nil:
 		w.attempts++
 		if w.mayRelay() {
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -292,15 +292,11 @@
 	}
 }
 
-// expire answers the request when its time has run out or the caller has disconnected.
-// Attempts that have not reached an endpoint by then cannot have run. The caller is
-// told if none has run: a caller whose request must not run twice may only retry after
+// expire answers the request when its time has run out, the caller has disconnected or the
+// host stops. Attempts that have not reached an endpoint by then cannot have run. The caller
+// is told if none has run: a caller whose request must not run twice may only retry after
 // that.
 func (w *unaryRun) expire(ctx context.Context) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		w.logLeft(ctx)
-		return // the caller has disconnected
-	}
 	w.group.Stop()
 	for ; w.running > 0; w.running-- {
 		r := <-w.results
@@ -312,17 +308,16 @@
 			w.attempts--
 		}
 	}
-	if w.attempts == 0 {
-		w.refuse(failure.New(failure.NoEndpoint, "no endpoint was reached in time").WithRetryAfter(baseRetryAfter))
-		return
-	}
-	w.refuse(failure.New(failure.DeadlineExceeded, "no answer in time from %d endpoints", w.sends))
+	w.end(ctx, w.attempts > 0)
 }
 
-// logLeft logs that the caller disconnected before it had an answer.
-func (w *unaryRun) logLeft(ctx context.Context) {
-	w.g.log.Event(eventlog.RequestLeft, eventlog.Str("request", w.j.req.ID), eventlog.Int("attempts", int64(w.attempts)),
-		eventlog.Ms("after_ms", w.g.svc.Now().Sub(w.j.req.Received)), eventlog.Err(ctx.Err()))
+// end answers the request when its context has ended.
+func (w *unaryRun) end(ctx context.Context, mayHaveRun bool) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		w.g.log.Event(eventlog.RequestLeft, eventlog.Str("request", w.j.req.ID), eventlog.Int("attempts", int64(w.attempts)),
+			eventlog.Ms("after_ms", w.g.svc.Now().Sub(w.j.req.Received)), eventlog.Err(context.Cause(ctx)))
+	}
+	w.g.refuseEnded(ctx, w.j, mayHaveRun)
 }
 
 func (w *unaryRun) refuse(e *failure.Error) {
