fleetentry: requests that are left when a host's drain period ends get an answer

What callers see: a connection closed without an answer, 0.2 s before the end of the grace period, for every request that still waits then: for an answer, a permit, capacity, another host. Those that no endpoint runs could have been told so.

Cause: the process closed its connections as soon as the drain period was over. Now the requests that are left end first, with a cause that tells them from requests whose callers left, and have half of the margin to write a failure: 503 if no endpoint has run the request, 504 if one may have; a stream that has begun breaks off as before. A stream whose context has ended isn't sent any more.

--- a/pkg/fleetentry/controlclient_test.go
+++ b/pkg/fleetentry/controlclient_test.go
@@ -438,6 +438,40 @@
 		g.Stop()
 	})
 
+	// Guards against requests that are cut without an answer because they still wait when the
+	// process ends.
+	It("ends the requests that are left in time for their answers, then stops", func() {
+		clock := timer.NewManual(time.Unix(1000, 0))
+		h := NewHost(newTestClient(clock), 8*time.Second, clock, nil)
+		end := h.Begin()
+		ctx, cancel := h.WithEnd(context.Background())
+		defer cancel()
+		left, leave := h.WithEnd(context.Background())
+		leave()
+		Expect(failure.Is(context.Cause(left), failure.Draining)).To(BeFalse())
+		done := make(chan bool, 1)
+		g := group.New(context.Background())
+		g.Go(func(ctx context.Context) {
+			h.Drain(ctx)
+			done <- true
+		})
+		Eventually(h.Leaving, "5s").Should(BeTrue())
+		stopAt := clock.Now().Add(8 * time.Second)
+		clock.Advance(8*time.Second - drainMargin - 2*idlePollInterval)
+		Consistently(ctx.Done, "20ms").ShouldNot(BeClosed())
+		Eventually(func() error { clock.Advance(idlePollInterval / 2); return ctx.Err() }, "5s", "10ms").Should(HaveOccurred())
+		Expect(failure.Is(context.Cause(ctx), failure.Draining)).To(BeTrue())
+		Expect(done).NotTo(Receive(), "before the request has its answer")
+		Expect(stopAt.Sub(clock.Now())).To(BeNumerically(">=", drainMargin/2))
+		late, stopLate := h.WithEnd(context.Background())
+		defer stopLate()
+		Eventually(late.Done, "5s").Should(BeClosed(), "a request that comes later ends at once")
+		end()
+		Eventually(func() chan bool { clock.Advance(time.Millisecond); return done }, "5s", "10ms").Should(Receive())
+		Expect(clock.Now()).To(BeTemporally("<", stopAt))
+		g.Stop()
+	})
+
 	It("gives its streams nearly the whole grace period, also where that is short", func() {
 		cases := []struct {
 			grace time.Duration
--- a/pkg/fleetentry/host.go
+++ b/pkg/fleetentry/host.go
@@ -25,6 +25,8 @@
 	// drainRetryAfter is when a caller that was refused should retry at another host.
 	drainRetryAfter  = 100 * time.Millisecond
 	idlePollInterval = 50 * time.Millisecond
+	// answerPollInterval is the same for the requests that are left when draining ends.
+	answerPollInterval = 5 * time.Millisecond
 )
 
 // Host is an entry host. It counts requests in flight and drains them before a stop.
@@ -33,6 +35,9 @@
 	svc   timer.Service
 	log   *eventlog.Log
 	grace time.Duration
+	// ending is done when draining has ended with requests in flight.
+	ending context.Context
+	end    context.CancelCauseFunc
 
 	mu            sync.Mutex
 	active        int
@@ -41,11 +46,14 @@
 
 // NewHost returns a host with the given grace period for stopping.
 func NewHost(c *ControlClient, grace time.Duration, svc timer.Service, log *eventlog.Log) *Host {
+	ending, end := context.WithCancelCause(context.Background())
 	return &Host{
 		ControlClient: c,
 		svc:           svc,
 		log:           log,
 		grace:         grace,
+		ending:        ending,
+		end:           end,
 	}
 }
 
@@ -61,6 +69,19 @@
 	}
 }
 
+// WithEnd returns a context for a request. It ends with ctx, with the returned function, or when
+// draining ends; its cause is then the failure with which the request must be answered.
+func (h *Host) WithEnd(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(h.ending, func() {
+		cancel(context.Cause(h.ending))
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // Active returns the number of requests in flight.
 func (h *Host) Active() int {
 	h.mu.Lock()
@@ -75,6 +96,10 @@
 	if h.stoppingSince.IsZero() || h.svc.Now().Sub(h.stoppingSince) < refuseAfter {
 		return nil
 	}
+	return drainingError()
+}
+
+func drainingError() *failure.Error {
 	return failure.New(failure.Draining, "this host is stopping").WithRetryAfter(drainRetryAfter)
 }
 
@@ -89,22 +114,32 @@
 }
 
 // Drain makes the host unready and waits until no request is in flight, but for
-// minListenTime at least and for the grace period less its margin at most. It returns
+// minListenTime at least and for the grace period less its margin at most. It then ends the
+// requests that are left, and gives them half of the margin to write their answers. It returns
 // earlier if ctx ends.
 func (h *Host) Drain(ctx context.Context) {
 	now := h.svc.Now()
-	end := now.Add(h.grace - min(drainMargin, time.Duration(drainMarginShare*float64(h.grace))))
+	margin := min(drainMargin, time.Duration(drainMarginShare*float64(h.grace)))
+	end := now.Add(h.grace - margin)
 	h.Leave(end)
 	h.mu.Lock()
 	h.stoppingSince = now
 	h.mu.Unlock()
 	h.log.Event(eventlog.Stopping, eventlog.Int("active", int64(h.Active())))
-	for ctx.Err() == nil {
+	h.awaitIdle(ctx, now.Add(minListenTime), end, idlePollInterval)
+	h.end(drainingError())
+	h.awaitIdle(ctx, now, h.svc.Now().Add(margin/2), answerPollInterval)
+}
+
+// awaitIdle waits until no request is in flight, but until least at least and until most at most.
+func (h *Host) awaitIdle(ctx context.Context, least, most time.Time, interval time.Duration) {
+	for {
 		now := h.svc.Now()
-		if now.After(end) || (h.Active() == 0 && now.Sub(h.stoppingSince) >= minListenTime) {
+		left := most.Sub(now)
+		if left <= 0 || h.Active() == 0 && !now.Before(least) {
 			return
 		}
-		if timer.Sleep(ctx, h.svc, idlePollInterval) != nil {
+		if timer.Sleep(ctx, h.svc, min(left, interval)) != nil {
 			return
 		}
 	}
--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -60,16 +60,23 @@
 // closed its side of the connection is answered, too, since the caller may still read: a
 // connection that was closed for writing can't be told from one that was closed for good.
 func (g *Gateway) refuseEnded(ctx context.Context, j *job, mayHaveRun bool) {
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, context.DeadlineExceeded) && !mayHaveRun:
-		g.refuse(j.req, j, j.out, failure.New(failure.NoEndpoint, "no endpoint was reached in time").WithRetryAfter(baseRetryAfter))
-	case errors.Is(cause, context.DeadlineExceeded):
-		g.refuse(j.req, j, j.out, failure.New(failure.DeadlineExceeded, "no answer in time"))
+	cause := context.Cause(ctx)
+	e := failure.New(failure.NoEndpoint, "no endpoint was reached in time").WithRetryAfter(baseRetryAfter)
+	if mayHaveRun {
+		e = failure.New(failure.DeadlineExceeded, "no answer in time")
+	}
+	switch stopping := (*failure.Error)(nil); {
+	case !errors.As(cause, &stopping):
 	case mayHaveRun:
-		j.out.Refuse(failure.New(failure.DeadlineExceeded, "no answer before the caller closed its connection"))
+		e = failure.Wrap(stopping, failure.DeadlineExceeded, "no answer in time")
 	default:
-		j.out.Refuse(failure.New(failure.NoEndpoint, "not sent before the caller closed its connection").WithRetryAfter(baseRetryAfter))
+		e = stopping
+	}
+	if errors.Is(cause, context.Canceled) {
+		j.out.Refuse(e) // no caller may be there to count as refused
+		return
 	}
+	g.refuse(j.req, j, j.out, e)
 }
 
 // formatPath formats a path for the log, as endpoint and layers of each stage.
--- a/pkg/gateway/fakesource_test.go
+++ b/pkg/gateway/fakesource_test.go
@@ -25,12 +25,20 @@
 	// grantPermits answers requests for permits in place of the leader. If it is nil,
 	// none are granted.
 	grantPermits   func(ids []string, each bool, priority int) time.Duration
+	holdPermits    <-chan struct{} // if set, the leader answers once it is closed
 	permitRequests int
 	limitReports   int // calls of ReportLimits
 	peers          []string
 }
 
-func (s *fakeSource) RequestPermits(_ context.Context, ids []string, each bool, priority int, _ time.Duration) PermitReply {
+func (s *fakeSource) RequestPermits(ctx context.Context, ids []string, each bool, priority int, _ time.Duration) PermitReply {
+	if s.holdPermits != nil {
+		select {
+		case <-s.holdPermits:
+		case <-ctx.Done():
+			return PermitReply{AvailableIn: time.Second}
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.permitRequests++
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/relay_test.go
@@ -21,13 +21,21 @@
 	mu     sync.Mutex
 	calls  []*RelayCall
 	answer func(n int, c *RelayCall) (*RelayAnswer, error)
+	hold   <-chan struct{} // if set, they answer once it is closed
 }
 
-func (p *fakePeers) Relay(_ context.Context, c *RelayCall) (*RelayAnswer, error) {
+func (p *fakePeers) Relay(ctx context.Context, c *RelayCall) (*RelayAnswer, error) {
 	p.mu.Lock()
 	p.calls = append(p.calls, c)
 	n := len(p.calls)
 	p.mu.Unlock()
+	if p.hold != nil {
+		select {
+		case <-p.hold:
+		case <-ctx.Done():
+			return nil, &SendError{Sent: true, Cause: ctx.Err()}
+		}
+	}
 	if p.answer != nil {
 		return p.answer(n, c)
 	}
--- a/pkg/gateway/relaystream.go
+++ b/pkg/gateway/relaystream.go
@@ -15,6 +15,10 @@
 		end, cause := s.relayUntilClosed(ctx)
 		return end, nil, cause
 	}
+	if ctx.Err() != nil {
+		s.unsent = true
+		return abandoned, nil, ctx.Err()
+	}
 	if !s.noPeer && s.g.relaysFirst(s.j) {
 		if end, e, cause, ok := s.sendToPeers(ctx); ok {
 			return end, e, cause
