fleetcmd: SIGHUP doesn't end a process that starts or stops

What could be seen: a process that ended by itself, by SIGHUP, when its settings changed while it started or stopped, as in a series of restarts.

Cause: the signal was registered by the loop that reloads the settings, which runs once the addresses are open and the state is read from disk, and was deregistered when that loop ended. Until then and after that the signal has its default action. It is registered first now, and stays so.

--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/cmds/cmdutil"
@@ -62,6 +64,7 @@
 		Short: short,
 		Args:  cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			hangups := watchHangups()
 			if file == "" {
 				file = platform.SettingsFile()
 			}
@@ -73,7 +76,7 @@
 				cmd.Println(file + ": good")
 				return nil
 			}
-			return serve(newProcess(cfg, file, name, dial))
+			return serve(newProcess(cfg, file, name, dial, hangups))
 		},
 	}
 	cmd.Flags().StringVar(&file, "config", "", "settings file; by default, the one that the platform names")
@@ -92,21 +95,32 @@
 	client *http.Client // for calls to larchwinch's own processes
 	dial   EndpointDialer
 	group  *group.Group
+	// hangups receives SIGHUP, which says that the settings may have changed.
+	hangups <-chan os.Signal
 }
 
-func newProcess(cfg *config.Fleet, file, role string, dial EndpointDialer) *process {
+// watchHangups returns a channel that receives SIGHUP. The signal would end a process that isn't
+// registered for it, also while it starts or stops, so it stays registered.
+func watchHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
+func newProcess(cfg *config.Fleet, file, role string, dial EndpointDialer, hangups <-chan os.Signal) *process {
 	debug.SetGCPercent(gcPercent)
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(cfg.MemoryMB * memoryLimitRatio * (1 << 20)))
 	}
 	p := &process{
-		file:   file,
-		role:   role,
-		svc:    timer.NewSystem(),
-		set:    metrics.New(),
-		client: rpcClient(cfg.IP),
-		dial:   dial,
-		group:  group.New(context.Background()),
+		file:    file,
+		role:    role,
+		svc:     timer.NewSystem(),
+		set:     metrics.New(),
+		client:  rpcClient(cfg.IP),
+		dial:    dial,
+		group:   group.New(context.Background()),
+		hangups: hangups,
 	}
 	p.cfg.Store(cfg)
 	p.log = eventlog.New(os.Stdout, p.svc, cfg.Host, maxLogLines)
--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -6,8 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -163,9 +161,6 @@
 // watchSettings reloads the settings file on SIGHUP, and when a check at every
 // reloadInterval finds that it has changed.
 func (p *process) watchSettings(ctx context.Context) error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticks := p.svc.Every(reloadInterval)
 	defer ticks.Stop()
 	last, _ := os.ReadFile(p.file) // it was readable when the process started
@@ -174,7 +169,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-signals:
+		case <-p.hangups:
 			signalled = true
 		case <-ticks.C():
 		}
