cmdutil: SIGTERM is registered before a server of the group serves

A SIGTERM that came after the group had begun to serve and before its signal function ran ended the process without a drain, and cut what it had read.

The spec printed before: signal: terminated.

--- a/pkg/cmds/cmdutil/run.go
+++ b/pkg/cmds/cmdutil/run.go
@@ -111,9 +111,9 @@
 // context ends after timeout.
 func AddSignals(g *run.Group, timeout time.Duration, before func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM) // before any server of the group serves
 	g.Add(func() error {
-		signals := make(chan os.Signal, 1)
-		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 		defer signal.Stop(signals)
 		select {
 		case <-ctx.Done():
