fleetcmd: answers of finished requests are sent before connections are closed

What callers could see: a connection that closes without the last bytes of an answer, at the end of a host's drain period.

Cause: a request counts as done when its handler returns, but net/http sends a short answer, and the last chunk of a stream, after that. The drain ends when no request is in flight, and the process then closed all connections. Now it lets connections that answer go idle first, for 50 ms at most; idle ones are closed at once.

With Close alone, the spec prints: Expected <string>: /endless to equal <string>: /whole answer.

--- a/pkg/cmds/fleetcmd/fleetcmd_test.go
+++ b/pkg/cmds/fleetcmd/fleetcmd_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -52,3 +54,52 @@
 		Eventually(done, "5s").Should(Receive(HaveOccurred()))
 	})
 })
+
+var _ = Describe("a process that has drained", func() {
+	// Guards against an answer that is lost because its connection is closed after the handler
+	// has returned and before the answer is sent.
+	It("closes a connection only once a finished answer is sent, and waits for no other", func() {
+		s := server{}
+		finished, sent := make(chan bool), make(chan bool)
+		s.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/endless" {
+				finished <- true
+				<-sent
+				<-r.Context().Done()
+				return
+			}
+			_, _ = io.WriteString(w, "answer")
+			finished <- true
+			<-sent // stands for the time until the answer is sent
+		})
+		s.address = "127.0.0.1:0"
+		l, srv, err := s.open()
+		Expect(err).NotTo(HaveOccurred())
+		g := group.New(context.Background())
+		defer g.Stop()
+		g.Go(func(context.Context) { _ = srv.Serve(l) })
+		client := &http.Client{Transport: &http.Transport{}}
+		answers := make(chan string, 2)
+		for _, path := range []string{"/endless", "/whole"} {
+			g.Go(func(context.Context) {
+				text := ""
+				if resp, err := client.Get("http://" + l.Addr().String() + path); err == nil {
+					body, _ := io.ReadAll(resp.Body)
+					_ = resp.Body.Close()
+					text = string(body)
+				}
+				answers <- path + " " + text
+			})
+			Eventually(finished, "5s").Should(Receive())
+		}
+		began := time.Now()
+		g.Go(func(context.Context) {
+			time.Sleep(closeTimeout / 10)
+			close(sent)
+		})
+		closeServers([]*http.Server{srv})
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		Eventually(answers, "5s").Should(Receive(Equal("/whole answer")))
+		Eventually(answers, "5s").Should(Receive(Equal("/endless ")))
+	})
+})
--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,6 +16,7 @@
 	"github.com/larchwinch/larchwinch/pkg/fleetcontrol"
 	"github.com/larchwinch/larchwinch/pkg/fleetentry"
 	"github.com/larchwinch/larchwinch/pkg/gateway"
+	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	"github.com/larchwinch/larchwinch/pkg/version"
 	"github.com/larchwinch/larchwinch/platform"
@@ -29,6 +31,9 @@
 	// shorter time costs CPU, a longer one keeps callers at hosts that have left.
 	directoryMaxAge  = 2 * time.Second
 	controlDrainTime = 300 * time.Millisecond
+	// closeTimeout is how long closing a server waits for answers to be sent. A handler that has
+	// returned needs less than a millisecond.
+	closeTimeout = 50 * time.Millisecond
 )
 
 func serveControl(p *process) error {
@@ -132,15 +137,20 @@
 // request is in flight, and waits for it at most for grace.
 func (p *process) run(servers []server, work func(ctx context.Context) error, drain func(ctx context.Context), grace time.Duration) error {
 	g := &run.Group{}
+	var opened []*http.Server
+	stop := sync.OnceFunc(func() {
+		closeServers(opened)
+	})
 	for _, s := range servers {
 		l, srv, err := s.open()
 		if err != nil {
 			return err
 		}
+		opened = append(opened, srv)
 		g.Add(func() error {
 			return ignoreClosed(srv.Serve(l))
 		}, func(error) {
-			_ = srv.Close() // the process is about to exit
+			stop()
 		})
 	}
 	p.start()
@@ -151,6 +161,20 @@
 	return g.Run()
 }
 
+// closeServers closes servers. The answers of handlers that have returned are sent before that.
+func closeServers(list []*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	g := group.New(ctx)
+	for _, srv := range list {
+		g.Go(func(ctx context.Context) {
+			_ = srv.Shutdown(ctx) // fails while a handler is running
+			_ = srv.Close()       // the process is about to exit
+		})
+	}
+	g.Wait()
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
