gateway: an answer that is longer than is held in memory is a failure

What callers could see: the first 8 MB of a longer answer, as a whole answer with the endpoint's signature. The body was read up to the limit, and what came after it was left out.

The spec printed before: Expected <int>: 8388608 to be zero-valued.

--- a/pkg/gateway/answerreader.go
+++ b/pkg/gateway/answerreader.go
@@ -100,3 +100,14 @@
 		}
 	}
 }
+
+var errAnswerTooLong = errors.New("the answer is longer than is held in memory")
+
+// readBody reads a whole body of at most maxAnswerBytes.
+func readBody(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errAnswerTooLong
+	}
+	return body, err
+}
--- a/pkg/gateway/relayunary.go
+++ b/pkg/gateway/relayunary.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/failure"
@@ -84,7 +83,7 @@
 		}
 		return r
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	body, err := readBody(a.Body)
 	r.body = body
 	if err != nil {
 		r.err = &SendError{
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -422,7 +421,7 @@
 	r.status = a.Status
 	r.notRun = a.NotRun || a.Misdirected
 	r.header = a.Header
-	r.body, err = io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes))
+	r.body, err = readBody(a.Body)
 	switch {
 	case r.notRun:
 	case err != nil:
