--- a/pkg/cmds/fleetcmd/fleetcmd_test.go
+++ b/pkg/cmds/fleetcmd/fleetcmd_test.go
@@ -55,6 +55,19 @@
 	})
 })
 
+var _ = Describe("a server of a process", func() {
+	// Guards against time-outs that end a connection on which a whole request was read.
+	It("has time-outs only for the head of a request, and for an idle connection", func() {
+		l, srv, err := server{address: "127.0.0.1:0"}.open()
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = l.Close() }()
+		Expect(srv.ReadTimeout).To(BeZero())
+		Expect(srv.WriteTimeout).To(BeZero())
+		Expect(srv.ReadHeaderTimeout).To(BeNumerically(">", 0))
+		Expect(srv.IdleTimeout).To(BeNumerically(">", 0))
+	})
+})
+
 var _ = Describe("a process that has drained", func() {
 	// Guards against an answer that is lost because its connection is closed after the handler
 	// has returned and before the answer is sent.
