gateway: a relayed request that a stopping host may have run can be repeated elsewhere

A host whose drain period ends answers requests that an endpoint may have run as failed. To the host that relays such a request that answer was final, also where the request may be repeated: a plain one got 504, though another host would have served it. For a relayed request the connection is closed instead, as it was before: the host that relays it repeats it, or answers 502.

The spec printed before, on a safe route: Expected <int>: 504 to equal <int>: 200. Another spec shows that the work ends, and that the caller gets 504, if the host that relays the request stops.

--- a/pkg/gateway/ending.go
+++ b/pkg/gateway/ending.go
@@ -67,6 +67,9 @@
 	}
 	switch stopping := (*failure.Error)(nil); {
 	case !errors.As(cause, &stopping):
+	case mayHaveRun && j.req.Relayed != nil:
+		j.out.Abort() // the host that relays the request may repeat it elsewhere, as after a broken connection
+		return
 	case mayHaveRun:
 		e = failure.Wrap(stopping, failure.DeadlineExceeded, "no answer in time")
 	default:
