--- a/pkg/gateway/suspend.go
+++ b/pkg/gateway/suspend.go
@@ -121,8 +121,5 @@
 		return false
 	}
 	d.next = append(d.next, it)
-	if it.head != nil {
-		return false
-	}
-	return true
+	return it.head == nil
 }
