quarantine: a crash of an endpoint that is heard from later is taken back, with the verdict on it

What callers saw: requests refused as quarantined because of endpoints that had not crashed, for 30 s and more. Cause: evidence was kept for good. A connection that breaks is taken for a crash, also if the endpoint closed a kept connection as idle just as a request went out on it, or a link was cut; nothing that showed that the incarnation lives on was looked at. Hosts take back the same with their own verdicts. Nothing new is sent, so that evidence from hosts of older builds is taken back, too. An endpoint that doesn't report its start may have restarted under its id: nothing is taken back. A verdict that was confirmed on probation stands on its earlier crashes. Ruled out: a new field by which hosts report what they heard (the leader hears each endpoint once a second, hosts only those that they send to); counting broken kept connections as no crash at all (a part that crashes endpoints before the head of the answer mostly does so on one). Not done: a verdict that another leader inherits isn't taken back; what it was found by isn't in the log.

--- a/pkg/fleetcontrol/documents.go
+++ b/pkg/fleetcontrol/documents.go
@@ -135,11 +135,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode command")
 	}
-	node, _ := s.replica.current()
-	if node == nil {
-		return nil, errNotOpen
-	}
-	return node.Propose(ctx, data)
+	return s.leadership.Propose(ctx, data)
 }
 
 func (s *Server) forwardSubmit(ctx context.Context, d *rpc.Document, leader string) (*rpc.DocumentReply, error) {
--- a/pkg/fleetcontrol/quarantine.go
+++ b/pkg/fleetcontrol/quarantine.go
@@ -43,8 +43,11 @@
 	served    []quarantine.Fingerprint               // reported since the last takeServed
 	survived  []quarantine.Fingerprint               // quarantined parts, since the last takeSurvived
 	granted   map[quarantine.Fingerprint]grantRecord // parts on probation
+	fallen    []quarantine.Finding                   // to be released, since they don't stand any more
 	stored    storedEvidence
 	decisions decisionList
+	// retractedAt is when crashes were last compared with heartbeats.
+	retractedAt time.Time
 }
 
 // decisionList is the list that hosts are sent, computed once for all of them.
@@ -119,6 +122,7 @@
 	c.term = term
 	c.served = nil
 	c.survived = nil
+	c.fallen = nil
 	clear(c.granted)
 	c.detector.Reset()
 	c.detector.Restore(evidenceOf(machine.CrashEvidence(), c.svc))
@@ -252,6 +256,7 @@
 		return
 	}
 	s.coordinator.beginTerm(term, machine)
+	s.retractCrashes(ctx)
 	quarantined := quarantinedAt(machine, s.cfg.Timer.Wall())
 	before := func(f quarantine.Fingerprint) bool {
 		_, known := quarantined[uint64(f)]
--- a/pkg/fleetcontrol/replica.go
+++ b/pkg/fleetcontrol/replica.go
@@ -246,6 +246,15 @@
 	r.caughtUpTerm = term
 }
 
+// Propose implements leadership.
+func (r *Replica) Propose(ctx context.Context, data []byte) ([]byte, error) {
+	node, _ := r.current()
+	if node == nil {
+		return nil, errNotOpen
+	}
+	return node.Propose(ctx, data)
+}
+
 // Members returns the addresses of the replicas.
 func (r *Replica) Members() []string {
 	members := r.observed().GetMembers()
--- a/pkg/fleetcontrol/size_test.go
+++ b/pkg/fleetcontrol/size_test.go
@@ -120,6 +120,11 @@
 	return []string{"127.0.1.1:7300", "127.0.1.2:7300", "127.0.1.3:7300"}
 }
 
+// Propose implements leadership.
+func (l *fixedLeadership) Propose(_ context.Context, data []byte) ([]byte, error) {
+	return l.machine.Apply(data)
+}
+
 // withLeaders runs f with a function that makes a leader of a given term, on a manual
 // clock.
 func withLeaders(f func(lead func(term uint64) *Server, clock *timer.Manual)) {
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -21,6 +21,8 @@
 	Leads(ctx context.Context) (machine *state.Machine, term uint64, leader string)
 	// Members returns the addresses of the replicas.
 	Members() []string
+	// Propose proposes a command to the log, and returns what the state answered.
+	Propose(ctx context.Context, data []byte) ([]byte, error)
 }
 
 // Sync implements rpc.Fleet. The leader holds the long poll open until there are
--- a/pkg/quarantine/detector.go
+++ b/pkg/quarantine/detector.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -61,7 +62,9 @@
 	parts      *partTable
 	attributed map[uint32]attribution    // by incarnation
 	lastCrash  map[Fingerprint]time.Time // attributed to a detected part
-	version    uint64                    // increases whenever the evidence may have changed
+	crashedAt  map[uint32]time.Time      // when a crash was last recorded, by incarnation
+	verdicts   map[Fingerprint]*verdict
+	version    uint64 // increases whenever the evidence may have changed
 }
 
 // suspect is one request. Invariant: it has at most one crash of each incarnation, and none
@@ -85,6 +88,8 @@
 		parts:      newPartTable(partCrashes),
 		attributed: map[uint32]attribution{},
 		lastCrash:  map[Fingerprint]time.Time{},
+		crashedAt:  map[uint32]time.Time{},
+		verdicts:   map[Fingerprint]*verdict{},
 	}
 }
 
@@ -95,11 +100,19 @@
 	defer d.mu.Unlock()
 	d.version++
 	now := d.svc.Now()
+	d.noteCrash(c.Endpoint, now)
 	if knownCause {
 		d.attribute(c.Endpoint, c.Fingerprint, now)
 		d.claimFromParts(c.Fingerprint, c.Endpoint)
+		d.addToVerdict(c)
 		return
 	}
+	d.add(c)
+}
+
+// add records a crash that may be that of the request. The caller holds mu.
+func (d *Detector) add(c Crash) {
+	now := d.svc.Now()
 	if a, ok := d.attributed[c.Endpoint]; ok && a.request != c.Fingerprint {
 		return
 	}
@@ -148,6 +161,16 @@
 			delete(d.lastCrash, f)
 		}
 	}
+	for id, at := range d.crashedAt {
+		if now.Sub(at) > crashRetention {
+			delete(d.crashedAt, id)
+		}
+	}
+	for f, v := range d.verdicts {
+		if !slices.ContainsFunc(v.finding.Endpoints, func(id uint32) bool { return now.Sub(v.crashes[id]) <= crashRetention }) {
+			delete(d.verdicts, f)
+		}
+	}
 	d.parts.expire(now)
 }
 
@@ -169,6 +192,7 @@
 	defer d.mu.Unlock()
 	d.version++
 	delete(d.suspects, f)
+	delete(d.verdicts, f)
 }
 
 // Reset drops all state.
@@ -180,6 +204,8 @@
 	d.parts = newPartTable(partCrashes)
 	d.attributed = map[uint32]attribution{}
 	d.lastCrash = map[Fingerprint]time.Time{}
+	d.crashedAt = map[uint32]time.Time{}
+	d.verdicts = map[Fingerprint]*verdict{}
 }
 
 // Watched returns the requests with watchedCrashes or more, those with the most crashes first.
@@ -236,6 +262,11 @@
 		}
 		d.claimFromParts(f, finding.Endpoints...)
 		delete(d.suspects, f)
+		if foundBefore(f) {
+			d.recordAgain(finding)
+		} else {
+			d.recordVerdict(finding, detectionPoints)
+		}
 		found = append(found, finding)
 		d.version++
 	}
--- a/pkg/quarantine/enforcer.go
+++ b/pkg/quarantine/enforcer.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -132,6 +133,48 @@
 	return len(found) > 0
 }
 
+// Retract takes back the crash of an incarnation that was heard from at a later time: it lives. The
+// leader finds out by itself. It returns the requests and parts that this host doesn't quarantine
+// on its own any more.
+func (e *Enforcer) Retract(endpoint uint32, heard time.Time) []Fingerprint {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.partReports.crashes[endpoint] == nil && !e.detector.crashed(endpoint) {
+		return nil
+	}
+	e.reports = slices.DeleteFunc(e.reports, func(r report) bool {
+		return r.crash.Endpoint == endpoint && heard.Sub(r.at) >= aliveMargin
+	})
+	e.partReports.retract(endpoint, heard)
+	var released []Fingerprint
+	for _, finding := range e.detector.Retract(endpoint, heard) {
+		if _, ok := e.localQuarantines[finding.Fingerprint]; ok {
+			delete(e.localQuarantines, finding.Fingerprint)
+			released = append(released, finding.Fingerprint)
+		}
+	}
+	return append(released, e.releaseOwnParts()...)
+}
+
+// releaseOwnParts ends this host's own quarantines of parts that what it saw doesn't justify.
+func (e *Enforcer) releaseOwnParts() []Fingerprint {
+	var released []Fingerprint
+	var guilty []Fingerprint
+	for f, q := range e.localQuarantines {
+		if !q.part {
+			continue
+		}
+		if guilty == nil {
+			guilty = append([]Fingerprint{0}, e.detectOwn(e.svc.Now())...)
+		}
+		if !slices.Contains(guilty, f) {
+			delete(e.localQuarantines, f)
+			released = append(released, f)
+		}
+	}
+	return released
+}
+
 // dropReports makes room for one more report, and drops old ones and expired local quarantines.
 func (e *Enforcer) dropReports(now time.Time) {
 	first := max(0, len(e.reports)-maxReports+1)
--- a/pkg/quarantine/evidence.go
+++ b/pkg/quarantine/evidence.go
@@ -141,6 +141,7 @@
 			if d.attributed[c.Endpoint].claimed || now.Sub(c.At) > crashRetention {
 				continue
 			}
+			d.noteCrash(c.Endpoint, c.At)
 			d.parts.add(&EndpointCrash{
 				Endpoint: c.Endpoint,
 				Domain:   c.Domain,
--- a/pkg/quarantine/partdetector.go
+++ b/pkg/quarantine/partdetector.go
@@ -21,6 +21,7 @@
 	defer d.mu.Unlock()
 	d.version++
 	now := d.svc.Now()
+	d.noteCrash(c.Endpoint, c.At)
 	for _, p := range c.Parts {
 		known := state(p.Part)
 		if known == PartUnknown || p.Writing > maxWriting {
@@ -30,6 +31,9 @@
 		if c.At.After(d.lastCrash[p.Part]) {
 			d.lastCrash[p.Part] = c.At
 		}
+		if v := d.verdicts[p.Part]; v != nil {
+			v.crashes[c.Endpoint] = c.At
+		}
 		if known == PartQuarantined {
 			return
 		}
@@ -80,9 +84,13 @@
 		d.version++
 	}
 	if at, ok := d.lastCrash[v.Part]; ok {
-		return v.after(at)
+		since = at
+	}
+	if !v.after(since) {
+		return false
 	}
-	return v.after(since)
+	delete(d.verdicts, v.Part)
+	return true
 }
 
 // PutBack undoes a finding about a part that couldn't be acted upon, so that it is detected
@@ -93,10 +101,8 @@
 	if f.suspect == nil {
 		return
 	}
-	for _, id := range f.Endpoints {
-		delete(d.attributed, id)
-	}
-	d.parts.suspects[f.Fingerprint] = f.suspect
+	delete(d.verdicts, f.Fingerprint)
+	d.putBack(f)
 }
 
 // WatchedParts returns the parts of which hosts are to report survivals.
@@ -112,7 +118,7 @@
 	var found []Finding
 	for f, s := range d.parts.suspects {
 		if len(s.crashes) > 0 && foundBefore(f) {
-			found = append(found, d.takePart(f, s.survived, now))
+			found = append(found, d.takePart(f, s.survived, 0, now))
 		}
 	}
 	for {
@@ -120,15 +126,20 @@
 		if len(list) == 0 {
 			return found
 		}
+		necessary := d.parts.least
+		if shared {
+			necessary = sharedPartCrashes
+		}
 		for _, f := range list {
-			found = append(found, d.takePart(f, shared || len(list) > 1, now))
+			found = append(found, d.takePart(f, shared || len(list) > 1, necessary, now))
 		}
 	}
 }
 
 // takePart attributes the crashes that a part was present at to it, unless they were attributed
-// to one that was detected together with it.
-func (d *Detector) takePart(f Fingerprint, shared bool, now time.Time) Finding {
+// to one that was detected together with it. The finding stands on necessary
+// crashes; 0 if the part was found before.
+func (d *Detector) takePart(f Fingerprint, shared bool, necessary int, now time.Time) Finding {
 	d.version++
 	s := d.parts.suspects[f]
 	out := Finding{
@@ -145,5 +156,10 @@
 		d.lastCrash[f] = s.lastCrash
 	}
 	delete(d.parts.suspects, f)
+	if necessary > 0 {
+		d.recordVerdict(out, necessary)
+	} else {
+		d.recordAgain(out)
+	}
 	return out
 }
--- a/pkg/quarantine/partreports.go
+++ b/pkg/quarantine/partreports.go
@@ -83,6 +83,13 @@
 	}
 }
 
+// retract drops the crash of an incarnation that was heard from at a later time.
+func (r *partReports) retract(endpoint uint32, heard time.Time) {
+	if own := r.crashes[endpoint]; own != nil && heard.Sub(own.at) >= aliveMargin {
+		delete(r.crashes, endpoint)
+	}
+}
+
 // crashesWith returns at how many crashes a part was present.
 func (r *partReports) crashesWith(part Fingerprint) int {
 	n := 0
