gateway: silence becomes evidence of a crash once the incarnation has ended

What callers saw: nothing yet. Since silence records no crash, a request or part that crashes endpoints in such a way that their connections stay open (power, a host that is dark) left no evidence. Change: a third state. A send whose endpoint leaves stall queries unanswered is kept beside the evidence (256 at most, 75 s: control hosts forget an endpoint after 60 s). It becomes a crash at the time at which the silence was noticed when something shows that the incarnation ended: a connection to it that is refused or breaks, another one at its address, a later start of it in the list or in the answer to a stall query, or its entry gone from the host's list. It is dropped when its own stream goes on; when the incarnation is heard of: by an engine's answer to a request sent later, a stall query answered by the same start, a later heartbeat in the list; or when it left. An event of another stream that was under way shows nothing: it may have waited in a buffer for a slow caller. The same answers take back the crash of a kept connection at this host. The start in the answer to a stall query is passed on to the gateway; nothing new is sent. Tried first: recording the silence when the send is closed.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"context"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/admission"
@@ -15,6 +16,7 @@
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/failure"
 	"github.com/larchwinch/larchwinch/pkg/fleet"
+	"github.com/larchwinch/larchwinch/pkg/group"
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/quarantine"
@@ -44,6 +46,7 @@
 	retryAfters    *retryAfterEstimator
 	resumes        *resumption.Spreader
 	quarantine     *quarantine.Enforcer
+	silences       *quarantine.Silences
 	backoffs       *backoff.Tracker
 	permits        *permit.Holder
 	permitRequests *permitRequests
@@ -51,6 +54,9 @@
 	ranks          *rankTracker
 	admission      *admission.Controller
 	admitter       admitter // admission, which tests replace
+	// reviewingSilences says that reviewSilences runs, in the group of what outlives requests.
+	reviewingSilences atomic.Bool
+	background        *group.Group
 }
 
 // Config is what a gateway depends on. Every field must be set.
@@ -88,11 +94,13 @@
 		retryAfters:    newRetryAfterEstimator(svc),
 		resumes:        resumption.New(svc, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		quarantine:     quarantine.NewEnforcer(svc),
+		silences:       quarantine.NewSilences(svc),
 		backoffs:       backoffs,
 		permits:        permit.NewHolder(svc, rand.Uint64()),
 		permitRequests: newPermitRequests(svc),
 		full:           shedding.New(svc),
 		ranks:          newRankTracker(svc),
+		background:     group.New(context.Background()),
 	}
 	g.admission = admission.NewController(svc, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	g.admitter = g.admission
--- a/pkg/gateway/limits_test.go
+++ b/pkg/gateway/limits_test.go
@@ -284,7 +284,7 @@
 			Expect(b.gateway.permits.HasLimit(b.client.sent()[0].ID)).To(BeTrue())
 		})
 		withGateway(func(b *fixture) {
-			b.gateway.observeQueryAnswer("llm", "x", limitNotice(8), b.clock.Now())
+			b.gateway.observeQueryAnswer("llm", "x", StallReport{Notice: limitNotice(8)}, b.clock.Now())
 			Expect(b.gateway.permits.HasLimit("x")).To(BeTrue())
 		})
 	})
--- a/pkg/gateway/liveness.go
+++ b/pkg/gateway/liveness.go
@@ -80,6 +80,9 @@
 		return
 	}
 	g.tracker.RecordFailure(id, why)
+	if r == checkRefused {
+		g.confirmCrash(id)
+	}
 }
 
 // livenessChecker finds lost endpoints by opening connections to them. A check serves
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -62,11 +62,18 @@
 	writing        time.Duration // from the first event to the last one
 }
 
-// recordCrash records that an endpoint broke its connection or stopped answering while it had
-// a request. When this host doesn't reach the service at all, its links are at fault and not
-// the request.
+// recordCrash records that an endpoint broke its connection while it had a request. When this host
+// doesn't reach the service at all, its links are at fault and not the request. Sends to the same
+// incarnation that were given up before count as well.
 func (g *Gateway) recordCrash(j *job, c crashedSend) {
 	g.metrics.Counter("sends_cut", metrics.Label{Name: "early", Value: yesNo(c.beforeResponse)}).Inc(1)
+	request, parts := g.crashOf(j, c)
+	g.reportCrash(c.address, j.req.ID, request, parts)
+	g.confirmCrash(c.endpoint)
+}
+
+// crashOf returns what is recorded of a crash now.
+func (g *Gateway) crashOf(j *job, c crashedSend) (quarantine.Crash, quarantine.EndpointCrash) {
 	now := g.svc.Now()
 	crash := quarantine.Crash{
 		Fingerprint:    j.fingerprint(),
@@ -94,19 +101,24 @@
 			Writing:      c.writing,
 		})
 	}
-	g.reach.Doubt(c.address, func(reached bool) {
+	return crash, ofParts
+}
+
+// reportCrash records a crash if this host reaches the service of the endpoint at address.
+func (g *Gateway) reportCrash(address, requestID string, crash quarantine.Crash, ofParts quarantine.EndpointCrash) {
+	g.reach.Doubt(address, func(reached bool) {
 		if !reached {
 			return
 		}
 		for _, p := range g.quarantine.RecordEndpointCrash(ofParts) {
 			g.log.Event(eventlog.PartHeld, eventlog.Str("part", p.String()), eventlog.Str("by", "this host"),
-				eventlog.Str("request", j.req.ID), eventlog.Ms("for_ms", quarantine.LocalDuration))
+				eventlog.Str("request", requestID), eventlog.Ms("for_ms", quarantine.LocalDuration))
 		}
 		if !g.quarantine.RecordCrash(crash) {
 			return
 		}
 		g.log.Event(eventlog.RequestHeld, eventlog.Str("fingerprint", crash.Fingerprint.String()), eventlog.Str("by", "this host"),
-			eventlog.Str("request", j.req.ID), eventlog.Ms("for_ms", quarantine.LocalDuration))
+			eventlog.Str("request", requestID), eventlog.Ms("for_ms", quarantine.LocalDuration))
 	})
 }
 
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -71,9 +71,14 @@
 		return nil
 	}
 	w.queries++
-	switch {
-	case ctx.Err() != nil:
+	if ctx.Err() != nil {
 		return nil
+	}
+	if q.unresponsive() {
+		s.recordSilence()
+	}
+	s.g.recordRefused(first.ID, q.err)
+	switch {
 	case q.unresponsive() && !s.maySuspend():
 		w.arm(stallWait)
 	case q.unresponsive():
--- a/pkg/gateway/stallquery.go
+++ b/pkg/gateway/stallquery.go
@@ -37,8 +37,8 @@
 	// admitQuery reports whether an endpoint may be queried now, and acquires what the
 	// query needs.
 	admitQuery(id string) bool
-	// observeQueryAnswer records the notice in the answer to a query sent at sent.
-	observeQueryAnswer(service, id string, n fleet.Notice, sent time.Time)
+	// observeQueryAnswer records what the answer to a query sent at sent tells of the endpoint.
+	observeQueryAnswer(service, id string, r StallReport, sent time.Time)
 }
 
 // admitQuery implements queryPolicy.
@@ -51,9 +51,17 @@
 }
 
 // observeQueryAnswer implements queryPolicy.
-func (g *Gateway) observeQueryAnswer(service, id string, n fleet.Notice, sent time.Time) {
-	g.observeNotice(id, n)
-	g.observeLimit(service, id, n.Limit, sent)
+func (g *Gateway) observeQueryAnswer(service, id string, r StallReport, sent time.Time) {
+	g.observeNotice(id, r.Notice)
+	g.observeLimit(service, id, r.Notice.Limit, sent)
+	_, startedAt := fleet.SplitIncarnation(id)
+	switch {
+	case startedAt == 0 || r.StartedAt == 0:
+	case r.StartedAt == startedAt:
+		g.endpointHeard(id, sent)
+	case r.StartedAt > startedAt:
+		g.confirmCrash(id)
+	}
 }
 
 // stallQuery is the latest query to an address.
@@ -93,7 +101,7 @@
 		queryCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stallQueryTimeout)
 		report, err := s.client.QueryStalls(queryCtx, address)
 		cancel()
-		s.policy.observeQueryAnswer(service, id, report.Notice, sent)
+		s.policy.observeQueryAnswer(service, id, report, sent)
 		s.complete(q, report, err)
 		return q
 	}
--- a/pkg/gateway/stallquery_test.go
+++ b/pkg/gateway/stallquery_test.go
@@ -47,8 +47,8 @@
 
 func (l *fakeQueryPolicy) admitQuery(id string) bool { return l.backoffs.TryAcquire(id) }
 
-func (l *fakeQueryPolicy) observeQueryAnswer(_, _ string, n fleet.Notice, _ time.Time) {
-	l.client.notices = append(l.client.notices, n)
+func (l *fakeQueryPolicy) observeQueryAnswer(_, _ string, r StallReport, _ time.Time) {
+	l.client.notices = append(l.client.notices, r.Notice)
 }
 
 var _ = Describe("stall queries", func() {
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -166,15 +166,6 @@
 	return true
 }
 
-func (s *streamRun) recordFinished() {
-	if s.peer == "" {
-		s.g.recordAnswered(s.j, s.sentAt)
-	}
-	s.g.durations.record(s.demand().Answer, s.g.svc.Now().Sub(s.j.req.Received))
-	metrics.Observe(s.g.metrics.Histogram("longest_pause_us"), s.pauses.longest)
-	s.g.logServed(s.j, http.StatusOK, s.servedBy(), s.sends, s.logFields()...)
-}
-
 // delayResume delays a stream that its caller resumes, in favour of new streams, when
 // many streams are resumed at once. If the caller disconnects during the delay, the
 // next step notices it.
@@ -348,6 +339,9 @@
 
 // handleItem processes one item of the answer; done says that the send has ended.
 func (s *streamRun) handleItem(ctx context.Context, it answerItem, w *stallWatch) (outcome, error, bool) {
+	if !it.ended || it.err == nil {
+		s.endSilence(s.streamSend)
+	}
 	switch {
 	case it.head != nil:
 		return s.handleHead(it.head)
@@ -360,6 +354,7 @@
 	s.g.waits.firstEvent(s.pending)
 	if !s.gotEvent {
 		s.recordAccepted()
+		s.recordHeard()
 	}
 	if err := s.forward(it.event); err != nil {
 		return abandoned, err, true
@@ -438,10 +433,13 @@
 	s.g.logFailedAttempt(s.j, s.path[0].ID, err.Error(), s.progressFields()...)
 	if notSent(err) {
 		s.unreached = true
+		s.g.recordRefused(s.path[0].ID, err)
 		return notRun, err
 	}
 	if connectionLost(err) {
 		s.recordCrashOf(s.streamSend)
+	} else {
+		s.endSilence(s.streamSend)
 	}
 	s.attempts++
 	return broken, err
--- a/pkg/gateway/streamsend.go
+++ b/pkg/gateway/streamsend.go
@@ -19,6 +19,7 @@
 	lastEventAt  time.Time // valid if gotEvent
 	survived     bool      // it was written for quarantine.SurvivalTime
 	unsent       bool      // it reached no endpoint
+	silent       bool      // its endpoint left stall queries unanswered since the last event, which is recorded
 	pending      *pendingSend
 	liveness     *livenessWatch // nil before it is relayed
 	reader       *answerReader  // nil unless it is open
--- a/pkg/gateway/suspend.go
+++ b/pkg/gateway/suspend.go
@@ -108,6 +108,8 @@
 		}
 		if connectionLost(it.err) {
 			s.recordCrashOf(d)
+		} else {
+			s.endSilence(d)
 		}
 		s.countSuspended("lost")
 		s.dropSuspended()
@@ -117,9 +119,14 @@
 			s.attempts--
 		}
 		s.countSuspended("refused")
+		s.endSilence(d)
 		s.dropSuspended()
 		return false
 	}
 	d.next = append(d.next, it)
-	return it.head == nil
+	if it.head != nil {
+		s.endSilence(d)
+		return false
+	}
+	return true
 }
--- a/pkg/gateway/suspend_test.go
+++ b/pkg/gateway/suspend_test.go
@@ -20,6 +20,7 @@
 	first *io.PipeWriter
 	// second is the other send; nil if there is none.
 	second *io.PipeWriter
+	leave  context.CancelFunc // makes the caller leave
 }
 
 // withSilentStream runs f on such a stream. The caller leaves at its end.
@@ -33,6 +34,7 @@
 			return &Answer{Status: 200, Verified: true, Body: r}, nil
 		}
 		ctx, cancel := context.WithCancel(context.Background())
+		s.leave = cancel
 		req := b.request("stream")
 		req.SharedParts = []string{"p1"}
 		background(func() {
--- a/pkg/gateway/types.go
+++ b/pkg/gateway/types.go
@@ -155,6 +155,8 @@
 // of.
 type StallReport struct {
 	Addresses map[string]string // address of the endpoint where a request is stalled, by request ID
+	// StartedAt is when the incarnation that answered started; 0 if unknown.
+	StartedAt int64
 	Notice    fleet.Notice
 }
 
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -149,6 +149,7 @@
 		})
 	}
 	if r.notRun || notSent(r.err) {
+		w.g.recordRefused(r.endpoint.ID, r.err)
 		w.attempts--
 		w.resend(afterFailure, r.err)
 		return false
