quarantine: a wrong verdict is tried as soon as something shows it, or nearly all is refused

What callers saw: 7,839 of 7,866 requests refused as quarantined while endpoints paused; nine streams that were under way at the verdict were served whole and changed nothing. Cause: a survival counts only if its request was sent after the last crash. The streams under way were sent before, everything sent later was refused, and the first request was granted after 30 s, since the part didn't count as shared. Change: a survivor that was sent before makes one trial due, granted to the host that reports it with the reply; so does a host that refuses four fifths of its requests. Hosts report each survival with a quarantined part, and a granted request passes during the quarantine. Guard: a part is never released by what was sent before its last crash; only in its first quarantine, from 1 s on, one at a time; a crash in the trial takes the place of the trial on probation, so that a deadly part costs as many as before. Older leaders grant nothing to parts that are still quarantined, older hosts let nothing pass; both as before. Weighed (docs/incidents): survivors release at once, or if they write on after the last crash (a part that becomes deadly is released by each stream from before); shorter quarantines for all.

--- a/pkg/fleetcontrol/partquarantine.go
+++ b/pkg/fleetcontrol/partquarantine.go
@@ -49,15 +49,24 @@
 	}
 	reporter := fleet.LoadKey(q.GetHost().GetName())
 	for _, e := range q.GetCrashes() {
-		c.detector.AddEndpointCrash(crashReported(e, now), reporter, stateOf)
+		crash := crashReported(e, now)
+		for _, p := range crash.Parts {
+			c.noteTrialCrash(p.Part, crash.At)
+		}
+		c.detector.AddEndpointCrash(crash, reporter, stateOf)
 	}
 	for _, v := range q.GetSurvivals() {
 		f := quarantine.Fingerprint(v.GetPart())
 		since := c.quarantinedSince(f, now.Add(time.UnixMilli(parts[f].SinceMS).Sub(wall)))
-		if c.detector.Survive(survivalReported(v, now), since) && stateOf(f) != quarantine.PartUnknown {
+		survived := c.detector.Survive(survivalReported(v, now), since)
+		switch {
+		case stateOf(f) == quarantine.PartUnknown:
+		case survived:
 			c.mu.Lock()
 			c.survived = append(c.survived, f)
 			c.mu.Unlock()
+		case stateOf(f) == quarantine.PartQuarantined:
+			c.noteSurvivor(f, parts[f])
 		}
 	}
 }
@@ -131,7 +140,7 @@
 	now, wall := c.svc.Now(), c.svc.Wall().UnixMilli()
 	for _, f := range wanted {
 		p, known := parts[f]
-		if !known || p.UntilMS > wall {
+		if !known || p.UntilMS > wall || c.failedTrial(f, p) {
 			return false
 		}
 		if g, ok := c.granted[f]; ok && g.untilMS == p.UntilMS && now.Before(g.next) {
@@ -156,6 +165,7 @@
 // addGrants lets a host send one request with parts on probation.
 func (s *Server) addGrants(q *rpc.SyncRequest, reply *rpc.SyncReply, machine *state.Machine) {
 	reply.DetectsParts = true
+	s.addEarlyGrants(q, reply, machine)
 	if len(q.GetWantedParts()) == 0 {
 		return
 	}
@@ -166,10 +176,32 @@
 	if !s.coordinator.grant(wanted, quarantinedParts(machine)) {
 		return
 	}
-	reply.GrantedParts = q.GetWantedParts()
+	reply.GrantedParts = append(reply.GrantedParts, q.GetWantedParts()...)
 	s.cfg.Log.Event(eventlog.PartTried, eventlog.Str("parts", formatParts(wanted)), eventlog.Str("by", q.GetHost().GetName()))
 }
 
+// addEarlyGrants lets a host send one request with a quarantined part if requests with it survived
+// there, or if the host refuses nearly all requests.
+func (s *Server) addEarlyGrants(q *rpc.SyncRequest, reply *rpc.SyncReply, machine *state.Machine) {
+	if len(q.GetWantedParts()) == 0 && len(q.GetSurvivals()) == 0 {
+		return
+	}
+	parts := quarantinedParts(machine)
+	try := func(part uint64, wanted bool) {
+		f := quarantine.Fingerprint(part)
+		if p, ok := parts[f]; ok && s.coordinator.grantEarly(f, p, wanted) {
+			reply.GrantedParts = append(reply.GrantedParts, part)
+			s.cfg.Log.Event(eventlog.PartTried, eventlog.Str("parts", f.String()), eventlog.Str("by", q.GetHost().GetName()))
+		}
+	}
+	for _, v := range q.GetSurvivals() {
+		try(v.GetPart(), false)
+	}
+	for _, part := range q.GetWantedParts() {
+		try(part, true)
+	}
+}
+
 func formatParts(parts []quarantine.Fingerprint) string {
 	out := make([]string, 0, len(parts))
 	for _, f := range parts {
--- a/pkg/fleetcontrol/quarantine.go
+++ b/pkg/fleetcontrol/quarantine.go
@@ -43,6 +43,7 @@
 	served    []quarantine.Fingerprint               // reported since the last takeServed
 	survived  []quarantine.Fingerprint               // quarantined parts, since the last takeSurvived
 	granted   map[quarantine.Fingerprint]grantRecord // parts on probation
+	trials    map[quarantine.Fingerprint]*earlyTrial // of quarantined parts
 	fallen    []quarantine.Finding                   // to be released, since they don't stand any more
 	stored    storedEvidence
 	decisions decisionList
@@ -73,6 +74,7 @@
 		svc:      svc,
 		detector: quarantine.NewDetector(svc),
 		granted:  map[quarantine.Fingerprint]grantRecord{},
+		trials:   map[quarantine.Fingerprint]*earlyTrial{},
 	}
 }
 
@@ -124,6 +126,7 @@
 	c.survived = nil
 	c.fallen = nil
 	clear(c.granted)
+	clear(c.trials)
 	c.detector.Reset()
 	c.detector.Restore(evidenceOf(machine.CrashEvidence(), c.svc))
 	c.stored = storedEvidence{
@@ -275,6 +278,11 @@
 		}
 	}
 	s.releaseParts(ctx)
+	parts := quarantinedParts(machine)
+	for _, finding := range s.coordinator.takeFailed(parts) {
+		s.quarantinePart(ctx, finding)
+	}
+	s.coordinator.expireTrials(parts)
 	s.storeEvidence(ctx)
 }
 
--- a/pkg/quarantine/enforcer.go
+++ b/pkg/quarantine/enforcer.go
@@ -59,6 +59,7 @@
 	trackedAt   time.Time                 // when a leader last confirmed that it detects parts
 	wanted      []Fingerprint             // parts on probation with which a request was refused
 	granted     map[Fingerprint]time.Time // parts with which one request may pass, until when
+	refusals    refusals
 }
 
 // localQuarantine is a quarantine of a request, or of a part, that the host decided by itself.
--- a/pkg/quarantine/partenforcer.go
+++ b/pkg/quarantine/partenforcer.go
@@ -39,15 +39,26 @@
 		return 0, 0, false
 	}
 	now := e.svc.Now()
-	var onProbation []Fingerprint
+	var onProbation, quarantined []Fingerprint
 	for _, p := range parts {
-		if one := e.remaining(p); one > left {
+		one := e.remaining(p)
+		if one > 0 {
+			quarantined = append(quarantined, p)
+		}
+		if one > left && !now.Before(e.granted[p]) {
 			part, left = p, one
 		}
+		if one > 0 && now.Before(e.granted[p]) {
+			onProbation = append(onProbation, p)
+		}
 		if d := e.decisions[p]; d.probation && !now.Before(d.until) {
 			onProbation = append(onProbation, p)
 		}
 	}
+	e.refusals.record(left > 0, now)
+	if left > 0 && e.refusals.nearlyAll() {
+		e.wanted = quarantined[:min(len(quarantined), maxWanted)]
+	}
 	if left > 0 || len(onProbation) == 0 {
 		return part, left, false
 	}
@@ -105,6 +116,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.survivals.record(v)
+	if e.remaining(v.Part) > 0 {
+		e.survivals.repeat(v.Part)
+	}
 }
 
 // RecordEndpointCrash records that a crash broke one request, and returns the parts that this
--- a/pkg/quarantine/survivals.go
+++ b/pkg/quarantine/survivals.go
@@ -40,6 +40,13 @@
 	r.survival.merge(v)
 }
 
+// repeat makes the survival of a part unreported.
+func (s *survivals) repeat(part Fingerprint) {
+	if r := s.parts[part]; r != nil {
+		r.reported = Survival{}
+	}
+}
+
 // evict drops the oldest of a few parts.
 func (s *survivals) evict() {
 	oldest := Fingerprint(0)
--- a/pkg/state/quarantine.go
+++ b/pkg/state/quarantine.go
@@ -37,8 +37,11 @@
 	// Unix times in milliseconds.
 	SinceMS int64
 	UntilMS int64
-	// Part says that it is a part.
-	Part bool
+	// Part says that it is a part, and Shared that many requests share it.
+	Part   bool
+	Shared bool
+	// Times is how often it was found to crash endpoints.
+	Times int
 }
 
 // quarantine holds the quarantine records by fingerprint. It is guarded by
@@ -155,6 +158,8 @@
 			SinceMS:     r.GetUnixMs(),
 			UntilMS:     quarantinedUntil(r),
 			Part:        r.GetPart(),
+			Shared:      r.GetShared(),
+			Times:       int(r.GetTimes()),
 		})
 	}
 	return list
--- a/pkg/state/release_test.go
+++ b/pkg/state/release_test.go
@@ -60,11 +60,11 @@
 			Expect(string(m.Document().GetContent())).To(Equal("configuration 8"))
 			Expect(m.ClaimRecord("a", "k").GetRequest().GetNonce()).To(Equal(uint64(5)))
 			want := []QuarantinedRequest{
-				{Fingerprint: 7, SinceMS: 3000, UntilMS: 3000 + firstQuarantine.Milliseconds()},
-				{Fingerprint: 8, SinceMS: 703000, UntilMS: 703000 + firstQuarantine.Milliseconds()},
+				{Fingerprint: 7, SinceMS: 3000, UntilMS: 3000 + firstQuarantine.Milliseconds(), Times: 1},
+				{Fingerprint: 8, SinceMS: 703000, UntilMS: 703000 + firstQuarantine.Milliseconds(), Times: 1},
 			}
 			if one.withParts {
-				want = append(want, QuarantinedRequest{Fingerprint: 9, SinceMS: 703000, UntilMS: 703000 + sharedPartQuarantine.Milliseconds(), Part: true})
+				want = append(want, QuarantinedRequest{Fingerprint: 9, SinceMS: 703000, UntilMS: 703000 + sharedPartQuarantine.Milliseconds(), Part: true, Shared: true, Times: 1})
 				Expect(proto.Equal(m.CrashEvidence(), releaseEvidence())).To(BeTrue())
 			} else {
 				Expect(m.CrashEvidence()).To(BeNil())
