fleetcontrol: a heartbeat that arrives late takes no crash back

Heartbeats may arrive seconds after they were sent, so one that came 0.25 s after a crash could have been sent before it, and took the evidence of a true crash back. Change: it must come 1 s after the crash or later; endpoints that live send one each heartbeat interval.

--- a/pkg/fleetcontrol/retract.go
+++ b/pkg/fleetcontrol/retract.go
@@ -14,6 +14,10 @@
 // takes 0.5 ms for 3,200 endpoints.
 const retractInterval = 400 * time.Millisecond
 
+// maxHeartbeatDelay is how long after a crash a heartbeat that the endpoint sent before it may
+// arrive. A later one shows that the endpoint lives.
+const maxHeartbeatDelay = time.Second
+
 // retractCrashes takes back the crashes of endpoints that sent a heartbeat later, and releases what
 // doesn't stand without these.
 func (s *Server) retractCrashes(ctx context.Context) {
@@ -38,8 +42,8 @@
 	}
 }
 
-// retract takes back the crashes of the listed endpoints that were heard from later. An endpoint that doesn't report its start may have
-// restarted under the same id.
+// retract takes back the crashes of the listed endpoints that were heard from later. An endpoint
+// that doesn't report its start may have restarted under the same id.
 func (c *quarantineCoordinator) retract(list func() []fleet.Endpoint) {
 	crashed := c.detector.Crashed()
 	if len(crashed) == 0 || !c.retractDue() {
@@ -50,7 +54,7 @@
 			continue
 		}
 		key := fleet.LoadKey(e.ID)
-		if at, ok := crashed[key]; ok && e.LastHeartbeat.After(at) {
+		if at, ok := crashed[key]; ok && e.LastHeartbeat.Sub(at) >= maxHeartbeatDelay {
 			c.addFallen(c.detector.Retract(key, e.LastHeartbeat)...)
 		}
 	}
--- a/pkg/fleetcontrol/retract_test.go
+++ b/pkg/fleetcontrol/retract_test.go
@@ -129,6 +129,19 @@
 			})
 		})
 
+		It("are not taken back by heartbeats that were sent before and arrive late: "+k.name, func() {
+			withEvidence(func(b *evidenceFixture) {
+				for _, id := range crashed {
+					b.crash(k.report, id)
+					b.clock.Advance(maxHeartbeatDelay - time.Millisecond)
+					b.announce(id)
+					b.pass(retractInterval)
+				}
+				b.pass(time.Second)
+				Expect(b.held()).To(Equal([]uint64{k.held}))
+			})
+		})
+
 		for _, c := range []struct {
 			name    string
 			crashed []string
