--- a/pkg/fleetcontrol/retract.go
+++ b/pkg/fleetcontrol/retract.go
@@ -16,7 +16,7 @@
 
 // maxHeartbeatDelay is how long after a crash a heartbeat that the endpoint sent before it may
 // arrive. A later one shows that the endpoint lives.
-const maxHeartbeatDelay = time.Second
+const maxHeartbeatDelay = 700 * time.Millisecond
 
 // retractCrashes takes back the crashes of endpoints that sent a heartbeat later, and releases what
 // doesn't stand without these.
