gateway: a stream has the head of the endpoint that sends its first event

An endpoint that is silent before its head has its send suspended. If the other endpoint sent a head and no event, and the first one then went on, its events followed the other one's head and signature: an answer that neither endpoint gave. The head of a send is now kept until its first event, or its complete end, while another send is open.

--- a/pkg/gateway/relaystream.go
+++ b/pkg/gateway/relaystream.go
@@ -133,6 +133,7 @@
 		err := s.forward(it.event)
 		return abandoned, err, err != nil
 	case it.err == nil:
+		s.writeHead()
 		return finished, nil, true
 	case ctx.Err() != nil:
 		return abandoned, ctx.Err(), true
@@ -151,11 +152,7 @@
 		s.attempts++
 		return broken, errors.Errorf("host %s answered %d", s.peer, a.Status), true
 	}
-	if s.headWritten {
-		return finished, nil, false
-	}
-	s.headWritten = true
-	s.j.out.BeginStream(a.Status, a.Header)
+	s.begin(a)
 	return finished, nil, false
 }
 
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -374,10 +374,9 @@
 		return broken, errors.Errorf("endpoint %s answered %d", s.path[0].ID, a.Status), true
 	}
 	if !s.headWritten {
-		s.headWritten = true
 		s.g.retryAfters.record(s.j.service.Name, false)
-		s.j.out.BeginStream(a.Status, a.Header)
 	}
+	s.begin(a)
 	return finished, nil, false
 }
 
@@ -402,10 +401,8 @@
 }
 
 func (s *streamRun) forward(ev event) error {
-	if s.suspended != nil {
-		s.countSuspended("taken_over")
-		s.dropSuspended()
-	}
+	s.takeOver()
+	s.writeHead()
 	if s.lastEvent == "" && s.callerLastEvent == "" || s.sends == 1 && s.lastEvent == "" {
 		metrics.Observe(s.g.metrics.Histogram("first_event_us"), s.g.svc.Now().Sub(s.j.req.Received))
 	}
@@ -423,6 +420,7 @@
 // handleEnd processes the end of the answer; err is nil if the stream is complete.
 func (s *streamRun) handleEnd(ctx context.Context, err error) (outcome, error) {
 	if err == nil {
+		s.writeHead()
 		return finished, nil
 	}
 	if ctx.Err() != nil {
--- a/pkg/gateway/suspend.go
+++ b/pkg/gateway/suspend.go
@@ -52,6 +52,14 @@
 	return true
 }
 
+// takeOver closes the suspended send, if there is one, since the current one goes on.
+func (s *streamRun) takeOver() {
+	if s.suspended != nil {
+		s.countSuspended("taken_over")
+		s.dropSuspended()
+	}
+}
+
 // dropSuspended closes the suspended send.
 func (s *streamRun) dropSuspended() {
 	if d := s.suspended; d != nil {
@@ -91,6 +99,26 @@
 	return s.suspended != nil && (len(s.suspended.reader.items) > 0 || s.suspended.hasNext())
 }
 
+// begin passes the head of the current answer on. While another send may still bring the first event,
+// it is kept until then.
+func (s *streamRun) begin(a *Answer) {
+	s.head = a
+	if s.suspended == nil {
+		s.writeHead()
+	}
+}
+
+// writeHead writes the head of the current answer, unless the caller has one.
+func (s *streamRun) writeHead() {
+	a := s.head
+	s.head = nil
+	if a == nil || s.headWritten {
+		return
+	}
+	s.headWritten = true
+	s.j.out.BeginStream(a.Status, a.Header)
+}
+
 // errOvertaken says that the stream isn't sent elsewhere, because its suspended send goes on. No
 // caller is told.
 var errOvertaken = failure.New(failure.Overloaded, "the endpoint goes on")
--- /dev/null
+++ b/pkg/gateway/suspendreview_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// headOutput also records the headers of a stream.
+type headOutput struct {
+	*fakeOutput
+	header http.Header
+}
+
+func (o *headOutput) BeginStream(status int, h http.Header) {
+	o.mu.Lock()
+	o.header = h
+	o.mu.Unlock()
+	o.fakeOutput.BeginStream(status, h)
+}
+
+var _ = Describe("a stream that is suspended", func() {
+	// Guards against an answer with the headers of one endpoint and the events of another one that
+	// it began at.
+	It("has the headers of the endpoint that sent its first event", func() {
+		withGateway(func(b *fixture) {
+			pipes := make(chan *io.PipeWriter, maxStreamSends)
+			answer := make(chan bool)
+			b.client.answer = func(n int, c *Call) (*Answer, error) {
+				if n == 1 {
+					<-answer
+				}
+				r, w := io.Pipe()
+				pipes <- w
+				return &Answer{Status: 200, Verified: true, Header: http.Header{"From": {c.ID}}, Body: r}, nil
+			}
+			b.client.setStallErr(errReset)
+			out, done := &headOutput{fakeOutput: &fakeOutput{}}, make(chan bool, 1)
+			background(func() {
+				b.gateway.Serve(context.Background(), b.request("stream"), out)
+				done <- true
+			})
+			sent := func() int { b.advance(50 * time.Millisecond); return len(b.client.sent()) }
+			Eventually(sent, "10s").Should(Equal(2))
+			var second, first *io.PipeWriter
+			Eventually(pipes, "5s").Should(Receive(&second))
+			b.advance(100 * time.Millisecond) // the head of the second one is read
+			close(answer)
+			Eventually(pipes, "5s").Should(Receive(&first))
+			_, _ = first.Write([]byte(events(1, 4)))
+			_ = first.Close()
+			Eventually(done, "5s").Should(Receive())
+			Expect(out.text()).To(Equal(events(1, 4)))
+			Expect(out.header.Get("From")).To(Equal(b.client.sent()[0].ID))
+		})
+	})
+})
