gateway: a suspended stream that is sent nowhere gives its reserved retry back

Each stream of a silent endpoint reserves a retry before it is known whether it can be sent elsewhere. If it couldn't, the retry stayed reserved until the stream ended and was lost then. So a pause of all endpoints used up the retry budget without one send, and streams that broke after it were cut.

The spec said before: expected false to be true (no retry is left).

--- a/pkg/gateway/retries.go
+++ b/pkg/gateway/retries.go
@@ -56,6 +56,13 @@
 	return true
 }
 
+// refund gives back a retry that was taken and not used.
+func (r *retryBucket) refund() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tokens++ // the next refill limits them
+}
+
 // size returns the most retries that may be spent at once.
 func (r *retryBucket) size(hosts int) float64 {
 	return max(1, burstShare*r.share(hosts))
--- a/pkg/gateway/suspend.go
+++ b/pkg/gateway/suspend.go
@@ -47,7 +47,10 @@
 	s.streamSend = d
 	s.attempts--
 	s.exhausted = nil
-	s.retryPaid = s.sends == s.suspendedAfter
+	s.retryPaid = false
+	if s.sends == s.suspendedAfter {
+		s.g.retries.refund()
+	}
 	delete(s.failedIDs, d.path[0].ID)
 	return true
 }
--- a/pkg/gateway/suspendreview_test.go
+++ b/pkg/gateway/suspendreview_test.go
@@ -58,4 +58,19 @@
 			Expect(out.header.Get("From")).To(Equal(b.client.sent()[0].ID))
 		})
 	})
+
+	// Guards against a retry budget that pauses of endpoints use up although nothing is sent.
+	It("gives back the retry that it reserved if it is sent nowhere", func() {
+		withSilentStream(func(b *fixture) {
+			b.gateway.retries.budget = RetryBudget{} // one retry, and no refill
+			for _, id := range []string{"x", "w"} {
+				b.gateway.Tracker().RecordSilence(id, "test")
+			}
+		}, func(s *silentStream) {
+			s.advance(1200 * time.Millisecond)
+			s.finish(s.first, events(2, 4))
+			Expect(s.client.sent()).To(HaveLen(1))
+			Expect(s.gateway.retries.withdraw(1)).To(BeTrue())
+		})
+	})
 })
