gateway: an endpoint that ends a stream which left a stalled stage isn't blamed for a crash

A stream that is sent elsewhere because of a stalled later stage now stays open at its first endpoint, which ends it when the stage has stalled for long enough. That was recorded as a crash of the first endpoint, under the request and each part of its prompt, though the endpoint had just answered. Before streams were suspended, such a send was closed and nothing was recorded.

The spec said before: one crash is reported, expected none.

--- a/pkg/gateway/streamsend.go
+++ b/pkg/gateway/streamsend.go
@@ -20,6 +20,7 @@
 	survived     bool      // it was written for quarantine.SurvivalTime
 	unsent       bool      // it reached no endpoint
 	silent       bool      // its endpoint left stall queries unanswered since the last event, which is recorded
+	stageStalled bool      // it was suspended although its first endpoint answers
 	head         *Answer   // to be written with the first event; nil if there is none
 	pending      *pendingSend
 	liveness     *livenessWatch // nil before it is relayed
--- a/pkg/gateway/suspend.go
+++ b/pkg/gateway/suspend.go
@@ -21,7 +21,8 @@
 // suspend keeps the current send open while the stream is sent elsewhere because of cause.
 func (s *streamRun) suspend(cause error) {
 	first := s.path[0].ID
-	if !errors.Is(cause, errResendElsewhere) {
+	s.stageStalled = errors.Is(cause, errResendElsewhere)
+	if !s.stageStalled {
 		s.g.tracker.RecordSilence(first, cause.Error())
 		s.g.logFailedAttempt(s.j, first, "silent", s.progressFields()...)
 	}
@@ -137,7 +138,7 @@
 		if notSent(it.err) {
 			s.attempts--
 		}
-		if connectionLost(it.err) {
+		if connectionLost(it.err) && !d.stageStalled {
 			s.recordCrashOf(d)
 		} else {
 			s.endSilence(d)
--- a/pkg/gateway/suspendreview_test.go
+++ b/pkg/gateway/suspendreview_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/larchwinch/larchwinch/pkg/fleet"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -73,4 +74,49 @@
 			Expect(s.gateway.retries.withdraw(1)).To(BeTrue())
 		})
 	})
+
+	// Guards against evidence of a crash of an endpoint that answers, but ended a stream because a
+	// later stage stalled.
+	It("isn't evidence of a crash if it left only because of a stalled stage", func() {
+		withGateway(func(b *fixture) {
+			far := func(id string, from, to int) fleet.Endpoint {
+				e := engineEndpoint(id, from, to)
+				e.Domain = "b"
+				return e
+			}
+			b.source.endpoints["llm"] = []fleet.Endpoint{engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4)}
+			pipes := make(chan *io.PipeWriter, maxStreamSends)
+			b.client.answer = func(int, *Call) (*Answer, error) {
+				r, w := io.Pipe()
+				pipes <- w
+				return &Answer{Status: 200, Verified: true, Body: r}, nil
+			}
+			out, done := &fakeOutput{}, make(chan bool, 1)
+			req := b.request("stream")
+			req.SharedParts = []string{"p1"}
+			background(func() {
+				b.gateway.Serve(context.Background(), req, out)
+				done <- true
+			})
+			var first, second *io.PipeWriter
+			Eventually(pipes, "5s").Should(Receive(&first))
+			_, _ = first.Write([]byte(events(1, 1)))
+			Eventually(out.text, "5s").Should(Equal(events(1, 1)))
+			b.source.change(func() {
+				b.source.endpoints["llm"] = append(b.source.endpoints["llm"], far("u", 0, 2), far("v", 2, 4))
+			})
+			b.client.stall("r1", "y:1")
+			b.advance(600 * time.Millisecond)
+			Eventually(pipes, "5s").Should(Receive(&second))
+			_ = first.CloseWithError(io.ErrUnexpectedEOF)
+			b.advance(100 * time.Millisecond)
+			_, _ = second.Write([]byte(events(2, 4)))
+			_ = second.Close()
+			Eventually(done, "5s").Should(Receive())
+			Expect(out.text()).To(Equal(events(1, 4)))
+			requests, _ := b.gateway.Quarantine().Unreported(1)
+			Expect(requests).To(BeEmpty())
+			Expect(b.gateway.Quarantine().UnreportedParts(1).Crashes).To(BeEmpty())
+		})
+	})
 })
