gateway, fleetcontrol: a stream leaves a second silent endpoint; a new leader waits before it tries a part

A stream that was open at two silent endpoints was never sent to a third or to another host, though attempts were left; the second of the two may be given up, since the first stays open. A leader knows nothing of its predecessor's trial of a quarantined part, and granted one more deadly request at each change of leader: it waits one grant interval.

--- a/pkg/fleetcontrol/parttrial.go
+++ b/pkg/fleetcontrol/parttrial.go
@@ -87,6 +87,9 @@
 	if p.Times > 1 || p.UntilMS <= wall.UnixMilli() || wall.Sub(time.UnixMilli(p.SinceMS)) < earlyTrialAge {
 		return false
 	}
+	if time.UnixMilli(p.SinceMS).Before(c.termWall) && now.Sub(c.termAt) < grantInterval {
+		return false // the leader before may have a trial under way
+	}
 	t := c.earlyTrialOf(f, p)
 	if t.failed || !t.survived && !wanted || !t.grantAt.IsZero() && now.Sub(t.grantAt) < t.interval {
 		return false
--- a/pkg/fleetcontrol/quarantine.go
+++ b/pkg/fleetcontrol/quarantine.go
@@ -40,6 +40,8 @@
 
 	mu        sync.Mutex
 	term      uint64                                 // in which the crashes were reported
+	termAt    time.Time                              // when this leader's term began
+	termWall  time.Time                              // the same, as the time of day
 	served    []quarantine.Fingerprint               // reported since the last takeServed
 	survived  []quarantine.Fingerprint               // quarantined parts, since the last takeSurvived
 	granted   map[quarantine.Fingerprint]grantRecord // parts on probation
@@ -122,6 +124,7 @@
 		return
 	}
 	c.term = term
+	c.termAt, c.termWall = c.svc.Now(), c.svc.Wall()
 	c.served = nil
 	c.survived = nil
 	c.fallen = nil
--- a/pkg/gateway/stall.go
+++ b/pkg/gateway/stall.go
@@ -79,7 +79,7 @@
 	}
 	s.g.recordRefused(first.ID, q.err)
 	switch {
-	case q.unresponsive() && !s.maySuspend():
+	case q.unresponsive() && !s.mayLeave():
 		w.arm(stallWait)
 	case q.unresponsive():
 		return errors.Wrap(q.err, "the first endpoint is silent")
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -323,13 +323,13 @@
 			}
 		case <-w.timer:
 			if err := w.check(ctx); err != nil {
-				return diverted, err
+				return s.leave(err)
 			}
 		case <-v.timer:
 			v.check(r)
 		case k := <-v.lost:
 			if err := v.replaceLost(ctx, k, r, w); err != nil {
-				return diverted, err
+				return s.leave(err)
 			}
 		case <-ctx.Done():
 			return abandoned, ctx.Err()
--- a/pkg/gateway/suspend.go
+++ b/pkg/gateway/suspend.go
@@ -13,21 +13,38 @@
 // suspended. The send that brings the next event goes on, and the other is closed. So silence alone
 // never ends an answer: an endpoint may go on after it, and every other one may fail to take over.
 
-// maySuspend reports whether the current send may be suspended. The retry is charged already then.
-func (s *streamRun) maySuspend() bool {
-	return s.suspended == nil && s.couldResume() && s.reserveRetry()
+// mayLeave reports whether the stream may leave the current endpoint, which is silent, for another
+// one. The retry is charged already then.
+func (s *streamRun) mayLeave() bool {
+	return s.couldResume() && s.reserveRetry()
 }
 
-// suspend keeps the current send open while the stream is sent elsewhere because of cause.
-func (s *streamRun) suspend(cause error) {
+// leave ends the relaying of the current send, because of which cause the stream is to be sent
+// elsewhere. The send is given up only if an earlier one stays open.
+func (s *streamRun) leave(cause error) (outcome, error) {
+	if s.suspended == nil {
+		return diverted, cause
+	}
+	s.noteSilence(cause)
+	s.attempts++
+	return broken, cause
+}
+
+// noteSilence keeps the stream off the current first endpoint, and records that it is silent.
+func (s *streamRun) noteSilence(cause error) {
 	first := s.path[0].ID
+	s.failedIDs[first] = true
 	s.stageStalled = errors.Is(cause, errResendElsewhere)
 	if !s.stageStalled {
 		s.g.tracker.RecordSilence(first, cause.Error())
 		s.g.logFailedAttempt(s.j, first, "silent", s.progressFields()...)
 	}
+}
+
+// suspend keeps the current send open while the stream is sent elsewhere because of cause.
+func (s *streamRun) suspend(cause error) {
+	s.noteSilence(cause)
 	_ = s.j.fingerprint() // from now on two goroutines may log attempts
-	s.failedIDs[first] = true
 	s.attempts++
 	s.suspended = s.streamSend
 	s.suspendedAfter = s.sends
