--- a/pkg/gateway/silences_test.go
+++ b/pkg/gateway/silences_test.go
@@ -186,6 +186,11 @@
 		It(c.name, func() {
 			withGateway(func(b *fixture) {
 				b.source.endpoints["llm"] = []fleet.Endpoint{engineEndpoint("x", 0, 2), engineEndpoint("y", 2, 4)}
+				cfg := configuration()
+				for i := range cfg.Routes {
+					cfg.Routes[i].MaxAttempts = 1 // otherwise the first request waits for another endpoint
+				}
+				b.source.view.Index = fleet.NewIndex(cfg)
 				b.client.answer = func(n int, _ *Call) (*Answer, error) {
 					if n == 1 { // the endpoint closed the kept connection, as it does with idle ones
 						return nil, &SendError{Sent: true, Cause: io.EOF}
