--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var scenarios = map[string]scenario{
 	"replaced-soon":     replacedSoon,
 	"replaced-and-lost": replacedAndLost,
+	"other-writer":      otherWriter,
 }
 
 func main() {
@@ -71,7 +72,7 @@
 	}
 	var servers []*server
 	for n := 1; n <= 2; n++ {
-		v, err := startServer(s, n, 20*time.Millisecond)
+		v, err := startServer(s, service, n, 20*time.Millisecond)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin/operator.go
+++ b/review/standin/operator.go
@@ -110,20 +110,24 @@
 const (
 	host    = "app.example"
 	service = "app"
+	ledger  = "ledger" // another service, for one route of its own
 	key     = "k1abcdefghij"
 	tenant  = "t1"
 )
 
-// config returns a config: a route of each plain kind to one service, with a tenant.
+// config returns a config: routes of the plain kinds to two services, with a tenant.
 func config(version int) []byte {
-	route := func(name, prefix, kind string) map[string]any {
+	route := func(name, prefix, kind, service string) map[string]any {
 		return map[string]any{"name": name, "host": host, "path_prefix": prefix, names["kind"]: kind,
 			"timeout_ms": 3000, "goal_ms": 300, "priority": 1, "service": service, "max_attempts": 2, "anonymous": false}
 	}
+	plain := func(name string) map[string]any {
+		return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false}
+	}
 	c := map[string]any{
 		"version":  version,
-		"routes":   []any{route("r-safe", "/safe/", "safe"), route("r-unsafe", "/unsafe/", "unsafe")},
-		"services": []any{map[string]any{"name": service, "health_path": "/healthz", "max_conns": 100, "protocol": "h1", "tls": false}},
+		"routes":   []any{route("r-safe", "/safe/", "safe", service), route("r-unsafe", "/unsafe/", "unsafe", service), route("r-ledger", "/ledger/", "unsafe", ledger)},
+		"services": []any{plain(service), plain(ledger)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": tenant, "api_keys": []string{key}, "priority": 1}},
 	}
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -16,6 +16,7 @@
 // server is a stand-in for a server of an ordinary service.
 type server struct {
 	sys     *system
+	service string
 	id      string
 	address string
 	zone    string
@@ -28,12 +29,13 @@
 	work time.Duration
 
 	mu   sync.Mutex
-	runs map[string]int
+	runs map[string]int // by request id
 }
 
-func startServer(s *system, n int, work time.Duration) (*server, error) {
+func startServer(s *system, name string, n int, work time.Duration) (*server, error) {
 	v := &server{
 		sys:     s,
+		service: name,
 		id:      fmt.Sprintf("i-%d", n),
 		address: fmt.Sprintf("%s.%d:8080", s.network, 100+n),
 		zone:    s.zone(n),
@@ -75,7 +77,7 @@
 	v.mu.Lock()
 	v.runs[id]++
 	v.mu.Unlock()
-	v.sys.rec.note("server %s runs request %s (%s %s, %d bytes, tenant %s)", v.id, id, r.Method, r.RequestURI, len(body), r.Header.Get(names["tenant"]))
+	v.sys.rec.note("server %s of %s runs request %s (%s %s, %d bytes, tenant %s)", v.id, v.service, id, r.Method, r.RequestURI, len(body), r.Header.Get(names["tenant"]))
 	select {
 	case <-time.After(v.work):
 	case <-r.Context().Done():
@@ -92,8 +94,7 @@
 	for n := 0; ; {
 		list := v.sys.controlAddresses()
 		if len(list) > 0 {
-			body, _ := json.Marshal(map[string]any{"service": service, "address": v.address, "zone": v.zone, "version": "v1",
-				"slots": 6, "state": "ready", "cold_left_ms": 0, "seq": v.seq.Add(1), "born": v.born})
+			body, _ := json.Marshal(v.report())
 			resp, err := client.Post("http://"+list[n%len(list)]+names["heartbeat"]+v.id, "application/json", bytes.NewReader(body))
 			if err == nil {
 				_ = resp.Body.Close()
@@ -112,6 +113,12 @@
 	}
 }
 
+// report is what it says of itself.
+func (v *server) report() map[string]any {
+	return map[string]any{"service": v.service, "address": v.address, "zone": v.zone, "version": "v1", "slots": 6,
+		"state": "ready", "cold_left_ms": 0, "stage": "both", "models": []any{}, "seq": v.seq.Add(1), "born": v.born}
+}
+
 func (v *server) stop() {
 	v.once.Do(func() {
 		close(v.stopped)
@@ -119,7 +126,8 @@
 	})
 }
 
-func (v *server) count(id string) int {
+// ran returns how often a request has run.
+func (v *server) ran(id string) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	return v.runs[id]
