review: case 4, a machine whose channels to all servers hang serves nothing

Cause: an endpoint counts as alive as soon as a connection to it opens. Ruled out: the servers (the other machines are served throughout), the calls between machines (untouched).

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"replaced-soon":     replacedSoon,
 	"replaced-and-lost": replacedAndLost,
 	"other-writer":      otherWriter,
+	"hung-channels":     hungChannels,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -48,6 +48,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if s.cut != nil {
+		l = &cutListener{Listener: l, cut: s.cut}
+	}
 	v.http = &http.Server{Handler: v}
 	go func() { _ = v.http.Serve(l) }()
 	go v.beat()
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -41,6 +41,7 @@
 	rec     *record
 	runs    map[string][]string // command by role
 	tmpl    string
+	cut     *cutState // of the servers' connections; nil if there is none
 
 	mu       sync.Mutex
 	machines map[int]*machine
