--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -43,6 +45,13 @@
 		return failed
 	}
 	defer s.stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.stop()
+		os.Exit(failed)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	ok, err := scenarios[name](s, trouble)
 	switch {
