raft: learners receive the log and count for no majority

Cause: a new replica could be given the log only by making it a member, so it counted for a majority before it held anything, or could even be reached. Change: Core.SetLearners names replicas that the leader replicates to like followers; commits, reads, the lease and the quorum check count members only, as before. Match tells how far one is. A learner that becomes a member keeps its progress. Evidence: two specs, of a learner's acknowledgements and of one that becomes a member.

--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -72,7 +72,7 @@
 // Invariants: term and commit never decrease; a replica votes at most once per
 // term; an entry at or below commit is never truncated; a leader advances commit
 // only to an entry of its own term that a majority holds, and counts itself only
-// for entries that are durable.
+// for entries that are durable. Only members count for a majority.
 type Core struct {
 	cfg Config
 
@@ -95,8 +95,10 @@
 	membersIndex uint64       // log index of members
 	baseMembers  *rpc.Members // membership at log.base
 
-	peers   map[uint64]*progress
-	durable uint64 // last entry that the owner reported as durable
+	// learners receive the log while this replica leads, but are no members.
+	learners []uint64
+	peers    map[uint64]*progress // of the other members and the learners
+	durable  uint64               // last entry that the owner reported as durable
 
 	round uint64 // last heartbeat round started; reads and the lease depend on it
 	reads []pendingRead
--- a/pkg/raft/core_test.go
+++ b/pkg/raft/core_test.go
@@ -27,9 +27,12 @@
 	return f.meta, f.state
 }
 
-func threeMembers() *rpc.Members {
+func threeMembers() *rpc.Members { return membersUpTo(3) }
+
+// membersUpTo returns the replicas 1 to n.
+func membersUpTo(n uint64) *rpc.Members {
 	m := &rpc.Members{}
-	for id := uint64(1); id <= 3; id++ {
+	for id := uint64(1); id <= n; id++ {
 		m.List = append(m.List, &rpc.Member{
 			Id: id,
 		})
@@ -137,6 +140,44 @@
 		Expect(err).To(HaveOccurred(), "a change must not add two replicas")
 	})
 
+	// Guards against a new replica that counts for a majority before it holds the log.
+	It("sends the log to a learner, which counts neither for commits nor for reads", func() {
+		c := newCore(fixedSnapshot{}, 1)
+		c.SetLearners([]uint64{4})
+		elect(c)
+		persist(c)
+		learner := func(index uint64) raft.Ready {
+			c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND_REPLY, From: 4, Term: c.Term(), LogIndex: index, Round: c.Round()})
+			return persist(c)
+		}
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND_REPLY, From: 4, Term: c.Term(), Reject: true, LogIndex: 1})
+		Expect(lastTo(persist(c), 4).GetEntries()).NotTo(BeEmpty())
+		Expect(c.ReadIndex(7)).To(Succeed())
+		c.HeartbeatForReads()
+		Expect(learner(c.LastIndex()).Reads).To(BeEmpty())
+		Expect(c.Commit()).To(Equal(uint64(1)))
+		Expect(c.QuorumRound()).To(BeZero())
+		Expect(c.Match(4)).To(Equal(c.LastIndex()))
+		Expect(ack(c, 2, c.Round()).Reads).To(HaveLen(1))
+	})
+
+	It("keeps what is known of a learner that becomes a member", func() {
+		c := newCore(fixedSnapshot{}, 1)
+		c.SetLearners([]uint64{4})
+		elect(c)
+		ack(c, 2, 0)
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND_REPLY, From: 4, Term: c.Term(), LogIndex: 2, Round: c.Round()})
+		_, _, err := c.ProposeMembers(membersUpTo(4))
+		Expect(err).NotTo(HaveOccurred())
+		c.SetLearners(nil)
+		Expect(c.Match(4)).To(Equal(uint64(2)))
+		persist(c)
+		ack(c, 3, 0)
+		Expect(c.Commit()).To(Equal(uint64(2)), "three of the four members must hold the change")
+		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND_REPLY, From: 4, Term: c.Term(), LogIndex: 3})
+		Expect(c.Commit()).To(Equal(uint64(3)))
+	})
+
 	It("refuses votes while a leader's lease may be valid", func() {
 		c := newCore(fixedSnapshot{}, 1)
 		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND, From: 2, Term: 1, LogIndex: 1, LogTerm: 1})
--- a/pkg/raft/members.go
+++ b/pkg/raft/members.go
@@ -58,16 +58,42 @@
 	return n > len(c.members.GetList())/2
 }
 
-// updatePeers adds and removes entries of peers to match the current membership.
+// SetLearners sets the replicas that receive the log whenever this replica leads. A
+// learner that is a member, too, counts as a member only.
+func (c *Core) SetLearners(ids []uint64) {
+	c.learners = ids
+	if c.role == Leader {
+		c.updatePeers()
+	}
+}
+
+// Match returns the last index that a replica is known to hold durably; 0 if this
+// replica isn't the leader, or the other one is neither a member nor a learner.
+func (c *Core) Match(id uint64) uint64 {
+	if c.role != Leader || id != c.cfg.ID && c.peers[id] == nil {
+		return 0
+	}
+	return c.matchOf(id)
+}
+
+// updatePeers adds and removes entries of peers to match the current membership and
+// the learners.
 func (c *Core) updatePeers() {
+	wanted := map[uint64]bool{}
+	for _, m := range c.members.GetList() {
+		wanted[m.GetId()] = true
+	}
+	for _, id := range c.learners {
+		wanted[id] = true
+	}
+	delete(wanted, c.cfg.ID)
 	for id := range c.peers {
-		if !c.isMember(id) {
+		if !wanted[id] {
 			delete(c.peers, id)
 		}
 	}
-	for _, m := range c.members.GetList() {
-		id := m.GetId()
-		if id == c.cfg.ID || c.peers[id] != nil {
+	for id := range wanted {
+		if c.peers[id] != nil {
 			continue
 		}
 		c.peers[id] = &progress{
