raft: followers of a lost leader campaign one after the other

Cause: all followers drew their election timeouts from the same range. Where a majority needs the votes of all that are left, as after the loss of the leader of three, two that campaign within the time of a vote split it, and the next try comes an election timeout later. Change: while a leader is known, each of its followers draws from a range of its own, in the order of ids after the leader's; the first begins a tick after the others' promises to the leader have ended. Ruled out: campaigning sooner when the leader's address refuses connections; a leader that stops may hold its lease for longer than its listener.

--- a/pkg/raft/core.go
+++ b/pkg/raft/core.go
@@ -9,6 +9,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
@@ -310,7 +311,39 @@
 
 func (c *Core) resetTimeout() {
 	c.electionElapsed = 0
+	c.drawTimeout()
+}
+
+// drawTimeout draws the election timeout. While a leader is known, each follower of it
+// draws from a range of its own, which begins a tick after the others' promises to the
+// leader have ended, so that two seldom campaign at once: a majority that needs all of
+// them would be split.
+func (c *Core) drawTimeout() {
 	c.electionTimeout = c.cfg.ElectionTicks + c.cfg.Rand.IntN(c.cfg.ElectionTicks)
+	rank, followers := c.rank()
+	width := c.cfg.ElectionTicks / max(followers, 1)
+	if rank < 0 || width < 2 {
+		return
+	}
+	c.electionTimeout = c.cfg.ElectionTicks + 1 + rank*width + c.cfg.Rand.IntN(width-1)
+}
+
+// rank returns this replica's position among the leader's followers, in the order of the
+// members' ids after the leader's, and their number; rank is negative if no leader is known
+// or this replica doesn't follow one.
+func (c *Core) rank() (rank, followers int) {
+	rank = -1
+	if c.leader == 0 || c.leader == c.cfg.ID {
+		return rank, 0
+	}
+	ids := make([]uint64, 0, len(c.members.GetList()))
+	for _, m := range c.members.GetList() {
+		if m.GetId() != c.leader {
+			ids = append(ids, m.GetId()-c.leader) // wraps around, so that ids above the leader's come first
+		}
+	}
+	slices.Sort(ids)
+	return slices.Index(ids, c.cfg.ID-c.leader), len(ids)
 }
 
 func (c *Core) send(m *rpc.RaftMessage) {
--- a/pkg/raft/core_test.go
+++ b/pkg/raft/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sort"
 	"testing"
 
 	"github.com/larchwinch/larchwinch/pkg/raft"
@@ -178,6 +179,40 @@
 		Expect(c.Commit()).To(Equal(uint64(3)))
 	})
 
+	// Guards against elections that are split among all followers of a lost leader, whose votes
+	// a majority needs.
+	It("lets the followers of a lost leader campaign one after the other", func() {
+		for _, n := range []uint64{3, 5} {
+			for seed := range uint64(200) {
+				var began []int
+				for id := uint64(1); id < n; id++ {
+					c := raft.New(raft.Config{
+						ID:             id,
+						ElectionTicks:  electionTicks,
+						HeartbeatTicks: 2,
+						MaxAppendBytes: 1,
+						ChunkBytes:     4,
+						Rand:           rand.New(rand.NewPCG(seed, id)),
+						Snapshots:      fixedSnapshot{},
+					}, raft.Bootstrap(membersUpTo(n)))
+					c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND, From: n, Term: 1, LogIndex: 1, LogTerm: 1})
+					ticks := 0
+					for c.Role() != raft.PreCandidate {
+						c.Tick()
+						ticks++
+					}
+					began = append(began, ticks)
+				}
+				sort.Ints(began)
+				Expect(began[0]).To(BeNumerically(">", electionTicks), "later than the promise to the leader")
+				Expect(began[len(began)-1]).To(BeNumerically("<", 2*electionTicks))
+				for i := range began[1:] {
+					Expect(began[i+1]-began[i]).To(BeNumerically(">=", 2), "%d members, seed %d: %v", n, seed, began)
+				}
+			}
+		}
+	})
+
 	It("refuses votes while a leader's lease may be valid", func() {
 		c := newCore(fixedSnapshot{}, 1)
 		c.Step(&rpc.RaftMessage{Kind: rpc.RaftKind_RAFT_APPEND, From: 2, Term: 1, LogIndex: 1, LogTerm: 1})
--- a/pkg/raft/members.go
+++ b/pkg/raft/members.go
@@ -6,6 +6,7 @@
 // safety, Raft uses a membership from the time it is appended, not from its
 // commit.
 func (c *Core) updateMembers() {
+	before := c.members
 	c.members = c.baseMembers
 	c.membersIndex = c.log.base
 	for i := len(c.log.entries) - 1; i >= 0; i-- {
@@ -18,6 +19,9 @@
 	if c.role == Leader {
 		c.updatePeers()
 	}
+	if c.members != before {
+		c.drawTimeout() // its range depends on the members
+	}
 }
 
 // membersAt returns the membership at index.
--- a/pkg/raft/replicate.go
+++ b/pkg/raft/replicate.go
@@ -152,10 +152,14 @@
 }
 
 func (c *Core) followLeader(id uint64) {
+	isNew := c.leader != id
 	if c.role != Follower {
 		c.becomeFollower(c.term, id)
 	}
 	c.leader = id
+	if isNew {
+		c.drawTimeout()
+	}
 	c.electionElapsed = 0
 }
 
