fleetcontrol: a member of the log that is gone is removed or replaced within a second

There was never a leader again: no configuration was accepted or read back (503), and requests with a key got 503.

Cause: the new host had been added as a fourth member, and the removed one counted as a member for 4 s of silence. Three of four had to agree meanwhile; one was gone, and the disk that was lost took the second, which came back under a new id that only a leader could add. A fourth member bears no more losses than three, and has the removed one counted until it is out.

Ruled out: the newcomer's log (it had acknowledged for 7 s); the disk (identity and log were read whole); elections (each of the two had the other's pre-vote, and needed a third).

Change: who votes is decided by package quorum, a pure function of what the leader knows of each replica, over pkg/quorum's tracker of messages, requests and pauses. - A new replica asks all control hosts for a place, and is a learner first. It becomes a member when it holds the log and answers, if it takes the place of another or makes the number of members odd. - A member that is silent for 0.5 s, or 0.2 s while its address refuses connections, is removed if enough others stay, or replaced by a learner at once; if the others can bear the losses without it, after 4 s as before. If there is no other, it stays a member however long it is silent. - One at whose address another replica answers is replaced at once: its disk is gone. - No change is made that the members which respond couldn't commit. A leader that was just elected or was suspended waits until it could have heard the others. - A replica knows the addresses of members and learners from the moment a change is appended, and those of senders from their messages: one that had missed a change of the members couldn't answer a leader that its log didn't name, so it never got the change. - One that was removed while it was cut off asks again once it has known no leader for a second. It used to wait for silence, and refusals of its votes would be none. - Leaves of endpoints are sent to learners as well, and acknowledged by a majority of the members. How many more members may be lost is a metric of the leader (replicas_spare_losses), and a log line with the members that are waited for when it changes.

Weighed: a shorter time-out for the fourth member alone (it would still make elections after the loss of a leader depend on all three that are left, and a newcomer would still count before it can be reached); votes for learners by a flag in the log (two builds would count differently). With four hosts, two that are gone at the same moment can't be borne by any rule; the time until one more loss is borne is the time to notice the first.

--- a/pkg/control/server.go
+++ b/pkg/control/server.go
@@ -94,7 +94,7 @@
 		Tick:         cfg.Tick.Or(defaultTick),
 		Store:        st,
 		StateMachine: s.stateMachine,
-		Transport:    replica.NewTwirpTransport(cfg.ID, clients.RPC, g),
+		Transport:    replica.NewTwirpTransport(cfg.ID, "", clients.RPC, g),
 		Timer:        svc,
 		Seed:         uint64(svc.Now().UnixNano()),
 	}
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -57,6 +57,8 @@
 	ReadyChanged       Event = "ready_changed"
 	RoleChanged        Event = "role_changed"
 	ReplicasChanged    Event = "replicas_changed"
+	ReplicasUnchanged  Event = "replicas_unchanged"
+	ReplicasSpare      Event = "replicas_spare"
 	ReplicaJoining     Event = "replica_joining"
 	StorageFailed      Event = "storage_failed"
 	StorageRecovered   Event = "storage_recovered"
@@ -79,7 +81,7 @@
 	EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
 	ServiceUnreachable, ServiceReachable,
 	ConfigInForce, ConfigAccepted, ConfigRefused, ConfigFailed,
-	ControlLost, ControlRegained, ReadyChanged, RoleChanged, ReplicasChanged, ReplicaJoining,
+	ControlLost, ControlRegained, ReadyChanged, RoleChanged, ReplicasChanged, ReplicasUnchanged, ReplicasSpare, ReplicaJoining,
 	StorageFailed, StorageRecovered, RequestHeld, RequestReleased, PartHeld, PartTried, PartReleased, AdmissionChanged, OrderSent, OrderFailed, Unexpected,
 }
 
--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +45,8 @@
 }
 
 // propagate sends an endpoint to the other replicas without waiting for the next
-// regular round. It fails unless a majority of the replicas, this one included, has it
-// before the calls time out.
+// regular round. It fails unless a majority of the replicas that elect leaders, this one
+// included, has it before the calls time out.
 func (s *Server) propagate(ctx context.Context, e fleet.Endpoint) error {
 	e.LastHeartbeat = s.cfg.Timer.Now()
 	others, acknowledged := s.propagateBatched(ctx, e)
@@ -55,11 +56,20 @@
 	return nil
 }
 
-// otherReplicas returns the addresses of the other replicas; the seeds' addresses
-// while the log doesn't name the members.
+// otherReplicas returns the addresses of the other replicas, learners included; the
+// seeds' addresses while the log doesn't name the members.
 func (s *Server) otherReplicas() []string {
+	return s.others(s.replica.Members())
+}
+
+// otherVoters returns the addresses of the other replicas that elect leaders; the seeds'
+// addresses while the log doesn't name the members.
+func (s *Server) otherVoters() []string {
+	return s.others(s.replica.Voters())
+}
+
+func (s *Server) others(addresses []string) []string {
 	var list []string
-	addresses := s.replica.Members()
 	if len(addresses) == 0 {
 		addresses = s.seedAddresses()
 	}
@@ -71,9 +81,9 @@
 	return list
 }
 
-// sendAnnouncements sends announcements to other replicas, and returns how many
-// acknowledged them.
-func (s *Server) sendAnnouncements(ctx context.Context, to []string, list []fleet.Endpoint) int64 {
+// sendAnnouncements sends announcements to other replicas, and returns how many of
+// those that elect leaders acknowledged them.
+func (s *Server) sendAnnouncements(ctx context.Context, to, voters []string, list []fleet.Endpoint) int64 {
 	ctx, cancel := context.WithTimeout(ctx, replicaCallTimeout)
 	defer cancel()
 	acknowledged := atomic.Int64{}
@@ -88,7 +98,9 @@
 				s.cfg.Metrics.Counter("spread_failures").Inc(1) // sent again by propagateAnnounced
 				return
 			}
-			acknowledged.Add(1)
+			if slices.Contains(voters, address) {
+				acknowledged.Add(1)
+			}
 		})
 	}
 	g.Wait()
@@ -126,7 +138,7 @@
 			return
 		}
 		if list := s.table.AnnouncedWithin(propagateInterval + propagateInterval/2); len(list) > 0 {
-			s.sendAnnouncements(ctx, []string{leader}, list)
+			s.sendAnnouncements(ctx, []string{leader}, nil, list)
 		}
 	})
 }
--- a/pkg/fleetcontrol/propagation.go
+++ b/pkg/fleetcontrol/propagation.go
@@ -26,12 +26,12 @@
 // is closed.
 type propagationBatch struct {
 	done         chan struct{}
-	others       int   // replicas that the batch was sent to
+	others       int   // other replicas that elect leaders
 	acknowledged int64 // how many of them acknowledged it
 }
 
-// propagateBatched sends an announcement with the next batch. It returns to how many
-// other replicas the batch was sent, and how many acknowledged it; both are 0 if ctx
+// propagateBatched sends an announcement with the next batch. It returns how many other
+// replicas elect leaders, and how many of them acknowledged the batch; both are 0 if ctx
 // ended before.
 func (s *Server) propagateBatched(ctx context.Context, e fleet.Endpoint) (others int, acknowledged int64) {
 	s.propagator.mu.Lock()
@@ -60,8 +60,8 @@
 	list, batch := s.propagator.pending, s.propagator.batch
 	s.propagator.pending, s.propagator.batch = nil, nil
 	s.propagator.mu.Unlock()
-	others := s.otherReplicas()
-	batch.others = len(others)
-	batch.acknowledged = s.sendAnnouncements(ctx, others, list)
+	voters := s.otherVoters()
+	batch.others = len(voters)
+	batch.acknowledged = s.sendAnnouncements(ctx, s.otherReplicas(), voters, list)
 	close(batch.done)
 }
--- /dev/null
+++ b/pkg/fleetcontrol/replace_test.go
@@ -0,0 +1,74 @@
+package fleetcontrol
+
+import (
+	"context"
+	"time"
+
+	"github.com/larchwinch/larchwinch/pkg/rpc"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// replacementIP is the address of a control host that isn't an initial member.
+const replacementIP = "127.0.1.4"
+
+// startReplacement starts a fourth control host, and waits until it holds the log.
+func (c *cluster) startReplacement(version uint64) {
+	c.start(replacementIP, false)
+	Eventually(func() uint64 {
+		if _, machine := c.hosts[replacementIP].server.replica.current(); machine != nil {
+			return machine.Document().GetVersion()
+		}
+		return 0
+	}, "10s", "20ms").Should(Equal(version), c.describe)
+}
+
+// newest returns the version of the configuration that a leader reads back, or 0.
+func (c *cluster) newest() uint64 {
+	for _, h := range c.hosts {
+		if doc, err := h.server.Newest(context.Background(), &rpc.Empty{}); err == nil {
+			return doc.GetVersion()
+		}
+	}
+	return 0
+}
+
+// Guards against a replica that is gone and still counts for a majority, so that the loss of one
+// disk right after its removal leaves no majority for good: review of CONFIG.
+var _ = Describe("a control host that was replaced", func() {
+	for _, one := range []struct {
+		name          string
+		removesLeader bool
+		losesLeader   bool
+	}{
+		{"a follower is removed, and a follower's disk is lost", false, false},
+		{"a follower is removed, and the leader's disk is lost", false, true},
+		{"the leader is removed, and a follower's disk is lost", true, false},
+		{"the leader is removed, and the next leader's disk is lost", true, true},
+	} {
+		It("no longer counts when a disk is lost a second after it is gone: "+one.name, func() {
+			withCluster(func(c *cluster) {
+				lead := c.leader()
+				c.replaceConfig(lead, document(3, "a"))
+				c.startReplacement(3)
+				time.Sleep(time.Second)
+				removed := lead
+				if !one.removesLeader {
+					removed = c.otherHost(lead)
+				}
+				c.stop(removed)
+				time.Sleep(time.Second)
+				next := c.leader()
+				lost := next
+				if !one.losesLeader {
+					lost = c.otherHost(next)
+				}
+				c.stop(lost)
+				c.wipe(lost)
+				c.start(lost, false)
+				Eventually(c.newest, "10s", "50ms").Should(Equal(uint64(3)), c.describe)
+				c.replaceConfig(lost, document(5, "b"))
+			})
+		})
+	}
+})
--- a/pkg/fleetcontrol/replica.go
+++ b/pkg/fleetcontrol/replica.go
@@ -5,12 +5,15 @@
 	"net"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/eventlog"
 	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/metrics"
+	"github.com/larchwinch/larchwinch/pkg/quorum"
 	"github.com/larchwinch/larchwinch/pkg/raft"
 	"github.com/larchwinch/larchwinch/pkg/replica"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
@@ -27,9 +30,9 @@
 	// reopenDelay is how long a replica whose storage failed waits before it opens the
 	// folder again.
 	reopenDelay = 500 * time.Millisecond
-	// joinSilence is how long a replica receives nothing before it asks whether it is
-	// still a member: longer than an election takes.
-	joinSilence  = 2 * time.Second
+	// joinSilence is how long a replica knows no leader before it asks to join again:
+	// longer than an election takes.
+	joinSilence  = time.Second
 	joinInterval = 500 * time.Millisecond
 	// claimWindow is required by the state machine, but deployments with full
 	// configurations don't use it.
@@ -48,25 +51,24 @@
 // Replica is one replica of the log. It recovers from storage failures: it opens the
 // folder again, and if the disk was replaced it joins under a new id.
 type Replica struct {
-	folder          string
-	ip              string
-	port            string
-	bootstrap       Bootstrap
-	toleratedLosses int
-	seedAddresses   func() []string
-	client          *http.Client
-	svc             timer.Service
-	log             *eventlog.Log
+	folder        string
+	ip            string
+	port          string
+	bootstrap     Bootstrap
+	seedAddresses func() []string
+	client        *http.Client
+	svc           timer.Service
+	log           *eventlog.Log
+	metrics       *metrics.Set
+	tracker       *quorum.Tracker
 
 	mu      sync.Mutex
 	node    *replica.Node
 	machine *state.Machine
 	// transport belongs to node.
-	transport    replica.Transport
+	transport    *replica.TwirpTransport
 	id           uint64
-	receivedAt   map[uint64]time.Time
 	caughtUpTerm uint64 // term in which a read barrier has passed
-	installedAt  time.Time
 	// lastObserved is what a host without a disk last learned about the replicas.
 	lastObserved *rpc.JoinReply
 }
@@ -150,7 +152,7 @@
 	g := group.New(ctx)
 	defer g.Stop()
 	machine := state.New(claimWindow.Milliseconds())
-	transport := replica.NewTwirpTransport(id, r.client, g)
+	transport := replica.NewTwirpTransport(id, r.address(), r.client, g)
 	node, err := replica.New(replica.Config{
 		ID:           id,
 		Tick:         raftTick,
@@ -167,20 +169,20 @@
 	opened()
 	r.install(node, machine, transport, id)
 	defer r.install(nil, nil, nil, 0)
-	g.Go(r.maintainMembership)
+	g.Go(r.maintainMembers)
+	g.Go(r.maintainPeers)
 	return node.Run(ctx)
 }
 
-func (r *Replica) install(node *replica.Node, machine *state.Machine, transport replica.Transport, id uint64) {
+func (r *Replica) install(node *replica.Node, machine *state.Machine, transport *replica.TwirpTransport, id uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.node = node
 	r.machine = machine
 	r.transport = transport
 	r.id = id
-	r.receivedAt = map[uint64]time.Time{}
 	r.caughtUpTerm = 0
-	r.installedAt = r.svc.Now()
+	r.tracker.Restart()
 }
 
 // current returns the running node and its state machine; nil while storage fails.
@@ -195,14 +197,16 @@
 func (r *Replica) Deliver(batch *rpc.RaftBatch) {
 	r.mu.Lock()
 	node := r.node
-	now := r.svc.Now()
 	addressed := make([]*rpc.RaftMessage, 0, len(batch.GetMessages()))
 	for _, m := range batch.GetMessages() {
 		if m.GetTo() == r.id {
-			r.receivedAt[m.GetFrom()] = now
+			r.tracker.Heard(m.GetFrom())
 			addressed = append(addressed, m)
 		}
 	}
+	if node != nil && len(addressed) > 0 {
+		r.transport.Learn(addressed[0].GetFrom(), batch.GetAddress())
+	}
 	r.mu.Unlock()
 	if node != nil && len(addressed) > 0 {
 		node.Deliver(addressed)
@@ -255,36 +259,33 @@
 	return node.Propose(ctx, data)
 }
 
-// Members returns the addresses of the replicas.
+// Members returns the addresses of the members of the log and of the learners.
 func (r *Replica) Members() []string {
+	list := r.Voters()
+	node, _ := r.current()
+	if node == nil {
+		return list
+	}
+	for _, m := range r.tracker.Learners(memberState(node.Status())) {
+		if !slices.Contains(list, m.GetAddress()) {
+			list = append(list, m.GetAddress())
+		}
+	}
+	return list
+}
+
+// Voters returns the addresses of the members of the log.
+func (r *Replica) Voters() []string {
 	members := r.observed().GetMembers()
 	if node, _ := r.current(); node != nil {
 		members = node.Status().Members
 	}
-	var list []string
-	for _, m := range members.GetList() {
-		list = append(list, m.GetAddress())
-	}
-	return list
+	return addresses(members)
 }
 
 func (r *Replica) address() string {
 	return net.JoinHostPort(r.ip, r.port)
 }
 
-// silentFor returns how long nothing was received from a member. Time before since, and
-// before this node was installed, doesn't count.
-func (r *Replica) silentFor(id uint64, since time.Time) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	at := r.receivedAt[id]
-	for _, floor := range []time.Time{since, r.installedAt} {
-		if at.Before(floor) {
-			at = floor
-		}
-	}
-	return r.svc.Now().Sub(at)
-}
-
 // errNotOpen is returned while the replica's storage is not open.
 var errNotOpen = errors.New("the replica's storage is being opened again")
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -17,6 +17,7 @@
 	"github.com/larchwinch/larchwinch/pkg/metrics"
 	"github.com/larchwinch/larchwinch/pkg/permit"
 	"github.com/larchwinch/larchwinch/pkg/placement"
+	"github.com/larchwinch/larchwinch/pkg/quorum"
 	"github.com/larchwinch/larchwinch/pkg/registry"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
@@ -175,16 +176,16 @@
 	}
 	s.admission = newAdmissionControl(admission.NewAllocator(cfg.Timer), s.table, cfg.Log, cfg.Metrics)
 	s.replica = &Replica{
-		folder:          cfg.Folder,
-		ip:              cfg.IP,
-		port:            cfg.Port,
-		bootstrap:       cfg.Bootstrap,
-		toleratedLosses: cfg.ToleratedLosses,
-		seedAddresses:   s.seedAddresses,
-		client:          cfg.Client,
-		svc:             cfg.Timer,
-		log:             cfg.Log,
-		receivedAt:      map[uint64]time.Time{},
+		folder:        cfg.Folder,
+		ip:            cfg.IP,
+		port:          cfg.Port,
+		bootstrap:     cfg.Bootstrap,
+		seedAddresses: s.seedAddresses,
+		client:        cfg.Client,
+		svc:           cfg.Timer,
+		log:           cfg.Log,
+		metrics:       cfg.Metrics,
+		tracker:       quorum.NewTracker(cfg.Timer, cfg.ToleratedLosses),
 	}
 	s.leadership = s.replica
 	s.endpointClient = newEndpointClient(cfg.Orders, s.table, s.granter, cfg.Timer, cfg.Log)
@@ -237,8 +238,8 @@
 }
 
 // Join implements rpc.Fleet.
-func (s *Server) Join(ctx context.Context, q *rpc.JoinRequest) (*rpc.JoinReply, error) {
-	return s.replica.handleJoin(ctx, q)
+func (s *Server) Join(_ context.Context, q *rpc.JoinRequest) (*rpc.JoinReply, error) {
+	return s.replica.handleJoin(q)
 }
 
 // expireHosts forgets the entry hosts that are gone.
--- a/pkg/replica/apply.go
+++ b/pkg/replica/apply.go
@@ -11,6 +11,7 @@
 	for {
 		n.core.HeartbeatForReads()
 		n.recordRoundStart()
+		n.updateTransport()
 		rd := n.core.Ready()
 		if rd.Empty() {
 			n.publishStatus()
@@ -64,7 +65,6 @@
 		}
 		n.applied = e.GetIndex()
 		if e.GetMembers() != nil {
-			n.cfg.Transport.SetMembers(n.core.Members())
 			logflags.Info(logflags.Raft, "replicas changed", "members", e.GetMembers().String())
 		}
 		n.answerProposal(e, reply)
--- a/pkg/replica/lease.go
+++ b/pkg/replica/lease.go
@@ -23,6 +23,9 @@
 	// one's.
 	LeaseUntil time.Time
 	LogBytes   int64
+	// Match is the last index that each member and learner is known to hold durably; it
+	// is nil if this replica is not the leader.
+	Match map[uint64]uint64
 }
 
 type guardedStatus struct {
@@ -58,12 +61,23 @@
 	}
 	if s.Role == raft.Leader {
 		s.LeaseUntil = n.leaseUntil()
+		s.Match = n.match()
 	}
 	n.status.mu.Lock()
 	defer n.status.mu.Unlock()
 	n.status.s = s
 }
 
+func (n *Node) match() map[uint64]uint64 {
+	out := make(map[uint64]uint64, len(n.learners)+len(n.core.Members().GetList()))
+	for _, list := range [][]*rpc.Member{n.core.Members().GetList(), n.learners} {
+		for _, m := range list {
+			out[m.GetId()] = n.core.Match(m.GetId())
+		}
+	}
+	return out
+}
+
 // recordRoundStart records the start time of the current heartbeat round before
 // its messages are sent.
 func (n *Node) recordRoundStart() {
--- a/pkg/replica/node.go
+++ b/pkg/replica/node.go
@@ -24,10 +24,10 @@
 }
 
 // Transport sends messages to other replicas. Send does not block and may lose
-// messages.
+// messages. SetReplicas sets the replicas that it must know the addresses of.
 type Transport interface {
 	Send(messages []*rpc.RaftMessage)
-	SetMembers(members *rpc.Members)
+	SetReplicas(replicas []*rpc.Member)
 }
 
 // Config configures a Node. Every field must be set except AppendBytes,
@@ -97,6 +97,8 @@
 	requests chan request
 	status   guardedStatus
 
+	learners    []*rpc.Member
+	reachable   *rpc.Members        // members whose addresses the transport knows
 	proposals   map[uint64]proposal // by log index
 	reads       map[uint64]chan result
 	nextID      uint64
@@ -105,10 +107,12 @@
 }
 
 type request struct {
-	data    []byte
-	members *rpc.Members
-	read    bool
-	reply   chan result
+	data        []byte
+	members     *rpc.Members
+	learners    []*rpc.Member
+	setLearners bool
+	read        bool
+	reply       chan result // nil if setLearners is set
 }
 
 type result struct {
@@ -157,7 +161,7 @@
 		Rand:           rand.New(rand.NewPCG(cfg.Seed, cfg.ID)),
 		Snapshots:      cfg.Store,
 	}, d)
-	cfg.Transport.SetMembers(n.core.Members())
+	n.updateTransport()
 	n.publishStatus()
 	return n, nil
 }
@@ -217,6 +221,21 @@
 	return err
 }
 
+// SetLearners sets the replicas that receive the log whenever this replica leads, and
+// don't vote until they are members. It does not block, and returns false if the queue is
+// full.
+func (n *Node) SetLearners(learners []*rpc.Member) bool {
+	select {
+	case n.requests <- request{
+		learners:    learners,
+		setLearners: true,
+	}:
+		return true
+	default:
+		return false
+	}
+}
+
 // ReadBarrier returns once the local state includes every write that was
 // acknowledged before the call. It fails with a NotLeaderError if this replica
 // is not the leader.
@@ -265,6 +284,8 @@
 
 func (n *Node) handleRequest(r request) {
 	switch {
+	case r.setLearners:
+		n.handleLearners(r.learners)
 	case r.read:
 		n.handleRead(r)
 	case r.members != nil:
@@ -276,6 +297,29 @@
 	}
 }
 
+func (n *Node) handleLearners(learners []*rpc.Member) {
+	n.learners = learners
+	ids := make([]uint64, 0, len(learners))
+	for _, m := range learners {
+		ids = append(ids, m.GetId())
+	}
+	n.core.SetLearners(ids)
+	n.reachable = nil
+}
+
+// updateTransport tells the transport the addresses of the members and the learners
+// when they change. A change of members takes effect before it is committed, and may
+// need the answers of a new member to be.
+func (n *Node) updateTransport() {
+	members := n.core.Members()
+	if n.reachable == members {
+		return
+	}
+	n.reachable = members
+	replicas := append([]*rpc.Member(nil), members.GetList()...)
+	n.cfg.Transport.SetReplicas(append(replicas, n.learners...))
+}
+
 func (n *Node) trackProposal(r request, index, term uint64, err error) {
 	if err != nil {
 		r.reply <- result{
--- a/pkg/replica/sim_faults_test.go
+++ b/pkg/replica/sim_faults_test.go
@@ -127,7 +127,8 @@
 	case hasRemoved:
 	case !hasAdded:
 		next.List = append(next.List, &rpc.Member{
-			Id: s.replacing.addedID,
+			Id:      s.replacing.addedID,
+			Address: s.hosts[s.replacing.addedID].address,
 		})
 	case !containsMember(h.node.core.MembersAt(h.node.core.Commit()), s.replacing.addedID):
 		return // not committed: the change may still be lost with this leader
--- a/pkg/replica/sim_test.go
+++ b/pkg/replica/sim_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/fake/fakedisk"
+	"github.com/larchwinch/larchwinch/pkg/quorum"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/store"
 	"github.com/larchwinch/larchwinch/pkg/timer"
@@ -52,9 +53,14 @@
 
 // simHost is a replica with the disk and clock of its host.
 type simHost struct {
-	sim          *simulation
-	id           uint64
-	disk         *fakedisk.Disk
+	sim     *simulation
+	id      uint64
+	address string
+	disk    *fakedisk.Disk
+	// reachable are the replicas whose addresses the host knows: those that the log or a
+	// message named.
+	reachable    map[uint64]bool
+	tracker      *quorum.Tracker
 	clock        *timer.Manual
 	clockRate    float64 // of its clock relative to simulated time
 	node         *Node
@@ -65,11 +71,17 @@
 
 func (h *simHost) Send(messages []*rpc.RaftMessage) {
 	for _, m := range messages {
-		h.sim.network = append(h.sim.network, proto.Clone(m).(*rpc.RaftMessage))
+		if h.reachable[m.GetTo()] {
+			h.sim.network = append(h.sim.network, proto.Clone(m).(*rpc.RaftMessage))
+		}
 	}
 }
 
-func (h *simHost) SetMembers(*rpc.Members) {}
+func (h *simHost) SetReplicas(list []*rpc.Member) {
+	for _, m := range list {
+		h.reachable[m.GetId()] = true
+	}
+}
 
 func (h *simHost) up() bool {
 	return h.node != nil && !h.frozen
@@ -110,6 +122,7 @@
 	removed        map[uint64]bool   // replaced, but still running
 	longestHistory []uint64          // longest history that any host has applied
 	leaderByTerm   map[uint64]uint64 // leader's host by term
+	tolerated      int               // replicas that may be lost at once
 	nextValue      uint64
 	err            error
 }
@@ -121,11 +134,13 @@
 		members:      &rpc.Members{},
 		blockedLinks: map[[2]uint64]bool{},
 		leaderByTerm: map[uint64]uint64{},
+		tolerated:    (n - 1) / 2,
 		removed:      map[uint64]bool{},
 	}
 	for id := uint64(1); id <= uint64(n); id++ {
 		s.members.List = append(s.members.List, &rpc.Member{
-			Id: id,
+			Id:      id,
+			Address: fmt.Sprint("host-", id),
 		})
 	}
 	for id := uint64(1); id <= uint64(n); id++ {
@@ -139,6 +154,7 @@
 	s.hosts[id] = &simHost{
 		sim:       s,
 		id:        id,
+		address:   fmt.Sprint("host-", id),
 		disk:      fakedisk.New(s.rnd),
 		clock:     timer.NewManual(time.Unix(1_000_000, 0)),
 		clockRate: 0.96 + 0.08*s.rnd.Float64(),
@@ -156,6 +172,8 @@
 		return
 	}
 	h.incarnation++
+	h.reachable = map[uint64]bool{}
+	h.tracker = quorum.NewTracker(h.clock, s.tolerated)
 	h.stateMachine = &history{}
 	cfg := Config{
 		ID:           id,
@@ -248,6 +266,8 @@
 	if h.node == nil {
 		return
 	}
+	h.reachable[m.GetFrom()] = true
+	h.tracker.Heard(m.GetFrom())
 	h.node.core.Step(m)
 	s.advance(h)
 }
