fleetcontrol, fleetcmd: a replica that stops as planned is replaced before it ends

Cause: related to the fault of a removed member that counts on. A control host that gets SIGTERM ended without a word, so its place in the log had to be found empty, as after a kill. Change: on SIGTERM it sends the leader a Join call that says so, and waits, a second at most, while the leader replaces it: a learner is added first, as the stopping member still counts until it ends. Where no other can take its place (three control hosts, one of which is restarted) nothing changes, and it doesn't wait. Evidence: five specs on real replicas. What is lost before the others notice the first loss can't be borne.

--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -31,6 +31,9 @@
 	// shorter time costs CPU, a longer one keeps callers at hosts that have left.
 	directoryMaxAge  = 2 * time.Second
 	controlDrainTime = 300 * time.Millisecond
+	// replaceTimeout is how long a control host that stops waits until other replicas need
+	// no vote of it. A change of the members takes two syncs of their disks.
+	replaceTimeout = time.Second
 	// closeTimeout is how long closing a server waits for answers to be sent. A handler that has
 	// returned needs less than a millisecond.
 	closeTimeout = 50 * time.Millisecond
@@ -68,8 +71,11 @@
 		{address: net.JoinHostPort(cfg.IP, cfg.ControlPort()), handler: fleetcontrol.Forwarded(s.RPC())},
 		{address: net.JoinHostPort(cfg.IP, controlMetricsPort), handler: p.set.Handler()},
 	}, s.Run, func(ctx context.Context) {
+		replaceCtx, cancel := context.WithTimeout(ctx, replaceTimeout)
+		defer cancel()
+		s.AnnounceStop(replaceCtx)
 		_ = timer.Sleep(ctx, p.svc, controlDrainTime) // calls in progress get their answers
-	}, controlDrainTime)
+	}, replaceTimeout+controlDrainTime)
 }
 
 func serveEntry(p *process) error {
--- a/pkg/fleetcontrol/join.go
+++ b/pkg/fleetcontrol/join.go
@@ -13,6 +13,9 @@
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
+// stopInterval is how often a replica that stops repeats its announcement.
+const stopInterval = 50 * time.Millisecond
+
 // maintainPeers tells the seed hosts the members, and asks the others to add this replica
 // if it may no longer be a member.
 func (r *Replica) maintainPeers(ctx context.Context) {
@@ -99,9 +102,9 @@
 	}
 }
 
-// handleJoin answers a request to join, which makes the caller a learner. A caller without
-// an id only gets the members and the leader's address. A host without a disk stores the
-// members that the caller sends.
+// handleJoin answers a request to join, which makes the caller a learner, and the
+// announcement of a planned stop. A caller without an id only gets the members and the
+// leader's address. A host without a disk stores the members that the caller sends.
 func (r *Replica) handleJoin(q *rpc.JoinRequest) (*rpc.JoinReply, error) {
 	node, _ := r.current()
 	if node == nil && r.folder == "" {
@@ -120,6 +123,12 @@
 	}
 	leads := st.Role == raft.Leader
 	reply.Member = leads && containsMember(st.Members, q.GetId())
+	if q.GetStopping() {
+		r.tracker.Stopping(q.GetId())
+		_, due := r.view(st).Next()
+		reply.Replacing = reply.Member && due
+		return reply, nil
+	}
 	isNew := r.tracker.Joining(q.GetId(), q.GetAddress())
 	if leads && !reply.Member {
 		if isNew {
@@ -130,3 +139,38 @@
 	}
 	return reply, nil
 }
+
+// announceStop tells the leader that this replica is about to stop, and returns once the
+// leader has removed it, has no other replica to do without it, or ctx ends.
+func (r *Replica) announceStop(ctx context.Context) {
+	node, _ := r.current()
+	if node == nil {
+		return
+	}
+	for r.announceStopOnce(ctx, node.Status()) {
+		if timer.Sleep(ctx, r.svc, stopInterval) != nil {
+			return
+		}
+	}
+}
+
+// announceStopOnce reports whether the leader is about to remove this replica. A leader
+// that removes itself leads until that is committed.
+func (r *Replica) announceStopOnce(ctx context.Context, st replica.Status) bool {
+	ctx, cancel := context.WithTimeout(ctx, replicaCallTimeout)
+	defer cancel()
+	q := &rpc.JoinRequest{
+		Id:       st.ID,
+		Address:  r.address(),
+		Stopping: true,
+	}
+	if st.Role == raft.Leader {
+		reply, err := r.handleJoin(q)
+		return err == nil && (reply.GetReplacing() || !containsMember(st.Members, st.ID))
+	}
+	if st.Leader == nil {
+		return false
+	}
+	reply, err := rpc.NewFleetProtobufClient("http://"+st.Leader.GetAddress(), r.client).Join(ctx, q)
+	return err == nil && reply.GetReplacing()
+}
--- a/pkg/fleetcontrol/replace_test.go
+++ b/pkg/fleetcontrol/replace_test.go
@@ -34,8 +34,33 @@
 }
 
 // Guards against a replica that is gone and still counts for a majority, so that the loss of one
-// disk right after its removal leaves no majority for good: review of CONFIG.
+// disk right after its removal leaves no majority for good.
 var _ = Describe("a control host that was replaced", func() {
+	// loseDiskAfter removes a host by end, and loses the disk of another one after a time.
+	loseDiskAfter := func(removesLeader, losesLeader bool, end func(c *cluster, ip string), after time.Duration) {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			c.replaceConfig(lead, document(3, "a"))
+			c.startReplacement(3)
+			time.Sleep(time.Second)
+			removed := lead
+			if !removesLeader {
+				removed = c.otherHost(lead)
+			}
+			end(c, removed)
+			time.Sleep(after)
+			next := c.leader()
+			lost := next
+			if !losesLeader {
+				lost = c.otherHost(next)
+			}
+			c.stop(lost)
+			c.wipe(lost)
+			c.start(lost, false)
+			Eventually(c.newest, "10s", "50ms").Should(Equal(uint64(3)), c.describe)
+			c.replaceConfig(lost, document(5, "b"))
+		})
+	}
 	for _, one := range []struct {
 		name          string
 		removesLeader bool
@@ -47,28 +72,38 @@
 		{"the leader is removed, and the next leader's disk is lost", true, true},
 	} {
 		It("no longer counts when a disk is lost a second after it is gone: "+one.name, func() {
-			withCluster(func(c *cluster) {
-				lead := c.leader()
-				c.replaceConfig(lead, document(3, "a"))
-				c.startReplacement(3)
-				time.Sleep(time.Second)
-				removed := lead
-				if !one.removesLeader {
-					removed = c.otherHost(lead)
-				}
-				c.stop(removed)
-				time.Sleep(time.Second)
-				next := c.leader()
-				lost := next
-				if !one.losesLeader {
-					lost = c.otherHost(next)
-				}
-				c.stop(lost)
-				c.wipe(lost)
-				c.start(lost, false)
-				Eventually(c.newest, "10s", "50ms").Should(Equal(uint64(3)), c.describe)
-				c.replaceConfig(lost, document(5, "b"))
-			})
+			loseDiskAfter(one.removesLeader, one.losesLeader, (*cluster).stop, time.Second)
+		})
+
+		It("no longer counts when it has announced its stop, and a disk is lost at once: "+one.name, func() {
+			loseDiskAfter(one.removesLeader, one.losesLeader, func(c *cluster, ip string) {
+				c.announceStop(ip)
+				c.stop(ip)
+			}, 0)
 		})
 	}
 })
+
+var _ = Describe("a control host that stops as planned", func() {
+	It("waits for nothing, and stays a member, if no other can take its place", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			c.replaceConfig(lead, document(3, "a"))
+			for _, ip := range c.ips {
+				began := time.Now()
+				c.announceStop(ip)
+				Expect(time.Since(began)).To(BeNumerically("<", 300*time.Millisecond))
+			}
+			Consistently(func() []string {
+				return c.hosts[lead].server.replica.Voters()
+			}, "300ms", "20ms").Should(HaveLen(3))
+		})
+	})
+})
+
+// announceStop lets a host announce its stop, as its process does on SIGTERM.
+func (c *cluster) announceStop(ip string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c.hosts[ip].server.AnnounceStop(ctx)
+}
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -242,6 +242,12 @@
 	return s.replica.handleJoin(q)
 }
 
+// AnnounceStop prepares a planned stop: where other replicas can do without this one, it
+// returns once they need no vote of it. It returns at the end of ctx at the latest.
+func (s *Server) AnnounceStop(ctx context.Context) {
+	s.replica.announceStop(ctx)
+}
+
 // expireHosts forgets the entry hosts that are gone.
 func (s *Server) expireHosts(now time.Time) {
 	gone := s.hosts.expire(now)
