fleetcontrol: specs of a replica that comes right after another was lost

There was never a leader again, nor could a configuration be read. Cause: the newcomer was added as a fourth member while the dead one still counted. Three of four had to commit that, of which only two could be reached: addresses of members were known from the commit on. The leader lost its majority and stepped down; the next term needed the same three. Change: none here.

--- a/pkg/fleetcontrol/replace_test.go
+++ b/pkg/fleetcontrol/replace_test.go
@@ -84,6 +84,39 @@
 	}
 })
 
+// Guards against a new replica that counts for a majority before it can be reached: beside a
+// lost one that still counts, the change that adds it can't be committed, and none after it.
+var _ = Describe("a new control host", func() {
+	for _, one := range []struct {
+		name         string
+		losesLeader  bool
+		startedAfter time.Duration
+	}{
+		{"0.3 s after a follower", false, 300 * time.Millisecond},
+		{"0.3 s after the leader", true, 300 * time.Millisecond},
+		{"at once after a follower", false, 0},
+		{"1.2 s after a follower", false, 1200 * time.Millisecond},
+	} {
+		It("takes the place of one that was lost right before it came: "+one.name, func() {
+			withCluster(func(c *cluster) {
+				lead := c.leader()
+				c.replaceConfig(lead, document(3, "a"))
+				lost := lead
+				if !one.losesLeader {
+					lost = c.otherHost(lead)
+				}
+				c.stop(lost)
+				time.Sleep(one.startedAfter)
+				c.startReplacement(3)
+				c.replaceConfig(replacementIP, document(5, "b"))
+				Eventually(func() []string {
+					return c.hosts[c.leader()].server.replica.Voters()
+				}, "5s", "20ms").Should(And(HaveLen(3), ContainElement(ContainSubstring(replacementIP+":")), Not(ContainElement(ContainSubstring(lost+":")))), c.describe)
+			})
+		})
+	}
+})
+
 var _ = Describe("a control host that stops as planned", func() {
 	It("waits for nothing, and stays a member, if no other can take its place", func() {
 		withCluster(func(c *cluster) {
