--- a/pkg/fleetcontrol/announce_test.go
+++ b/pkg/fleetcontrol/announce_test.go
@@ -77,6 +77,25 @@
 		})
 	})
 
+	// Guards against a leave that only a replica without a vote knows: the next leader needn't.
+	It("of a leave are not acknowledged by a leader and a learner", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			c.replaceConfig(lead, document(3, "a"))
+			c.startReplacement(3)
+			s := c.hosts[lead].server
+			Expect(s.replica.Members()).To(HaveLen(4))
+			Expect(s.Announce(context.Background(), announcement(true, 2))).To(Succeed())
+			Expect(c.hosts[replacementIP].server.table.All()).To(HaveLen(1), "a learner is told as well")
+			for _, ip := range c.ips {
+				if ip != lead {
+					c.stop(ip)
+				}
+			}
+			Expect(s.Announce(context.Background(), announcement(true, 3))).To(MatchError(ErrNoMajority))
+		})
+	})
+
 	It("of a leave are not acknowledged by a leader that reaches no other replica, even while its lease is valid", func() {
 		withCluster(func(c *cluster) {
 			lead := c.leader()
