gateway, platform, netutil: bytes of an endpoint that don't end are read up to a limit

Read against the code: net/http reads 10 MB of headers of each response; a plain answer may take 8 MB, of as many requests as a host has at a time, so that a few endpoints could fill its memory; the body of an answer that says it didn't run, or can't be used, was read to its end before the request was tried elsewhere, however slowly it came; JSON values of engines had no limit. Bodies of queries and orders, and events of streams, had one already. Not proved: a whole host of 64 MB under such endpoints.

--- a/pkg/chain/call.go
+++ b/pkg/chain/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
 )
 
 // statusError is returned if an engine answered with a status other than 200.
@@ -35,7 +36,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := netutil.NewDecoder(resp.Body).Decode(out); err != nil {
 		return errors.Wrap(err, "decode answer")
 	}
 	return nil
@@ -59,7 +60,7 @@
 			status: resp.StatusCode,
 		}
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := netutil.NewDecoder(resp.Body).Decode(out); err != nil {
 		return errors.Wrap(err, "decode answer")
 	}
 	return nil
@@ -81,7 +82,7 @@
 		return nil, errors.Wrap(err, "call engine")
 	}
 	if resp.StatusCode != http.StatusOK {
-		drainAndClose(resp)
+		_ = resp.Body.Close() // it may come slowly, or without end
 		return nil, &statusError{
 			status: resp.StatusCode,
 		}
--- a/pkg/chain/repair.go
+++ b/pkg/chain/repair.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/api"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 )
 
@@ -144,7 +144,7 @@
 	}
 	defer drainAndClose(resp)
 	ev := api.EngineEvent{}
-	if err := json.NewDecoder(resp.Body).Decode(&ev); err != nil {
+	if err := netutil.NewDecoder(resp.Body).Decode(&ev); err != nil {
 		return lostStages{
 			address: api.FaultLost,
 		}
--- a/pkg/chain/stream.go
+++ b/pkg/chain/stream.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/larchwinch/larchwinch/pkg/api"
 	"github.com/larchwinch/larchwinch/pkg/failure"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
 )
 
 // stream requests generation from the first stage and passes tokens to the sink.
@@ -30,7 +30,7 @@
 		return x.firstStageLost(ctx, firstAddress, faultReason(err))
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return x.readEvents(ctx, firstAddress, json.NewDecoder(resp.Body), w)
+	return x.readEvents(ctx, firstAddress, netutil.NewDecoder(resp.Body), w)
 }
 
 // estimatePositions estimates how many positions the next step passes on.
@@ -59,7 +59,7 @@
 // missing.
 const maxBufferedEvents = 16
 
-func (x *execution) readEvents(ctx context.Context, firstAddress string, dec *json.Decoder, w *watchedStream) (lostStages, error) {
+func (x *execution) readEvents(ctx context.Context, firstAddress string, dec *netutil.Decoder, w *watchedStream) (lostStages, error) {
 	buffered := map[int]api.EngineEvent{}
 	modelled, _ := x.modelledStepTime()
 	for {
--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -33,6 +33,9 @@
 	// memoryLimitRatio is the share of the host's memory that is set as the Go
 	// runtime's soft memory limit.
 	memoryLimitRatio = 0.4
+	// answerMemoryRatio is the share of the host's memory for bytes of endpoints' answers.
+	// While an answer is read, the buffer may be twice as long as what it holds.
+	answerMemoryRatio = 0.1
 	// maxLogLines is the maximum number of log lines a second. A host serves about 7 requests
 	// a second, and three times as many in a burst.
 	maxLogLines = 200
@@ -138,10 +141,11 @@
 func rpcClient(ip string) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         netutil.Dialer(ip, rpcDialTimeout).DialContext,
-			MaxIdleConnsPerHost: rpcIdleConns,
-			IdleConnTimeout:     rpcIdleTimeout,
-			DisableCompression:  true,
+			DialContext:            netutil.Dialer(ip, rpcDialTimeout).DialContext,
+			MaxIdleConnsPerHost:    rpcIdleConns,
+			IdleConnTimeout:        rpcIdleTimeout,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: netutil.MaxResponseHeaderBytes,
 		},
 		CheckRedirect: noRedirect,
 	}
@@ -204,11 +208,12 @@
 func endpointClient(d platform.Dialer, idleConns int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         d.DialContext,
-			DisableCompression:  true,
-			DisableKeepAlives:   idleConns == 0,
-			MaxIdleConnsPerHost: idleConns,
-			IdleConnTimeout:     endpointIdleTimeout,
+			DialContext:            d.DialContext,
+			DisableCompression:     true,
+			DisableKeepAlives:      idleConns == 0,
+			MaxIdleConnsPerHost:    idleConns,
+			IdleConnTimeout:        endpointIdleTimeout,
+			MaxResponseHeaderBytes: netutil.MaxResponseHeaderBytes,
 		},
 		CheckRedirect: noRedirect,
 	}
--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -114,6 +114,7 @@
 		Timer:        p.svc,
 		Log:          p.log,
 		Metrics:      p.set,
+		AnswerMemory: int(cfg.MemoryMB * answerMemoryRatio * (1 << 20)),
 	})
 	f.SetSources(fleetentry.Sources{
 		Loads:      g.Tracker(),
--- a/pkg/entry/presence.go
+++ b/pkg/entry/presence.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"github.com/larchwinch/larchwinch/pkg/api"
 	"github.com/larchwinch/larchwinch/pkg/group"
+	"github.com/larchwinch/larchwinch/pkg/netutil"
 	"github.com/larchwinch/larchwinch/pkg/rpc"
 	"github.com/larchwinch/larchwinch/pkg/timer"
 	"google.golang.org/protobuf/proto"
@@ -315,7 +315,7 @@
 	default:
 		return "", errors.Errorf("probe: status %d", resp.StatusCode)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := netutil.NewDecoder(resp.Body).Decode(out); err != nil {
 		return "", errors.Wrap(err, "decode")
 	}
 	return resp.Header.Get("ETag"), nil
--- a/pkg/gateway/answerreader.go
+++ b/pkg/gateway/answerreader.go
@@ -21,14 +21,16 @@
 
 // answerReader reads one answer in a goroutine of its own.
 type answerReader struct {
-	items chan answerItem
+	memory *answerMemory
+	items  chan answerItem
 	// unsent says that the request never reached the endpoint.
 	unsent atomic.Bool
 }
 
-func newAnswerReader() *answerReader {
+func newAnswerReader(memory *answerMemory) *answerReader {
 	return &answerReader{
-		items: make(chan answerItem, eventQueue),
+		memory: memory,
+		items:  make(chan answerItem, eventQueue),
 	}
 }
 
@@ -80,8 +82,11 @@
 	r.readEvents(ctx, a.Body)
 }
 
-func (r *answerReader) readEvents(ctx context.Context, body io.Reader) {
-	events := newEventReader(body)
+func (r *answerReader) readEvents(ctx context.Context, body io.ReadCloser) {
+	held := r.memory.hold()
+	defer held.release()
+	held.setBody(body)
+	events := newEventReader(body, held)
 	for {
 		ev, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -100,14 +105,3 @@
 		}
 	}
 }
-
-var errAnswerTooLong = errors.New("the answer is longer than is held in memory")
-
-// readBody reads a whole body of at most maxAnswerBytes.
-func readBody(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLong
-	}
-	return body, err
-}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -18,16 +18,18 @@
 
 // eventReader splits a stream into events.
 type eventReader struct {
-	r *bufio.Reader
+	r    *bufio.Reader
+	held *heldAnswer // counts the event that is being read
 }
 
 // eventBuffer is the buffer size of the reader: room for several events of the usual
 // size.
 const eventBuffer = 2 << 10
 
-func newEventReader(r io.Reader) *eventReader {
+func newEventReader(r io.Reader, held *heldAnswer) *eventReader {
 	return &eventReader{
-		r: bufio.NewReaderSize(r, eventBuffer),
+		r:    bufio.NewReaderSize(r, eventBuffer),
+		held: held,
 	}
 }
 
@@ -40,6 +42,9 @@
 	for {
 		line, err := e.r.ReadSlice('\n')
 		ev.data = append(ev.data, line...)
+		if held := e.held.resize(len(ev.data)); held != nil {
+			return ev, held
+		}
 		if errors.Is(err, bufio.ErrBufferFull) && len(ev.data) < maxEventBytes {
 			continue
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -51,6 +51,7 @@
 	permits        *permit.Holder
 	permitRequests *permitRequests
 	full           *shedding.Tracker
+	memory         *answerMemory
 	ranks          *rankTracker
 	admission      *admission.Controller
 	admitter       admitter // admission, which tests replace
@@ -59,7 +60,7 @@
 	background        *group.Group
 }
 
-// Config is what a gateway depends on. Every field must be set.
+// Config is what a gateway depends on. Every field but AnswerMemory must be set.
 type Config struct {
 	Domain       string // the host's failure domain
 	Endpoints    EndpointClient
@@ -70,6 +71,9 @@
 	Timer        timer.Service
 	Log          *eventlog.Log
 	Metrics      *metrics.Set
+	// AnswerMemory is how many bytes of endpoints' answers are held at a time; 0 selects a
+	// default.
+	AnswerMemory int
 }
 
 // New returns the gateway of an entry host.
@@ -97,6 +101,7 @@
 		silences:       quarantine.NewSilences(svc),
 		backoffs:       backoffs,
 		permits:        permit.NewHolder(svc, rand.Uint64()),
+		memory:         newAnswerMemory(cfg.AnswerMemory),
 		permitRequests: newPermitRequests(svc),
 		full:           shedding.New(svc),
 		ranks:          newRankTracker(svc),
--- a/pkg/gateway/relaystream.go
+++ b/pkg/gateway/relaystream.go
@@ -87,7 +87,7 @@
 	defer s.close()
 	var refusal *failure.Error
 	peer, after, attempts := s.peer, s.resumeFrom(), s.attempts
-	s.open(ctx, func(ctx context.Context) (*Answer, error) {
+	s.open(ctx, s.g.memory, func(ctx context.Context) (*Answer, error) {
 		a, err := s.g.relay(ctx, s.j, peer, after, attempts)
 		if err != nil {
 			return nil, err
--- a/pkg/gateway/relayunary.go
+++ b/pkg/gateway/relayunary.go
@@ -50,7 +50,7 @@
 		err: err,
 	}
 	if err == nil && a.Failure == nil {
-		r = readRelayed(a, r)
+		r = readRelayed(a, r, w.hold())
 	}
 	switch {
 	case r.err != nil && ctx.Err() != nil:
@@ -72,7 +72,7 @@
 }
 
 // readRelayed reads a complete answer that another host passed on.
-func readRelayed(a *RelayAnswer, r *attemptResult) *attemptResult {
+func readRelayed(a *RelayAnswer, r *attemptResult, held *heldAnswer) *attemptResult {
 	defer func() { _ = a.Body.Close() }() // the body was read completely or is no longer needed
 	r.status = a.Status
 	r.header = a.Header
@@ -83,7 +83,7 @@
 		}
 		return r
 	}
-	body, err := readBody(a.Body)
+	body, err := readBody(a.Body, held)
 	r.body = body
 	if err != nil {
 		r.err = &SendError{
--- a/pkg/gateway/stream.go
+++ b/pkg/gateway/stream.go
@@ -275,7 +275,7 @@
 		call.Path = s.path
 	}
 	s.pending = s.g.waits.begin(s.path[0].ID)
-	s.open(ctx, func(ctx context.Context) (*Answer, error) { return s.g.send(ctx, s.j, call) })
+	s.open(ctx, s.g.memory, func(ctx context.Context) (*Answer, error) { return s.g.send(ctx, s.j, call) })
 	return s.relayUntilClosed(ctx)
 }
 
--- a/pkg/gateway/streamsend.go
+++ b/pkg/gateway/streamsend.go
@@ -29,9 +29,9 @@
 	next         []answerItem   // that were read while it was suspended
 }
 
-// open makes the call and begins to read its answer.
-func (d *streamSend) open(ctx context.Context, send sender) {
-	r := newAnswerReader()
+// open makes the call and begins to read its answer into memory.
+func (d *streamSend) open(ctx context.Context, memory *answerMemory, send sender) {
+	r := newAnswerReader(memory)
 	d.reader = r
 	d.group = group.New(ctx)
 	d.group.Go(func(ctx context.Context) {
--- a/pkg/gateway/unary.go
+++ b/pkg/gateway/unary.go
@@ -22,8 +22,6 @@
 	// twice the mean processing time, so few requests are hedged while the load is
 	// normal.
 	hedgeShare = 0.5
-	// maxAnswerBytes limits the size of a non-streamed answer, which is held in memory.
-	maxAnswerBytes = 8 << 20
 	// baseRetryAfter is the usual retry-after time of a refused caller, and the minimum
 	// if the time until capacity is available is known.
 	baseRetryAfter = 300 * time.Millisecond
@@ -54,12 +52,26 @@
 		results: make(chan *attemptResult, maxSends),
 	}
 	g.depositRetries(j)
-	grp := group.New(ctx)
-	defer grp.Stop()
-	w.group = grp
+	w.group = group.New(ctx)
+	defer w.releaseAnswers()
 	w.run(ctx)
 }
 
+// releaseAnswers ends the attempts that are running, and frees their answers.
+func (w *unaryRun) releaseAnswers() {
+	w.group.Stop()
+	for _, h := range w.held {
+		h.release()
+	}
+}
+
+// hold returns what counts the answer of one more attempt.
+func (w *unaryRun) hold() *heldAnswer {
+	h := w.g.memory.hold()
+	w.held = append(w.held, h)
+	return h
+}
+
 // unaryRun is the state of a request with a non-streamed answer, over all its attempts.
 type unaryRun struct {
 	g        *Gateway
@@ -67,6 +79,7 @@
 	group    *group.Group
 	tried    map[string]bool
 	results  chan *attemptResult
+	held     []*heldAnswer // of all attempts
 	sends    int
 	running  int
 	attempts int  // attempts that may have run
@@ -224,8 +237,9 @@
 	w.attempts++
 	w.running++
 	w.j.probeSent = true
+	held := w.hold()
 	w.group.Go(func(ctx context.Context) {
-		w.results <- w.g.tryAttempt(ctx, w.j, e)
+		w.results <- w.g.tryAttempt(ctx, w.j, e, held)
 	})
 	return true
 }
@@ -384,8 +398,8 @@
 }
 
 // tryAttempt is attempt, but turns a panic into a failed attempt.
-func (g *Gateway) tryAttempt(ctx context.Context, j *job, e fleet.Endpoint) (r *attemptResult) {
-	if err := group.CatchPanic(func() { r = g.attempt(ctx, j, e) }); err != nil {
+func (g *Gateway) tryAttempt(ctx context.Context, j *job, e fleet.Endpoint, held *heldAnswer) (r *attemptResult) {
+	if err := group.CatchPanic(func() { r = g.attempt(ctx, j, e, held) }); err != nil {
 		return &attemptResult{
 			endpoint: e,
 			err: &SendError{
@@ -397,8 +411,9 @@
 	return r
 }
 
-// attempt sends a request to one endpoint and reads the complete answer.
-func (g *Gateway) attempt(ctx context.Context, j *job, e fleet.Endpoint) *attemptResult {
+// attempt sends a request to one endpoint and reads the complete answer. The body of an
+// answer that can't be used isn't read: it may come slowly, or without end.
+func (g *Gateway) attempt(ctx context.Context, j *job, e fleet.Endpoint, held *heldAnswer) *attemptResult {
 	sentAt := g.svc.Now()
 	r := &attemptResult{
 		endpoint: e,
@@ -422,21 +437,21 @@
 	r.status = a.Status
 	r.notRun = a.NotRun || a.Misdirected
 	r.header = a.Header
-	r.body, err = readBody(a.Body)
 	switch {
 	case r.notRun:
-	case err != nil:
+		return r
+	case a.Verified:
+		r.body, err = readBody(a.Body, held)
+	default:
+		err = errors.New("the answer is damaged")
+	}
+	if err != nil {
 		r.err = &SendError{
 			Sent:  true,
 			Cause: err,
 		}
-	case !a.Verified:
-		r.err = &SendError{
-			Sent:  true,
-			Cause: errors.New("the answer is damaged"),
-		}
-	default:
-		g.tracker.RecordSuccess(e.ID, g.svc.Now().Sub(sentAt))
+		return r
 	}
+	g.tracker.RecordSuccess(e.ID, g.svc.Now().Sub(sentAt))
 	return r
 }
--- a/pkg/netutil/netutil.go
+++ b/pkg/netutil/netutil.go
@@ -71,12 +71,13 @@
 	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         d.DialContext,
-			MaxIdleConns:        idleConns,
-			MaxIdleConnsPerHost: idleConnsPerHost,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
-			DisableKeepAlives:   once,
+			DialContext:            d.DialContext,
+			MaxIdleConns:           idleConns,
+			MaxIdleConnsPerHost:    idleConnsPerHost,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true,
+			DisableKeepAlives:      once,
+			MaxResponseHeaderBytes: MaxResponseHeaderBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
