platform, registry: what another program says of an endpoint names no endpoint

Cause: only the fields that are used were decoded, so that the type of the others couldn't be seen; names of fields were matched whatever their letters' case; and a higher sequence could change the service, address and failure domain of an incarnation, which never change while it runs. Change: heartbeats are parsed in one place, by exact names: every endpoint's fields must be there, and each that is known must have its type and range. Fields that only engines have may be missing or null. In the registry, what contradicts the known service, address or failure domain of an incarnation is believed only after three heartbeats in a row, each sequence counted once, so that another program's first word can be corrected, too; that an endpoint is leaving is believed at once. One log line a second for rejected heartbeats, one for each series of contradictions (heartbeat_rejected). Ruled out: refusing null.

--- a/pkg/cmds/fleetcmd/run.go
+++ b/pkg/cmds/fleetcmd/run.go
@@ -67,7 +67,7 @@
 	m.SetEndpoints(s)
 	p.group.Go(m.Run)
 	return p.run([]server{
-		{address: cfg.Listen.Control, handler: platform.NewControlHandler(s)},
+		{address: cfg.Listen.Control, handler: platform.NewControlHandler(s, p.svc, p.log)},
 		{address: net.JoinHostPort(cfg.IP, cfg.ControlPort()), handler: fleetcontrol.Forwarded(s.RPC())},
 		{address: net.JoinHostPort(cfg.IP, controlMetricsPort), handler: p.set.Handler()},
 	}, s.Run, func(ctx context.Context) {
--- a/pkg/eventlog/eventlog.go
+++ b/pkg/eventlog/eventlog.go
@@ -45,6 +45,9 @@
 	EndpointGone    Event = "endpoint_gone"
 	EndpointSilent  Event = "endpoint_silent"
 	EndpointLayers  Event = "endpoint_layers"
+	// HeartbeatRejected: a heartbeat can't be one that an endpoint sent, or contradicts those
+	// of the same incarnation.
+	HeartbeatRejected Event = "heartbeat_rejected"
 	// ServiceUnreachable: no endpoint of a service accepts this host's connections.
 	ServiceUnreachable Event = "service_unreachable"
 	ServiceReachable   Event = "service_reachable"
@@ -78,7 +81,7 @@
 	Started, Stopping, Stopped, Reloaded,
 	RequestRefused, RequestFailed, RequestServed, RequestLeft, AttemptFailed, StreamRepathed, StreamResumed, StreamReturned, StreamStalled,
 	EndpointAvoided, EndpointResting, HostBuilds, EndpointAsked, CallInRest, EndpointLimit,
-	EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers,
+	EndpointJoined, EndpointLeaving, EndpointGone, EndpointSilent, EndpointLayers, HeartbeatRejected,
 	ServiceUnreachable, ServiceReachable,
 	ConfigInForce, ConfigAccepted, ConfigRefused, ConfigFailed,
 	ControlLost, ControlRegained, ReadyChanged, RoleChanged, ReplicasChanged, ReplicasUnchanged, ReplicasSpare, ReplicaJoining,
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -23,7 +23,8 @@
 // Table holds the announcements by incarnation. It is safe for use by several goroutines.
 //
 // Invariants: the announcement with the highest sequence wins for each incarnation; Leaving and
-// Gone are never reset; version rises with each change that entry hosts must learn.
+// Gone are never reset; the service, address and failure domain of an incarnation change only
+// after several announcements in a row; version rises with each change that entry hosts must learn.
 type Table struct {
 	svc      timer.Service
 	log      *eventlog.Log
@@ -53,6 +54,8 @@
 	// silentAt is when a silent endpoint was marked so; accepting says that it accepts connections.
 	silentAt  time.Time
 	accepting bool
+	// contradiction is what other announcements of the incarnation say it is.
+	contradiction contradiction
 }
 
 // sinceLastContact returns the time since the last heartbeat or answer.
@@ -161,8 +164,15 @@
 		t.supersede(&e)
 		return true
 	}
+	if t.contradicts(old, &e) {
+		// Only that it is leaving or gone is believed: requests sent to an endpoint that has
+		// left do more harm than one endpoint less.
+		leaving, gone := e.Leaving, e.Gone
+		e = old.Endpoint
+		e.Leaving, e.Gone = leaving, gone
+	}
 	next := old.Endpoint
-	if e.Sequence > old.Sequence {
+	if e.Sequence > old.Sequence || e.Address != "" && identityOf(&e) != identityOf(&old.Endpoint) {
 		next = e
 		next.Slowdown = old.Slowdown // heartbeats don't include these
 		next.Orders = old.Orders
