--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -157,6 +157,19 @@
 	}
 }
 
+// fetchAsMember asks all other replicas for the endpoints that they know, without waiting
+// for them. A replica that becomes a member may lead next, and calls to it may have failed
+// while others acknowledged that an endpoint is leaving.
+func (s *Server) fetchAsMember() {
+	s.group.Go(func(ctx context.Context) {
+		for _, address := range s.otherVoters() {
+			if _, err := s.fetchEndpointsFrom(ctx, address); err != nil {
+				s.cfg.Metrics.Counter("spread_failures").Inc(1) // another one knows as much
+			}
+		}
+	})
+}
+
 // fetchEndpointsOnce asks one replica after the other. It reports whether one knew
 // endpoints, or all answered that they know none.
 func (s *Server) fetchEndpointsOnce(ctx context.Context) bool {
--- a/pkg/fleetcontrol/members.go
+++ b/pkg/fleetcontrol/members.go
@@ -22,6 +22,7 @@
 // memberRounds is what maintainMembers keeps from round to round.
 type memberRounds struct {
 	role     raft.Role
+	learner  bool          // the log didn't name this replica as a member
 	learners []*rpc.Member // that the node was given
 	reported spareLosses
 }
@@ -46,6 +47,7 @@
 			r.log.Event(eventlog.RoleChanged, eventlog.Str("role", st.Role.String()), eventlog.Int("term", int64(st.Term)))
 			rounds.role = st.Role
 		}
+		r.noteJoined(st, rounds)
 		r.tracker.BeginRound(memberState(st))
 		if next := r.tracker.Learners(memberState(st)); !sameMembers(rounds.learners, next) && node.SetLearners(next) {
 			rounds.learners = next
@@ -60,6 +62,15 @@
 	})
 }
 
+// noteJoined calls joined if this replica was a learner and is a member now.
+func (r *Replica) noteJoined(st replica.Status, rounds *memberRounds) {
+	isMember := containsMember(st.Members, st.ID)
+	if isMember && rounds.learner {
+		r.joined()
+	}
+	rounds.learner = !isMember
+}
+
 // memberState returns the part of a replica's status that its members follow from.
 func memberState(st replica.Status) quorum.State {
 	return quorum.State{
--- a/pkg/fleetcontrol/replace_test.go
+++ b/pkg/fleetcontrol/replace_test.go
@@ -117,6 +117,23 @@
 	}
 })
 
+// Guards against a new member that becomes the leader without the leaves that the others
+// acknowledged while it wasn't reached.
+var _ = Describe("a learner that becomes a member", func() {
+	It("learns the endpoints that it wasn't told of", func() {
+		withCluster(func(c *cluster) {
+			lead := c.leader()
+			c.replaceConfig(lead, document(3, "a"))
+			c.startReplacement(3)
+			c.hosts[lead].server.table.Announce(announcement(true, 2))
+			Consistently(c.hosts[replacementIP].server.table.All, "300ms", "20ms").Should(BeEmpty())
+			c.stop(c.otherHost(lead))
+			Eventually(c.hosts[replacementIP].server.table.All, "5s", "20ms").Should(HaveLen(1))
+			Expect(c.hosts[replacementIP].server.table.All()[0].Leaving).To(BeTrue())
+		})
+	})
+})
+
 var _ = Describe("a control host that stops as planned", func() {
 	It("waits for nothing, and stays a member, if no other can take its place", func() {
 		withCluster(func(c *cluster) {
--- a/pkg/fleetcontrol/replica.go
+++ b/pkg/fleetcontrol/replica.go
@@ -61,6 +61,8 @@
 	log           *eventlog.Log
 	metrics       *metrics.Set
 	tracker       *quorum.Tracker
+	// joined is called when this replica, a learner before, has become a member.
+	joined func()
 
 	mu      sync.Mutex
 	node    *replica.Node
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -186,6 +186,7 @@
 		log:           cfg.Log,
 		metrics:       cfg.Metrics,
 		tracker:       quorum.NewTracker(cfg.Timer, cfg.ToleratedLosses),
+		joined:        s.fetchAsMember,
 	}
 	s.leadership = s.replica
 	s.endpointClient = newEndpointClient(cfg.Orders, s.table, s.granter, cfg.Timer, cfg.Log)
--- a/pkg/quorum/quorum.go
+++ b/pkg/quorum/quorum.go
@@ -18,6 +18,9 @@
 	// its process has ended.
 	lostAfter    = 500 * time.Millisecond
 	refusedAfter = 200 * time.Millisecond
+	// refusedAwaited is for how long the leader must have been calling a replica before a
+	// refusal counts: an earlier one may have been of a process that has started again.
+	refusedAwaited = 100 * time.Millisecond
 	// spareLostAfter is the same while they can, so that a short outage costs no change.
 	spareLostAfter = 4 * time.Second
 )
@@ -44,7 +47,9 @@
 func (r Replica) responds() bool { return r.Silent <= respondingWithin && !r.ended() }
 
 // ended reports whether the replica's process is known to have ended.
-func (r Replica) ended() bool { return r.Refused && r.Silent >= refusedAfter }
+func (r Replica) ended() bool {
+	return r.Refused && r.Silent >= refusedAfter && r.Awaited >= refusedAwaited
+}
 
 // lost reports whether the replica has been silent for so long that it counts as lost;
 // spare is set if the others can bear the tolerated losses without it.
--- a/pkg/quorum/quorum_test.go
+++ b/pkg/quorum/quorum_test.go
@@ -112,6 +112,11 @@
 		{"a pause costs no place while there is no other replica", 1, replicas{voter(1), voter(2), silent(voter(3), long)}, ""},
 		{"a pause of 0.4 s costs no place", 1, replicas{voter(1), voter(2), silent(voter(3), 400*time.Millisecond), learner(4)}, ""},
 		{"a process that has ended is replaced sooner", 1, replicas{voter(1), voter(2), refused(voter(3), 200*time.Millisecond), learner(4)}, "-3 +4"},
+		{"a new leader waits for one that refused connections before its term", 1, replicas{voter(1), voter(2), func() quorum.Replica {
+			r := refused(voter(3), time.Second)
+			r.Awaited = 50 * time.Millisecond
+			return r
+		}(), learner(4)}, ""},
 		{"a refused connection alone is no loss", 1, replicas{voter(1), voter(2), refused(voter(3), 100*time.Millisecond), learner(4)}, ""},
 		{"a learner that is behind replaces nobody", 1, replicas{voter(1), voter(2), silent(voter(3), long), behind(4)}, ""},
 		{"a new leader waits for voters that it couldn't hear yet", 1, replicas{voter(1), voter(2), justElected(voter(3)), learner(4)}, ""},
