--- a/pkg/gateway/answermemory.go
+++ b/pkg/gateway/answermemory.go
@@ -38,6 +38,9 @@
 // heldAnswer is what is held of one answer: all of a plain one, one event of a stream.
 type heldAnswer struct {
 	memory *answerMemory
+	// counted says that size isn't 0. Only the goroutine that reads the answer uses it, so that
+	// small answers and events take no lock.
+	counted bool
 	// These are guarded by memory.mu.
 	body    io.Closer // nil unless it is being read
 	size    int
@@ -89,7 +92,12 @@
 // limit, the largest of those that are being read is dropped, and its body is closed. It
 // fails if this one is dropped.
 func (h *heldAnswer) resize(n int) error {
-	largest := h.memory.resize(h, max(0, n-uncountedBytes))
+	n = max(0, n-uncountedBytes)
+	if n == 0 && !h.counted {
+		return nil
+	}
+	h.counted = n > 0
+	largest := h.memory.resize(h, n)
 	if largest != nil {
 		_ = largest.Close() // what its reader has is dropped
 	}
