reachability: the specs' network is read under its lock

The race detector fails three of 26 specs; without it they pass. Ruled out: a race of the monitor itself (all reports name fields of the specs' network). Change: queries and muteOne take the lock; the loop over the endpoints of services is in one place. Conclusion: a fault of the specs; what they check is unchanged.

--- a/pkg/reachability/monitor_test.go
+++ b/pkg/reachability/monitor_test.go
@@ -62,6 +62,11 @@
 
 // set makes all endpoints of the services, or of all if none is given, treat connections by r.
 func (n *network) set(r Result, services ...string) {
+	n.each(services, func(a string) { n.results[a] = r })
+}
+
+// each calls f, with the lock held, for the endpoints of the services, or of all if none is given.
+func (n *network) each(services []string, f func(address string)) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for name, list := range n.services {
@@ -69,7 +74,7 @@
 			continue
 		}
 		for _, a := range list {
-			n.results[a] = r
+			f(a)
 		}
 	}
 }
--- a/pkg/reachability/silence_test.go
+++ b/pkg/reachability/silence_test.go
@@ -32,16 +32,21 @@
 // setMute sets whether the connections to all endpoints of the services, or of all if none is
 // given, carry nothing.
 func (n *network) setMute(mute bool, services ...string) {
+	n.each(services, func(a string) { n.mute[a] = mute })
+}
+
+// muteOne makes the connections to one endpoint carry nothing.
+func (n *network) muteOne(address string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for name, list := range n.services {
-		if len(services) > 0 && services[0] != name {
-			continue
-		}
-		for _, a := range list {
-			n.mute[a] = mute
-		}
-	}
+	n.mute[address] = true
+}
+
+// queries returns how often Ask was called.
+func (n *network) queries() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.asked
 }
 
 // request sends a request to an endpoint over a connection of its own, and reads the answer. It
@@ -158,16 +163,16 @@
 				b.setMute(false)
 				Expect(b.monitor.Unreachable(engines)).To(BeFalse())
 			}
-			Expect(b.network.asked).To(BeZero(), "none was asked")
+			Expect(b.network.queries()).To(BeZero(), "none was asked")
 		})
 	})
 
 	It("aren't out of reach while others of their service answer", func() {
 		withRequests(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
 			for i := range 38 {
-				b.network.mute[fmt.Sprintf("engine-%d", i)] = true
+				b.network.muteOne(fmt.Sprintf("engine-%d", i))
 			}
-			b.network.mute["app-0"] = true
+			b.network.muteOne("app-0")
 			background(func() { b.requests(engines, 10*time.Second) })
 			for range 100 {
 				b.request("app-1")
@@ -189,8 +194,8 @@
 				time.Sleep(100 * time.Millisecond)
 				Expect(b.monitor.Unreachable(engines)).To(BeFalse())
 			}
-			Expect(b.network.asked).To(BeNumerically(">=", minLostEndpoints))
-			Expect(b.network.asked).To(BeNumerically("<=", 10*checkedEndpoints))
+			Expect(b.network.queries()).To(BeNumerically(">=", minLostEndpoints))
+			Expect(b.network.queries()).To(BeNumerically("<=", 10*checkedEndpoints))
 		})
 	})
 
@@ -210,7 +215,7 @@
 	It("finds out within 2.5 s that no endpoint answers, and within a second that they do again", func() {
 		withMonitor(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
 			time.Sleep(10 * time.Second)
-			Expect(b.network.asked).To(BeNumerically("<=", 2*9), "one each 1.2 s and service")
+			Expect(b.network.queries()).To(BeNumerically("<=", 2*9), "one each 1.2 s and service")
 			b.setMute(true)
 			time.Sleep(2500 * time.Millisecond)
 			Expect(b.monitor.Isolated()).To(BeTrue())
@@ -223,9 +228,9 @@
 	It("isn't isolated because an endpoint that it asks pauses", func() {
 		withMonitor(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
 			for i := range 30 {
-				b.network.mute[fmt.Sprintf("engine-%d", i)] = true
+				b.network.muteOne(fmt.Sprintf("engine-%d", i))
 			}
-			b.network.mute["app-0"] = true
+			b.network.muteOne("app-0")
 			for range 300 {
 				time.Sleep(100 * time.Millisecond)
 				Expect(b.monitor.Unreachable(apps)).To(BeFalse())
@@ -236,14 +241,14 @@
 	It("asks nobody while answers come", func() {
 		withRequests(map[string]int{engines: 39}, func(b *fixture) {
 			b.requests(engines, 5*time.Second)
-			Expect(b.network.asked).To(BeNumerically("<=", 1), "at the start")
+			Expect(b.network.queries()).To(BeNumerically("<=", 1), "at the start")
 		}, (*Monitor).EnableIdleQueries)
 	})
 
 	It("asks nobody if it isn't to", func() {
 		withMonitor(map[string]int{engines: 39}, func(b *fixture) {
 			time.Sleep(10 * time.Second)
-			Expect(b.network.asked).To(BeZero())
+			Expect(b.network.queries()).To(BeZero())
 		})
 	})
 })
