fleetcontrol: a cluster's seeds are those of the time when a host starts

Cause: the spec of a replica that learns an address from the reply to its request changed the seeds while three running servers read them, and its leader had no Spread. The race detector fails the suite; without it the spec passes. Ruled out: a race of the server (both accesses are the fixture's). Change: each host keeps the seeds with which it was started; the leader answers Spread. Conclusion: a fault of the fixture; what the spec checks is unchanged.

--- a/pkg/fleetcontrol/fixture_test.go
+++ b/pkg/fleetcontrol/fixture_test.go
@@ -90,7 +90,8 @@
 	heartbeat time.Duration // interval between an endpoint's heartbeats
 	// diskless is the address of a host without a data folder.
 	diskless string
-	// seeds, if set, replaces the initial members as the seeds in the settings.
+	// seeds, if set, replaces the initial members as the seeds in the settings of hosts that
+	// are started from now on.
 	seeds []string
 	// endpoints is used by hosts that are started from now on.
 	endpoints fakeEndpoints
@@ -152,6 +153,10 @@
 	if ip == c.diskless {
 		folder = ""
 	}
+	seeds := c.ips
+	if c.seeds != nil {
+		seeds = c.seeds
+	}
 	s := New(Config{
 		Folder: folder,
 		IP:     ip,
@@ -160,7 +165,7 @@
 			FirstStart: firstStart,
 			IPs:        c.ips,
 		},
-		SeedIPs:         c.seedIPs,
+		SeedIPs:         func() []string { return seeds },
 		ToleratedLosses: c.losses,
 		Heartbeat:       c.heartbeat,
 		Decoder:         jsonDecoder{},
@@ -188,13 +193,6 @@
 	c.hosts[ip] = h
 }
 
-func (c *cluster) seedIPs() []string {
-	if c.seeds != nil {
-		return c.seeds
-	}
-	return c.ips
-}
-
 func (c *cluster) stop(ip string) {
 	h := c.hosts[ip]
 	delete(c.hosts, ip)
--- a/pkg/fleetcontrol/join_test.go
+++ b/pkg/fleetcontrol/join_test.go
@@ -33,6 +33,11 @@
 	}, nil
 }
 
+// Spread implements rpc.Fleet.
+func (l *earlierLeader) Spread(context.Context, *rpc.SpreadRequest) (*rpc.SpreadReply, error) {
+	return &rpc.SpreadReply{}, nil
+}
+
 // Deliver implements rpc.Replica.
 func (l *earlierLeader) Deliver(_ context.Context, batch *rpc.RaftBatch) (*rpc.Empty, error) {
 	l.answers.Add(int64(len(batch.GetMessages())))
