--- a/pkg/fleetcontrol/replace_test.go
+++ b/pkg/fleetcontrol/replace_test.go
@@ -167,8 +167,8 @@
 	c.hosts[ip].server.AnnounceStop(ctx)
 }
 
-// sleep waits for d or the end of ctx, not counting the time for which the disk or the processors stall: no replica
-// can commit anything then.
+// sleep waits for d or the end of ctx, not counting the time for which the disk or the
+// processors stall: no replica can commit anything then.
 func (c *cluster) sleep(ctx context.Context, d time.Duration) {
 	const interval, maxCounted = 5 * time.Millisecond, 20 * time.Millisecond
 	f, err := os.CreateTemp("", filepath.Base(c.folder))
