fleetcontrol: specs of five replicas wait until five vote

Its hosts were stopped when .1, .2, .3 and .6 voted and .4 and .5 were learners: the spec waited for six members, and since learners count there, it no longer waited for the votes. Three or four members can't bear two losses, whichever change comes first. Change: the spec waits for five votes beside the six members; the one on leaves that two of five acknowledge waits for five votes, too. Conclusion: a fault of the specs that came with learners; what they check is unchanged.

--- a/pkg/fleetcontrol/announce_test.go
+++ b/pkg/fleetcontrol/announce_test.go
@@ -62,7 +62,7 @@
 				c.start(ip, true)
 			}
 			lead := c.leader()
-			Eventually(func() int { return len(c.hosts[lead].server.replica.Members()) }, "15s", "50ms").Should(Equal(5))
+			Eventually(func() int { return len(c.hosts[lead].server.replica.Voters()) }, "15s", "50ms").Should(Equal(5))
 			s := c.hosts[lead].server
 			Expect(s.Announce(context.Background(), announcement(true, 2))).To(Succeed())
 			left := 5
--- a/pkg/fleetcontrol/grow_test.go
+++ b/pkg/fleetcontrol/grow_test.go
@@ -20,6 +20,9 @@
 			Eventually(func() int {
 				return len(c.hosts[c.leader()].server.replica.Members())
 			}, "15s", "50ms").Should(Equal(6))
+			Eventually(func() int {
+				return len(c.hosts[c.leader()].server.replica.Voters())
+			}, "15s", "50ms").Should(Equal(5), "three can't lose two")
 			c.replaceConfig(c.leader(), document(5, "a"))
 			all := append(append([]string{}, c.ips...), more...)
 			for _, ip := range all {
