reachability: connections are given up while endpoints are being checked

Cause: since endpoints that don't answer are asked, a check may take 0.4 s. The monitor waited for checks before it looked at connections that were being opened, so a connection to an unreachable service was given up only after the check. Change: checks run beside the loop, one at a time for each service.

--- a/pkg/reachability/checks.go
+++ b/pkg/reachability/checks.go
@@ -13,7 +13,7 @@
 	defer m.group.Wait()
 	for ctx.Err() == nil {
 		m.askIdle()
-		wait := m.checkSuspected(ctx)
+		wait := m.checkSuspected()
 		if m.asksIdle {
 			wait = sooner(wait, silenceInterval)
 		}
@@ -29,26 +29,22 @@
 	}
 }
 
-// checkSuspected checks the services that are due for a check, and returns when to call it
-// again; 0 if only once a connection is opened or fails.
-func (m *Monitor) checkSuspected(ctx context.Context) time.Duration {
+// checkSuspected starts checks of the services that are due for one, and returns when to call
+// it again; 0 if only once a connection is opened or fails, or a check ends. It doesn't wait for
+// the checks: connections to services that are unreachable are given up meanwhile.
+func (m *Monitor) checkSuspected() time.Duration {
 	names, lists, wait := m.due()
-	if len(names) == 0 {
-		return wait
-	}
-	grp := group.New(ctx)
 	for i, name := range names {
 		list := m.draw(lists[i])
-		grp.Go(func(ctx context.Context) {
+		m.group.Go(func(ctx context.Context) {
 			m.checkService(ctx, name, list, len(lists[i]))
 		})
 	}
-	grp.Wait()
-	return time.Millisecond // the result may make other services due
+	return wait
 }
 
 // due returns the services that must be checked now, with their endpoints, and the time
-// until one may have to be.
+// until one may have to be. The caller must check them.
 func (m *Monitor) due() (names []string, lists [][]string, wait time.Duration) {
 	slow, wait, needed := m.pendingWork()
 	if !needed {
@@ -74,10 +70,14 @@
 		if s.unreachable {
 			m.abortPending(addresses, now.Add(-slowConnect))
 		}
+		if s.checking {
+			continue
+		}
 		if left := s.checkDue.Sub(now); left > 0 {
 			wait = sooner(wait, left)
 			continue
 		}
+		s.checking = true
 		names = append(names, name)
 		lists = append(lists, addresses)
 	}
@@ -200,10 +200,8 @@
 	if byAnswer && unreachable {
 		list = list[:min(len(list), minLostEndpoints)] // queries cost endpoints more than connections
 	}
-	t := m.checkAll(ctx, list, check)
-	if ctx.Err() == nil {
-		m.record(name, t, total, began)
-	}
+	m.record(name, m.checkAll(ctx, list, check), total, began)
+	m.wake() // the result may make other services due
 }
 
 // checksAnswers reports whether the endpoints of a service must answer to be alive, and
@@ -255,6 +253,7 @@
 	if s == nil {
 		return // the service was removed meanwhile
 	}
+	s.checking = false
 	now := m.svc.Now()
 	switch {
 	case t.alive > 0:
--- a/pkg/reachability/monitor.go
+++ b/pkg/reachability/monitor.go
@@ -90,6 +90,7 @@
 	unreachable bool
 	verify      bool      // it must be checked because another service became unreachable
 	byAnswer    bool      // checks are of answers, since endpoints left requests unanswered
+	checking    bool      // endpoints are being checked
 	asking      bool      // an endpoint is being asked because nothing came from any
 	heardAt     time.Time // when one that was asked answered last
 	since       time.Time // when it became unreachable
--- a/pkg/reachability/silence_test.go
+++ b/pkg/reachability/silence_test.go
@@ -110,6 +110,21 @@
 		})
 	})
 
+	// Guards against a request that waits for the end of a check before it is refused.
+	It("gives up a connection soon, if none opens any more", func() {
+		withRequests(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
+			b.setMute(true)
+			b.requests(engines, 2500*time.Millisecond)
+			b.set(Silent)
+			for range 20 {
+				took, err := b.connect("engine-1")
+				Expect(err).To(MatchError(ErrUnreachable))
+				Expect(took).To(BeNumerically("<=", slowConnect+10*time.Millisecond))
+				time.Sleep(70 * time.Millisecond)
+			}
+		})
+	})
+
 	It("finds out about one service only, if only that one is silent", func() {
 		for _, silent := range []string{engines, apps} {
 			withRequests(map[string]int{engines: 39, apps: 3}, func(b *fixture) {
