--- /dev/null
+++ b/review/standin-2/client.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// callers send requests to the system: they ask the directory where to go, and retry nothing.
+type callers struct {
+	rec         *record
+	directories []string
+	client      *http.Client
+
+	mu        sync.Mutex
+	addresses []string
+	sentAt    map[string]time.Time // by request
+	answers   map[int]int          // by status; 0: none
+	next      int
+}
+
+func newCallers(rec *record, directories []string) *callers {
+	return &callers{
+		rec:         rec,
+		directories: directories,
+		client:      &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 20}},
+		sentAt:      map[string]time.Time{},
+		answers:     map[int]int{},
+	}
+}
+
+// resolve asks daemons for the addresses of edge daemons.
+func (c *callers) resolve() {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, i := range rand.Perm(len(c.directories))[:3] {
+		resp, err := client.Get("http://" + c.directories[i] + "/larchwinch/resolve?name=" + host + "&region=r&zone=z-a")
+		if err != nil {
+			continue
+		}
+		var list struct {
+			Addresses []string `json:"addresses"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&list)
+		_ = resp.Body.Close()
+		if err == nil && resp.StatusCode == http.StatusOK && len(list.Addresses) > 0 {
+			c.mu.Lock()
+			c.addresses = list.Addresses
+			c.mu.Unlock()
+			return
+		}
+	}
+}
+
+// run sends perSecond requests a second until ctx ends.
+func (c *callers) run(ctx context.Context, perSecond float64) {
+	wg := &sync.WaitGroup{}
+	defer wg.Wait()
+	asked := time.Time{}
+	for ctx.Err() == nil {
+		if time.Since(asked) > 2*time.Second {
+			asked = time.Now()
+			wg.Go(c.resolve)
+		}
+		wg.Go(c.send)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(rand.ExpFloat64() * float64(time.Second) / perSecond)):
+		}
+	}
+}
+
+// send sends one request, of either route.
+func (c *callers) send() {
+	c.mu.Lock()
+	c.next++
+	id := fmt.Sprintf("%012x%04x", time.Now().UnixNano()&0xffffffffffff, c.next)
+	if len(c.addresses) == 0 {
+		c.mu.Unlock()
+		return
+	}
+	address := c.addresses[rand.IntN(len(c.addresses))]
+	c.sentAt[id] = time.Now()
+	c.mu.Unlock()
+	method, path, body := http.MethodPost, "/unsafe/"+id, strings.Repeat("x", 600)
+	if rand.IntN(3) == 0 {
+		method, path, body = http.MethodGet, "/safe/"+id, ""
+	}
+	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return
+	}
+	r.Host = host
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "3000")
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	status := 0
+	resp, err := c.client.Do(r)
+	if err == nil {
+		status = resp.StatusCode
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			status = 0
+		}
+		_ = resp.Body.Close()
+	}
+	c.rec.line("client: %s %s to %s: status %d, error %v", method, id, address, status, err)
+	c.mu.Lock()
+	c.answers[status]++
+	c.mu.Unlock()
+}
+
+// sent returns when a request was sent.
+func (c *callers) sent(id string) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	at, ok := c.sentAt[id]
+	return at, ok
+}
+
+// served returns how many requests were answered with 200 so far.
+func (c *callers) served() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.answers[http.StatusOK]
+}
--- /dev/null
+++ b/review/standin-2/server.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	serverSlots = 6
+	serverQueue = 24
+	serverWork  = 60 * time.Millisecond
+)
+
+// server is a server of the plain service.
+type server struct {
+	rec      *record
+	id       string
+	service  string
+	zone     string
+	address  string
+	born     int64
+	controls func() []string // addresses of daemons that serve control
+	onRun    func(s *server, r *http.Request)
+
+	seq     atomic.Uint64
+	leaving atomic.Bool // says so in all its answers
+	silent  atomic.Bool // sends no more status reports
+	running atomic.Int64
+	slots   chan struct{}
+	http    *http.Server
+	client  *http.Client
+}
+
+// listen starts the server.
+func (s *server) listen() error {
+	l, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return err
+	}
+	s.born = time.Now().UnixMilli()
+	s.slots = make(chan struct{}, serverSlots)
+	s.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	s.http = &http.Server{Handler: s}
+	go func() { _ = s.http.Serve(l) }()
+	return nil
+}
+
+// ServeHTTP implements http.Handler.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	if s.leaving.Load() {
+		h.Set("Server-Leaving", "1")
+		h.Set("Connection", "close")
+	}
+	id := r.Header.Get("Request-Id")
+	if id != "" {
+		h.Set("Request-Id", id)
+	}
+	reject := func(status int) {
+		h.Set("Not-Executed", "1")
+		h.Set("Content-Length", "0")
+		w.WriteHeader(status)
+	}
+	expected := r.Header.Get("Expect-Instance")
+	switch {
+	case expected != "" && expected != s.id:
+		reject(http.StatusMisdirectedRequest)
+		return
+	case r.URL.Path == "/healthz":
+		h.Set("Instance-Id", s.id)
+		if s.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	case id == "":
+		reject(http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if s.running.Add(1) > serverSlots+serverQueue {
+		s.running.Add(-1)
+		reject(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.running.Add(-1)
+	select {
+	case s.slots <- struct{}{}:
+	case <-r.Context().Done():
+		return
+	}
+	defer func() { <-s.slots }()
+	s.onRun(s, r)
+	time.Sleep(serverWork)
+	out := []byte(strings.Repeat(fmt.Sprintf("%s %d.", id, len(body)), 30))
+	h.Set("Server-Seal", fmt.Sprintf("%s.%x", s.id, len(out)))
+	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", len(s.slots), serverSlots))
+	h.Set("Content-Length", strconv.Itoa(len(out)))
+	_, _ = w.Write(out)
+}
+
+// report returns the next status report.
+func (s *server) report(state string) []byte {
+	text, err := json.Marshal(map[string]any{
+		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": serverSlots,
+		"state": state, "cold_left_ms": 0, "born": s.born, "seq": s.seq.Add(1),
+	})
+	if err != nil {
+		panic(err)
+	}
+	return text
+}
+
+// post sends a call to a daemon, and reports whether it was acknowledged within a second.
+func (s *server) post(address, path string, body []byte) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := s.client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+	return resp.StatusCode >= 200 && resp.StatusCode < 300
+}
+
+// beat sends one status report, to one daemon after the other until one acknowledges it.
+func (s *server) beat() {
+	list := s.controls()
+	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+	for _, a := range list {
+		if s.post(a, "/larchwinch/Instances.Heartbeat/"+s.id, s.report("ready")) {
+			return
+		}
+	}
+}
+
+// beats sends status reports until ctx ends or the server is silent.
+func (s *server) beats(ctx context.Context) {
+	for ctx.Err() == nil && !s.silent.Load() {
+		s.beat()
+		select {
+		case <-ctx.Done():
+		case <-time.After(heartbeat - 50*time.Millisecond + time.Duration(rand.IntN(100))*time.Millisecond):
+		}
+	}
+}
+
+// deregister says that the server leaves, until a daemon acknowledges it. It returns that
+// daemon's address, and when the acknowledgement came.
+func (s *server) deregister(list []string) (string, time.Time) {
+	s.leaving.Store(true)
+	s.silent.Store(true)
+	body := []byte(fmt.Sprintf(`{"born":%d}`, s.born))
+	for range 10 {
+		for _, a := range list {
+			if s.post(a, "/larchwinch/Instances.Deregister/"+s.id, body) {
+				return a, time.Now()
+			}
+		}
+	}
+	return "", time.Time{}
+}
