--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -129,3 +130,28 @@
 	defer c.mu.Unlock()
 	return c.answers[http.StatusOK]
 }
+
+// count returns how many requests were answered so far, by status; 0: no answer.
+func (c *callers) count() map[int]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.answers)
+}
+
+// moment is a time that is set once something has happened. It is safe for concurrent use.
+type moment struct {
+	mu sync.Mutex
+	at time.Time
+}
+
+func (m *moment) set(at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.at = at
+}
+
+func (m *moment) get() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.at
+}
--- a/review/standin-2/forgottenleave.go
+++ b/review/standin-2/forgottenleave.go
@@ -36,13 +36,14 @@
 	callers := newCallers(s.rec, directories)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	var ackedAt time.Time
+	left := moment{}
 	leaver := &server{}
 	onRun := func(e *server, r *http.Request) {
 		now := time.Now()
 		id := r.Header.Get("Request-Id")
 		from, _, _ := net.SplitHostPort(r.RemoteAddr)
 		s.rec.line("server %s runs %s from %s", e.id, id, from)
+		ackedAt := left.get()
 		if e != leaver || ackedAt.IsZero() {
 			return
 		}
@@ -77,7 +78,7 @@
 		defer func() { _ = e.http.Close() }()
 		go e.beats(ctx)
 	}
-	if !replaceConfig(controls, config(7), time.Now().Add(20*time.Second)) {
+	if !replaceConfig(controls, config(7, service), time.Now().Add(20*time.Second)) {
 		return fmt.Errorf("the first config was not acknowledged")
 	}
 	s.rec.line("config 7 is acknowledged")
@@ -98,7 +99,7 @@
 	if by == "" {
 		return fmt.Errorf("the leave was not acknowledged")
 	}
-	ackedAt = at
+	left.set(at)
 	s.rec.line("server %s deregisters; %s acknowledges it", leaver.id, by)
 	time.Sleep(killAfterAck)
 	if trouble {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,7 +19,8 @@
 
 // cases are the cases by name. Each returns an error if it couldn't run.
 var cases = map[string]func(s *system, trouble bool) error{
-	"forgotten-leave": forgottenLeave,
+	"forgotten-leave":   forgottenLeave,
+	"unreadable-report": unreadableReport,
 }
 
 func main() {
@@ -57,12 +58,15 @@
 		err = fmt.Errorf("ended by a signal")
 	case err = <-result:
 	}
+	if err != nil {
+		rec.line("the case couldn't run: %v", err)
+	}
+	rec.end()
 	if os.Getenv("KEEP") != "" {
 		fmt.Println("logs in", filepath.Clean(s.folder))
 	}
 	switch {
 	case err != nil:
-		rec.line("the case couldn't run: %v", err)
 		fmt.Println("the case couldn't run:", err)
 		return failed
 	case rec.brokenCount() > 0:
--- a/review/standin-2/operator.go
+++ b/review/standin-2/operator.go
@@ -11,23 +11,29 @@
 const (
 	host    = "app.example"
 	service = "app"
-	tenant  = "t1"
-	apiKey  = "key-of-t1"
+	// otherService is the service that a later config moves a route to.
+	otherService = "app2"
+	tenant       = "t1"
+	apiKey       = "key-of-t1"
 )
 
-// config returns a config with one service, which an unsafe and a safe route lead to.
-func config(version int) []byte {
-	route := func(name, prefix, kind string, attempts int) map[string]any {
+// config returns a config with two services. An unsafe route leads to the first, and a safe one to
+// the given one.
+func config(version int, safe string) []byte {
+	route := func(name, prefix, kind, to string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": prefix, "route_kind": kind, "timeout_ms": 1500, "goal_ms": 300,
-			"priority": 2, "service": service, "max_attempts": attempts, "anonymous": false, "sticky": false,
+			"priority": 2, "service": to, "max_attempts": attempts, "anonymous": false, "sticky": false,
 			"resumable": false,
 		}
 	}
+	svc := func(name string) map[string]any {
+		return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 130, "protocol": "h1", "tls": false}
+	}
 	text, err := json.Marshal(map[string]any{
 		"version":  version,
-		"routes":   []any{route("r-unsafe", "/unsafe/", "unsafe", 1), route("r-safe", "/safe/", "safe", 2)},
-		"services": []any{map[string]any{"name": service, "health_path": "/healthz", "max_conns": 130, "protocol": "h1", "tls": false}},
+		"routes":   []any{route("r-unsafe", "/unsafe/", "unsafe", service, 1), route("r-safe", "/safe/", "safe", safe, 2)},
+		"services": []any{svc(service), svc(otherService)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": tenant, "api_keys": []any{apiKey}, "priority": 1}},
 	})
--- a/review/standin-2/record.go
+++ b/review/standin-2/record.go
@@ -14,6 +14,7 @@
 	file   *os.File
 	start  time.Time
 	broken []string
+	ended  bool
 }
 
 func newRecord(path string) (*record, error) {
@@ -28,6 +29,9 @@
 func (r *record) line(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.ended {
+		return
+	}
 	fmt.Fprintf(r.file, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
@@ -45,3 +49,10 @@
 	defer r.mu.Unlock()
 	return len(r.broken)
 }
+
+// end drops later lines: what clients see while the processes are stopped is no part of the case.
+func (r *record) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended = true
+}
