--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,4 +5,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/larchwinch-fleet ] && [ -x target/review/standin-2 ] || { echo "build first"; exit 2; }
-exec timeout --signal=TERM --kill-after=5 110 target/review/standin-2 forgotten-leave "$folder/record.txt"
+exec timeout --signal=TERM --kill-after=5 110 target/review/standin-2 named-address "$folder/record.txt"
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -24,6 +24,8 @@
 	addresses []string
 	sentAt    map[string]time.Time // by request
 	answers   map[int]int          // by status; 0: none
+	extra     bool                 // the third route is there
+	onAnswer  func(path string, sentAt time.Time, status int)
 	next      int
 }
 
@@ -77,6 +79,31 @@
 	}
 }
 
+// poison sends the request that crashes servers once more: with another id, but the same path, caller
+// and body.
+func (c *callers) poison() {
+	c.mu.Lock()
+	c.next++
+	id := fmt.Sprintf("%012x%04x", time.Now().UnixNano()&0xffffffffffff, c.next)
+	address := c.addresses[rand.IntN(len(c.addresses))]
+	c.mu.Unlock()
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+poisonPath, strings.NewReader("the body that crashes"))
+	if err != nil {
+		return
+	}
+	r.Host = host
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Deadline-Ms", "3000")
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	status := 0
+	resp, err := c.client.Do(r)
+	if err == nil {
+		status = resp.StatusCode
+		_ = resp.Body.Close()
+	}
+	c.rec.line("client: the request that crashes servers, %s to %s: status %d", id, address, status)
+}
+
 // send sends one request, of either route.
 func (c *callers) send() {
 	c.mu.Lock()
@@ -93,6 +120,9 @@
 	if rand.IntN(3) == 0 {
 		method, path, body = http.MethodGet, "/safe/"+id, ""
 	}
+	if c.callsExtra() && rand.IntN(3) == 0 {
+		method, path, body = http.MethodGet, "/extra/"+id, ""
+	}
 	r, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
 		return
@@ -113,7 +143,24 @@
 	c.rec.line("client: %s %s to %s: status %d, error %v", method, id, address, status, err)
 	c.mu.Lock()
 	c.answers[status]++
+	at := c.sentAt[id]
 	c.mu.Unlock()
+	if c.onAnswer != nil {
+		c.onAnswer(path, at, status)
+	}
+}
+
+// callExtra begins to send requests to the third route.
+func (c *callers) callExtra() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.extra = true
+}
+
+func (c *callers) callsExtra() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.extra
 }
 
 // sent returns when a request was sent.
--- a/review/standin-2/forgottenleave.go
+++ b/review/standin-2/forgottenleave.go
@@ -78,7 +78,7 @@
 		defer func() { _ = e.http.Close() }()
 		go e.beats(ctx)
 	}
-	if !replaceConfig(controls, config(7, service), time.Now().Add(20*time.Second)) {
+	if !replaceConfig(controls, config(7, service, false), time.Now().Add(20*time.Second)) {
 		return fmt.Errorf("the first config was not acknowledged")
 	}
 	s.rec.line("config 7 is acknowledged")
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,6 +21,8 @@
 var cases = map[string]func(s *system, trouble bool) error{
 	"forgotten-leave":   forgottenLeave,
 	"unreadable-report": unreadableReport,
+	"named-address":     namedAddress,
+	"late-reports":      lateReports,
 }
 
 func main() {
--- a/review/standin-2/operator.go
+++ b/review/standin-2/operator.go
@@ -18,8 +18,8 @@
 )
 
 // config returns a config with two services. An unsafe route leads to the first, and a safe one to
-// the given one.
-func config(version int, safe string) []byte {
+// the given one. A third route, to the second service, is there if extra is set.
+func config(version int, safe string, extra bool) []byte {
 	route := func(name, prefix, kind, to string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path_prefix": prefix, "route_kind": kind, "timeout_ms": 1500, "goal_ms": 300,
@@ -30,9 +30,13 @@
 	svc := func(name string) map[string]any {
 		return map[string]any{"name": name, "health_path": "/healthz", "max_conns": 130, "protocol": "h1", "tls": false}
 	}
+	routes := []any{route("r-unsafe", "/unsafe/", "unsafe", service, 1), route("r-safe", "/safe/", "safe", safe, 2)}
+	if extra {
+		routes = append(routes, route("r-extra", "/extra/", "safe", otherService, 2))
+	}
 	text, err := json.Marshal(map[string]any{
 		"version":  version,
-		"routes":   []any{route("r-unsafe", "/unsafe/", "unsafe", service, 1), route("r-safe", "/safe/", "safe", safe, 2)},
+		"routes":   routes,
 		"services": []any{svc(service), svc(otherService)},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": tenant, "api_keys": []any{apiKey}, "priority": 1}},
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -31,14 +33,23 @@
 	born     int64
 	controls func() []string // addresses of daemons that serve control
 	onRun    func(s *server, r *http.Request)
+	// slowControl is the daemon at which status reports arrive late; none if it is empty.
+	slowControl string
+	number      int // of the server, over all its lifetimes
+	start       int // number of this lifetime
 
-	seq     atomic.Uint64
-	leaving atomic.Bool // says so in all its answers
-	silent  atomic.Bool // sends no more status reports
-	running atomic.Int64
-	slots   chan struct{}
-	http    *http.Server
-	client  *http.Client
+	seq      atomic.Uint64
+	leaving  atomic.Bool // says so in all its answers
+	silent   atomic.Bool // sends no more status reports
+	ended    atomic.Bool
+	running  atomic.Int64
+	slots    chan struct{}
+	listener net.Listener
+	http     *http.Server
+	client   *http.Client
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
 }
 
 // listen starts the server.
@@ -50,7 +61,9 @@
 	s.born = time.Now().UnixMilli()
 	s.slots = make(chan struct{}, serverSlots)
 	s.client = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	s.http = &http.Server{Handler: s}
+	s.listener = l
+	s.conns = map[net.Conn]bool{}
+	s.http = &http.Server{Handler: s, ConnState: s.track, ErrorLog: log.New(io.Discard, "", 0)}
 	go func() { _ = s.http.Serve(l) }()
 	return nil
 }
@@ -143,15 +156,57 @@
 
 // beat sends one status report, to one daemon after the other until one acknowledges it.
 func (s *server) beat() {
+	if s.slowControl != "" {
+		s.beatLate()
+	}
 	list := s.controls()
 	rand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
 	for _, a := range list {
-		if s.post(a, "/larchwinch/Instances.Heartbeat/"+s.id, s.report("ready")) {
+		if a == s.slowControl {
+			continue
+		}
+		if s.ended.Load() || s.post(a, "/larchwinch/Instances.Heartbeat/"+s.id, s.report("ready")) {
 			return
 		}
 	}
 }
 
+// beatLate sends a status report to the daemon at which it arrives late, and waits a second for its
+// acknowledgement.
+func (s *server) beatLate() {
+	body := s.report("ready")
+	time.AfterFunc(reportLateness, func() {
+		s.rec.line("a status report of %s arrives %v late: %s", s.id, reportLateness, body)
+		s.post(s.slowControl, "/larchwinch/Instances.Heartbeat/"+s.id, body)
+	})
+	time.Sleep(time.Second)
+}
+
+// crash ends the server: its channels are reset, and it reports nothing more.
+func (s *server) crash() {
+	s.ended.Store(true)
+	s.silent.Store(true)
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// track keeps the open channels.
+func (s *server) track(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		s.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	}
+}
+
 // beats sends status reports until ctx ends or the server is silent.
 func (s *server) beats(ctx context.Context) {
 	for ctx.Err() == nil && !s.silent.Load() {
--- a/review/standin-2/unreadablereport.go
+++ b/review/standin-2/unreadablereport.go
@@ -67,7 +67,7 @@
 		defer func() { _ = e.http.Close() }()
 		go e.beats(ctx)
 	}
-	if !replaceConfig(controls, config(7, service), time.Now().Add(20*time.Second)) {
+	if !replaceConfig(controls, config(7, service, false), time.Now().Add(20*time.Second)) {
 		return fmt.Errorf("the first config was not acknowledged")
 	}
 	s.rec.line("config 7 is acknowledged")
@@ -88,7 +88,7 @@
 			s.rec.line("another writer sends %s a status report of %s: %s; acknowledged %v", a, unreadableID, body, ok)
 		}
 	}
-	if !replaceConfig(controls, config(11, otherService), time.Now().Add(20*time.Second)) {
+	if !replaceConfig(controls, config(11, otherService, false), time.Now().Add(20*time.Second)) {
 		return fmt.Errorf("the second config was not acknowledged")
 	}
 	moved.set(time.Now())
