--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,6 +23,7 @@
 	"unreadable-report": unreadableReport,
 	"named-address":     namedAddress,
 	"late-reports":      lateReports,
+	"part-bursts":       partBursts,
 }
 
 func main() {
--- a/review/standin-2/operator.go
+++ b/review/standin-2/operator.go
@@ -34,10 +34,15 @@
 	if extra {
 		routes = append(routes, route("r-extra", "/extra/", "safe", otherService, 2))
 	}
+	return marshalConfig(version, routes, []any{svc(service), svc(otherService)})
+}
+
+// marshalConfig returns a config with one tenant.
+func marshalConfig(version int, routes, services []any) []byte {
 	text, err := json.Marshal(map[string]any{
 		"version":  version,
 		"routes":   routes,
-		"services": []any{svc(service), svc(otherService)},
+		"services": services,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants":  []any{map[string]any{"name": tenant, "api_keys": []any{apiKey}, "priority": 1}},
 	})
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -37,6 +38,7 @@
 	slowControl string
 	number      int // of the server, over all its lifetimes
 	start       int // number of this lifetime
+	engine      bool
 
 	seq      atomic.Uint64
 	leaving  atomic.Bool // says so in all its answers
@@ -48,8 +50,10 @@
 	http     *http.Server
 	client   *http.Client
 
-	mu    sync.Mutex
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	conns  map[net.Conn]bool
+	orders int // taken since the start
+	layers int // held, from the first one on
 }
 
 // listen starts the server.
@@ -95,6 +99,15 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
+	case s.engine && r.URL.Path == "/larchwinch/report":
+		s.serveReport(w)
+		return
+	case s.engine && r.URL.Path == "/larchwinch/order":
+		s.serveOrder(w, r)
+		return
+	case s.engine && id != "":
+		s.serveStream(w, r)
+		return
 	case id == "":
 		reject(http.StatusBadRequest)
 		return
@@ -126,10 +139,14 @@
 
 // report returns the next status report.
 func (s *server) report(state string) []byte {
-	text, err := json.Marshal(map[string]any{
+	fields := map[string]any{
 		"service": s.service, "address": s.address, "zone": s.zone, "version": "v1", "slots": serverSlots,
 		"state": state, "cold_left_ms": 0, "born": s.born, "seq": s.seq.Add(1),
-	})
+	}
+	if s.engine {
+		maps.Copy(fields, s.engineFields())
+	}
+	text, err := json.Marshal(fields)
 	if err != nil {
 		panic(err)
 	}
