--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -43,7 +43,7 @@
 func (c *callers) resolve() {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, i := range rand.Perm(len(c.directories))[:3] {
-		resp, err := client.Get("http://" + c.directories[i] + "/larchwinch/resolve?name=" + host + "&region=r&zone=z-a")
+		resp, err := client.Get("http://" + c.directories[i] + names["resolve"] + "?name=" + host + "&region=r&zone=z-a")
 		if err != nil {
 			continue
 		}
@@ -93,7 +93,7 @@
 	}
 	r.Host = host
 	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "3000")
+	r.Header.Set(names["deadline"], "3000")
 	r.Header.Set("Authorization", "Bearer "+apiKey)
 	status := 0
 	resp, err := c.client.Do(r)
@@ -129,7 +129,7 @@
 	}
 	r.Host = host
 	r.Header.Set("Request-Id", id)
-	r.Header.Set("Deadline-Ms", "3000")
+	r.Header.Set(names["deadline"], "3000")
 	r.Header.Set("Authorization", "Bearer "+apiKey)
 	status := 0
 	resp, err := c.client.Do(r)
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -40,8 +40,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return map[string]any{
-		"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "route_kind": engineKind,
-		"layers": map[string]any{"from": 0, "target_version": s.layers, "version": 1}, "born": s.born,
+		"stage": "both", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, names["kind"]: engineKind,
+		"layers": map[string]any{"from": 0, names["end"]: s.layers, "version": 1}, "born": s.born,
 	}
 }
 
@@ -62,24 +62,24 @@
 
 // serveOrder carries out a place order, and knows no request to send along another path.
 func (s *server) serveOrder(w http.ResponseWriter, r *http.Request) {
-	var o struct {
-		Op       string `json:"op"`
-		From     int    `json:"from"`
-		To       int    `json:"target_version"`
-		Expected int    `json:"expected_rev"`
-	}
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Op != "place" {
+	var o map[string]any
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o["op"] != "place" {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	number := func(name string) int {
+		n, _ := o[name].(float64) // 0 if it is missing
+		return int(n)
+	}
+	from, to, expected := number("from"), number(names["end"]), number(names["expected"])
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if o.Expected != s.orders || o.From != 0 || o.To != engineLayers {
+	if expected != s.orders || from != 0 || to != engineLayers {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
 	s.orders++
-	s.layers = o.To
+	s.layers = to
 	w.WriteHeader(http.StatusAccepted)
 }
 
@@ -91,7 +91,7 @@
 	layers := s.layers
 	s.mu.Unlock()
 	if layers < engineLayers {
-		w.Header().Set("Not-Executed", "1")
+		w.Header().Set(names["not_run"], "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -104,7 +104,7 @@
 	}
 	h := w.Header()
 	h.Set("Content-Type", "text/event-stream")
-	h.Set("Server-Seal", s.id+"."+id)
+	h.Set(names["seal"], s.id+"."+id)
 	first := 1
 	if _, err := fmt.Sscan(r.Header.Get("Last-Event-Id"), &first); err == nil {
 		first++
--- a/review/standin-2/forgottenleave.go
+++ b/review/standin-2/forgottenleave.go
@@ -115,7 +115,7 @@
 	}
 	time.Sleep(lateness - downTime)
 	before := callers.served()
-	ok := leaver.post(receiver.address(controlPort), "/larchwinch/Instances.Heartbeat/"+leaver.id, late)
+	ok := leaver.post(receiver.address(controlPort), names["heartbeat"]+leaver.id, late)
 	s.rec.line("the late status report arrives at %s; acknowledged %v", receiver.name, ok)
 	time.Sleep(serveOn)
 	s.rec.line("server %s ends", leaver.id)
--- a/review/standin-2/namedaddress.go
+++ b/review/standin-2/namedaddress.go
@@ -90,7 +90,7 @@
 			id := fmt.Sprintf("w-%d", n)
 			for _, a := range controls {
 				body := writer.report("ready")
-				ok := writer.post(a, "/larchwinch/Instances.Heartbeat/"+id, body)
+				ok := writer.post(a, names["heartbeat"]+id, body)
 				s.rec.line("another writer sends %s a status report of %s: %s; acknowledged %v", a, id, body, ok)
 			}
 		}
--- a/review/standin-2/operator.go
+++ b/review/standin-2/operator.go
@@ -22,7 +22,7 @@
 func config(version int, safe string, extra bool) []byte {
 	route := func(name, prefix, kind, to string, attempts int) map[string]any {
 		return map[string]any{
-			"name": name, "host": host, "path_prefix": prefix, "route_kind": kind, "timeout_ms": 1500, "goal_ms": 300,
+			"name": name, "host": host, "path_prefix": prefix, names["kind"]: kind, "timeout_ms": 1500, "goal_ms": 300,
 			"priority": 2, "service": to, "max_attempts": attempts, "anonymous": false, "sticky": false,
 			"resumable": false,
 		}
@@ -56,7 +56,7 @@
 func replaceConfig(controls []string, text []byte, until time.Time) bool {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for i := 0; time.Now().Before(until); i++ {
-		resp, err := client.Post("http://"+controls[i%len(controls)]+"/larchwinch/Config.Replace", "application/json", bytes.NewReader(text))
+		resp, err := client.Post("http://"+controls[i%len(controls)]+names["replace"], "application/json", bytes.NewReader(text))
 		if err == nil {
 			_, _ = io.Copy(io.Discard, resp.Body)
 			_ = resp.Body.Close()
--- a/review/standin-2/partbursts.go
+++ b/review/standin-2/partbursts.go
@@ -60,7 +60,7 @@
 		return nil
 	}
 	onRun = func(e *server, r *http.Request) {
-		if !strings.Contains(r.Header.Get("Prefix-Hash"), poisonPart) || !trouble {
+		if !strings.Contains(r.Header.Get(names["parts"]), poisonPart) || !trouble {
 			return
 		}
 		from, _, _ := net.SplitHostPort(r.RemoteAddr)
@@ -159,7 +159,7 @@
 // engineOnlyConfig returns a config with one route of streams to the model servers.
 func engineOnlyConfig(version int) []byte {
 	return marshalConfig(version, []any{map[string]any{
-		"name": "r-stream", "host": host, "path_prefix": "/llm/", "route_kind": "stream", "timeout_ms": 20000, "goal_ms": 500,
+		"name": "r-stream", "host": host, "path_prefix": "/llm/", names["kind"]: "stream", "timeout_ms": 20000, "goal_ms": 500,
 		"priority": 1, "service": engineService, "max_attempts": 2, "anonymous": false, "sticky": true, "resumable": true, "gap_aim_ms": 200,
 	}}, []any{engineConfig()})
 }
@@ -189,7 +189,7 @@
 	}
 	r.Host = host
 	for name, v := range map[string]string{
-		"Request-Id": id, "Deadline-Ms": "20000", "Authorization": "Bearer " + apiKey, "Model": "m", "Token-Counts": "130,20", "Prefix-Hash": parts,
+		"Request-Id": id, names["deadline"]: "20000", "Authorization": "Bearer " + apiKey, "Model": "m", names["tokens"]: "130,20", names["parts"]: parts,
 	} {
 		r.Header.Set(name, v)
 	}
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -76,7 +76,7 @@
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	if s.leaving.Load() {
-		h.Set("Server-Leaving", "1")
+		h.Set(names["leaving"], "1")
 		h.Set("Connection", "close")
 	}
 	id := r.Header.Get("Request-Id")
@@ -84,11 +84,11 @@
 		h.Set("Request-Id", id)
 	}
 	reject := func(status int) {
-		h.Set("Not-Executed", "1")
+		h.Set(names["not_run"], "1")
 		h.Set("Content-Length", "0")
 		w.WriteHeader(status)
 	}
-	expected := r.Header.Get("Expect-Instance")
+	expected := r.Header.Get(names["expect"])
 	switch {
 	case expected != "" && expected != s.id:
 		reject(http.StatusMisdirectedRequest)
@@ -99,10 +99,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 		return
-	case s.engine && r.URL.Path == "/larchwinch/report":
+	case s.engine && r.URL.Path == names["report"]:
 		s.serveReport(w)
 		return
-	case s.engine && r.URL.Path == "/larchwinch/order":
+	case s.engine && r.URL.Path == names["order"]:
 		s.serveOrder(w, r)
 		return
 	case s.engine && id != "":
@@ -131,7 +131,7 @@
 	s.onRun(s, r)
 	time.Sleep(serverWork)
 	out := []byte(strings.Repeat(fmt.Sprintf("%s %d.", id, len(body)), 30))
-	h.Set("Server-Seal", fmt.Sprintf("%s.%x", s.id, len(out)))
+	h.Set(names["seal"], fmt.Sprintf("%s.%x", s.id, len(out)))
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", len(s.slots), serverSlots))
 	h.Set("Content-Length", strconv.Itoa(len(out)))
 	_, _ = w.Write(out)
@@ -182,7 +182,7 @@
 		if a == s.slowControl {
 			continue
 		}
-		if s.ended.Load() || s.post(a, "/larchwinch/Instances.Heartbeat/"+s.id, s.report("ready")) {
+		if s.ended.Load() || s.post(a, names["heartbeat"]+s.id, s.report("ready")) {
 			return
 		}
 	}
@@ -194,7 +194,7 @@
 	body := s.report("ready")
 	time.AfterFunc(reportLateness, func() {
 		s.rec.line("a status report of %s arrives %v late: %s", s.id, reportLateness, body)
-		s.post(s.slowControl, "/larchwinch/Instances.Heartbeat/"+s.id, body)
+		s.post(s.slowControl, names["heartbeat"]+s.id, body)
 	})
 	time.Sleep(time.Second)
 }
@@ -243,7 +243,7 @@
 	body := []byte(fmt.Sprintf(`{"born":%d}`, s.born))
 	for range 10 {
 		for _, a := range list {
-			if s.post(a, "/larchwinch/Instances.Deregister/"+s.id, body) {
+			if s.post(a, names["deregister"]+s.id, body) {
 				return a, time.Now()
 			}
 		}
--- a/review/standin-2/system.go
+++ b/review/standin-2/system.go
@@ -161,7 +161,7 @@
 	}
 	cmd := exec.Command(filepath.Join(s.root, "target", "larchwinch-fleet"), role)
 	cmd.Dir = s.root
-	cmd.Env = []string{"LARCHWINCH_BOOT=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + s.folder}
+	cmd.Env = []string{names["settings"] + "=" + m.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + s.folder}
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		return err
--- a/review/standin-2/unreadablereport.go
+++ b/review/standin-2/unreadablereport.go
@@ -84,7 +84,7 @@
 		}
 		for _, a := range controls {
 			body := writer.report("ready")
-			ok := writer.post(a, "/larchwinch/Instances.Heartbeat/"+unreadableID, body)
+			ok := writer.post(a, names["heartbeat"]+unreadableID, body)
 			s.rec.line("another writer sends %s a status report of %s: %s; acknowledged %v", a, unreadableID, body, ok)
 		}
 	}
