fleet, fleetcontrol, platform: announcements that can't be encoded are rejected

What callers saw: after another program had sent each control host one heartbeat whose id held the byte 0xff, an acknowledged configuration came into force nowhere; 4.6 s later every request got 503. Cause: the id of a heartbeat or deregistration stands in the path and was kept as it came. It goes into strings of protobuf messages, which can't be encoded unless they are UTF-8: one entry stopped the leader's answers to all hosts, announcements to other replicas, and the list on disk. Ruled out: texts of the body (the JSON decoder replaces such bytes), ids that hosts report (of the leader's own list), other replicas and the disk (their decoder checks). Change: what comes from outside is checked before it is kept: UTF-8, no control characters, 256 bytes, numbers within the wire types. Conclusion: every entrance of announcements from outside has the check, so no message to hosts, replicas or the disk holds such text. Not limited yet: how many readable ids another program announces.

--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -23,8 +23,12 @@
 // so one of its voters has the announcement and sends it to the leader within
 // propagateInterval. It is not enough that this replica leads, or that one other has
 // the announcement: this side may be a minority that is cut off, and the hosts that
-// follow the other side's leader would go on sending to the endpoint.
+// follow the other side's leader would go on sending to the endpoint. The error is a
+// *fleet.AnnouncementError if no endpoint can have sent the heartbeat.
 func (s *Server) Announce(ctx context.Context, e fleet.Endpoint) error {
+	if err := e.ValidateAnnounced(); err != nil {
+		return err
+	}
 	isNew := s.table.Announce(e)
 	if e.Leaving {
 		return s.propagate(ctx, e)
@@ -39,8 +43,12 @@
 	return nil
 }
 
-// Deregister records that an endpoint is gone for good.
+// Deregister records that an endpoint is gone for good. The error is a
+// *fleet.AnnouncementError if no endpoint can have that id.
 func (s *Server) Deregister(ctx context.Context, id string) error {
+	if err := fleet.ValidateID(id); err != nil {
+		return err
+	}
 	return s.propagate(ctx, s.table.MarkGone(id))
 }
 
