registry: an announcement for another service ends no endpoint

What callers saw: another program had announced endpoints of a service that no configuration names, with the addresses of three sound servers; a route that was added to their service later was hardly served, 0 to 53 of some 270 requests, for as long as these servers ran. Cause: such an announcement ended the endpoint at its address once that one had sent no heartbeat for 1.5 intervals, and each replica judged by its own table. An endpoint sends its heartbeats to one replica, and the others are told of changes only: to them every endpoint is silent. They marked it gone, which is never reset, and told the leader so with the next heartbeat that they received. Ruled out: that the leader itself took them for silent (its log names them only after another replica's call); the probes (the endpoints answered them). Change: another service's announcement ends nothing, and doesn't make the heartbeats of the endpoint at its address count as late ones. Where an address has gone to another service, the leader marks the earlier endpoint silent once its heartbeats are late and the other's come; answers from there don't count, and the next heartbeat takes it back. Conclusion: no replica concludes from heartbeats that it doesn't receive. An announcement for the endpoint's own service with a later start still ends it, as a restart does.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -54,6 +54,8 @@
 	// silentAt is when a silent endpoint was marked so; accepting says that it accepts connections.
 	silentAt  time.Time
 	accepting bool
+	// occupied says that another endpoint is at the address; set by Sweep.
+	occupied bool
 	// contradiction is what other announcements of the incarnation say it is.
 	contradiction contradiction
 }
@@ -184,7 +186,9 @@
 	if e.LastHeartbeat.After(old.LastHeartbeat) {
 		next.LastHeartbeat = e.LastHeartbeat
 	}
-	next.Silent = old.Silent && !next.LastHeartbeat.After(old.LastHeartbeat)
+	heard := next.LastHeartbeat.After(old.LastHeartbeat)
+	next.Silent = old.Silent && !heard
+	old.occupied = old.occupied && !heard
 	next.Restored = old.Restored && e.Restored
 	if next.Layers != old.Layers {
 		t.logLayers(&next)
@@ -210,12 +214,16 @@
 // another has announced itself. Start times decide if both have them. Otherwise the higher
 // sequence is the earlier one's, since sequences restart with each incarnation. If the other
 // incarnation has crashed too, heartbeats are accepted again two intervals after its last one.
+// An announcement for another service shows nothing: it may be another program's.
 func (t *Table) isDelayed(e *fleet.Endpoint) bool {
 	if e.Gone || e.Address == "" {
 		return false
 	}
 	now := t.svc.Now()
 	for _, ent := range t.entries {
+		if ent.Service != e.Service {
+			continue
+		}
 		if ent.StartedAt > 0 && e.StartedAt > 0 {
 			if e.StartedAt < ent.StartedAt && sameEndpoint(e, &ent.Endpoint) {
 				return true
@@ -231,13 +239,14 @@
 
 // supersede marks the earlier incarnations at a new one's address, and of the same endpoint,
 // as gone: each start of an endpoint is a new incarnation, and an address has one endpoint at
-// a time.
+// a time. It leaves alone those of other services: an announcement for a wrong service mustn't end
+// the endpoint whose address it contains. Sweep finds whether that one is still heard.
 func (t *Table) supersede(e *fleet.Endpoint) {
 	if e.Gone || e.Address == "" {
 		return
 	}
 	for id, ent := range t.entries {
-		if id == e.ID || !sameEndpoint(e, &ent.Endpoint) || ent.Gone || !t.replaces(e, &ent.Endpoint) {
+		if id == e.ID || !sameEndpoint(e, &ent.Endpoint) || ent.Gone || !replaces(e, &ent.Endpoint) {
 			continue
 		}
 		ent.Gone = true
@@ -258,23 +267,16 @@
 	return own == otherOwn && startedAt > 0 && otherStartedAt > 0
 }
 
-// addressReuseIntervals is for how many heartbeat intervals an endpoint must have sent no
-// heartbeat before an endpoint of another service replaces it at its address: addresses are
-// given to other services some seconds after their endpoints stopped. An announcement for a
-// wrong service mustn't end the endpoint whose address it contains.
-const addressReuseIntervals = 1.5
-
-// replaces reports whether a new incarnation at the address of another shows that the other
-// is gone.
-func (t *Table) replaces(e, other *fleet.Endpoint) bool {
-	silence := e.LastHeartbeat.Sub(other.LastHeartbeat)
-	if e.Service != other.Service && float64(silence) < addressReuseIntervals*float64(t.interval) {
+// replaces reports whether a new incarnation at the address of another of its service shows that
+// the other is gone.
+func replaces(e, other *fleet.Endpoint) bool {
+	if e.Service != other.Service {
 		return false
 	}
 	if e.StartedAt > 0 && other.StartedAt > 0 {
 		return e.StartedAt > other.StartedAt
 	}
-	return silence >= 0
+	return !e.LastHeartbeat.Before(other.LastHeartbeat)
 }
 
 // sameState reports whether a change concerns neither entry hosts nor other replicas.
@@ -313,14 +315,17 @@
 	t.changed = make(chan struct{})
 }
 
-// Sweep drops old entries, and returns the endpoints whose heartbeats are late: they may have
-// sent them to a replica that can't pass them on.
+// Sweep drops old entries, marks those silent whose addresses others have taken, and returns the
+// endpoints whose heartbeats are late: they may have sent them to a replica that can't pass them
+// on. Only a replica that receives the heartbeats of all endpoints may call it.
 func (t *Table) Sweep() []fleet.Endpoint {
 	now := t.svc.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var late []fleet.Endpoint
+	occupants := t.occupants(now)
 	for id, ent := range t.entries {
+		t.markOccupied(ent, occupants[ent.Address], now)
 		age := ent.sinceLastContact(now)
 		if ent.Restored {
 			continue
@@ -359,11 +364,17 @@
 	if ent.Silent {
 		return
 	}
+	t.setSilent(ent, "doesn't answer")
+}
+
+// setSilent marks an entry as silent. The caller holds mu.
+func (t *Table) setSilent(ent *entry, why string) {
+	now := t.svc.Now()
 	ent.Silent = true
-	ent.silentAt = t.svc.Now()
+	ent.silentAt = now
 	t.markChanged(ent)
-	t.log.Event(eventlog.EndpointSilent, eventlog.Str("endpoint", id), eventlog.Str("address", ent.Address),
-		eventlog.Str("why", "doesn't answer"), eventlog.Ms("age_ms", ent.sinceLastContact(t.svc.Now())))
+	t.log.Event(eventlog.EndpointSilent, eventlog.Str("endpoint", ent.ID), eventlog.Str("address", ent.Address),
+		eventlog.Str("why", why), eventlog.Ms("age_ms", ent.sinceLastContact(now)))
 }
 
 // recordDeparture adds an endpoint to departures, and drops those older than forgetAfter.
--- a/pkg/registry/status.go
+++ b/pkg/registry/status.go
@@ -23,7 +23,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ent := t.entries[id]
-	if ent == nil || ent.Gone {
+	if ent == nil || ent.Gone || ent.occupied {
 		return
 	}
 	next := ent.Endpoint
@@ -95,7 +95,7 @@
 func (t *Table) MarkAnswered(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if ent := t.entries[id]; ent != nil && ent.Silent && !ent.Gone {
+	if ent := t.entries[id]; ent != nil && ent.Silent && !ent.Gone && !ent.occupied {
 		ent.Silent = false
 		t.markChanged(ent)
 	}
