quarantine, fleetcontrol: crashes that come together count one by one once later evidence allows it

What callers saw: four requests with a part of prompts that crashes endpoints, every 6 s at one host, reached endpoints 8 or 16 times later than 3 s after the fifth crash, and broke off other callers' streams there. Cause: endpoints lost within 0.5 s count as one crash if one host alone reported them or all are of one failure domain. Requests that come together crash endpoints together, and a host's stay in its domain. Ruled out: reports that come late (the leader had all within 0.4 s), parts that weren't reported (part_held names it after the third burst). Change: the crashes of a mass loss count one by one for a part of which no request ever survived, which was at nine tenths of the lost endpoints, none of which was heard of since; and if others of their domain were heard, or some crashed under requests that had been sent again after an earlier crash. One that is heard keeps the rest as one crash, since they may be lost connections. The specs of quarantine and the evidence model pass. Conclusion: what heartbeats tell 2.4 s later decides between a part, a domain and a host's links.

--- a/pkg/fleetcontrol/retract.go
+++ b/pkg/fleetcontrol/retract.go
@@ -19,9 +19,9 @@
 const maxHeartbeatDelay = 700 * time.Millisecond
 
 // retractCrashes takes back the crashes of endpoints that sent a heartbeat later, and releases what
-// doesn't stand without these.
+// doesn't stand without these. It confirms those of endpoints whose next heartbeat doesn't come.
 func (s *Server) retractCrashes(ctx context.Context) {
-	s.coordinator.retract(func() []fleet.Endpoint {
+	s.coordinator.retract(s.cfg.Heartbeat, func() []fleet.Endpoint {
 		list, _ := s.table.ChangesSince(0)
 		return list
 	})
@@ -42,22 +42,76 @@
 	}
 }
 
-// retract takes back the crashes of the listed endpoints that were heard from later. An endpoint
-// that doesn't report its start may have restarted under the same id.
-func (c *quarantineCoordinator) retract(list func() []fleet.Endpoint) {
+// retract takes back the crashes of the listed endpoints that were heard from later, and confirms
+// those of the ones that weren't, although they send a heartbeat every interval. An endpoint that
+// doesn't report its start may have restarted under the same id.
+func (c *quarantineCoordinator) retract(interval time.Duration, list func() []fleet.Endpoint) {
 	crashed := c.detector.Crashed()
 	if len(crashed) == 0 || !c.retractDue() {
 		return
 	}
-	for _, e := range list() {
-		if e.StartedAt == 0 || e.Gone || e.Restored {
-			continue
+	now, termAt := c.svc.Now(), c.termBegan()
+	endpoints := list()
+	confirmAfter := maxHeartbeatDelay + interval + propagateInterval
+	var lost []fleet.Endpoint
+	for _, e := range endpoints {
+		at, ok := crashed[fleet.LoadKey(e.ID)]
+		heard := e.LastHeartbeat.Sub(at) >= maxHeartbeatDelay
+		switch {
+		case !ok || e.Restored:
+		case heard && e.StartedAt != 0 && !e.Gone:
+			c.addFallen(c.detector.Retract(fleet.LoadKey(e.ID), e.LastHeartbeat)...)
+		case !heard && now.Sub(at) >= confirmAfter && now.Sub(termAt) >= confirmAfter:
+			lost = append(lost, e)
 		}
-		key := fleet.LoadKey(e.ID)
-		if at, ok := crashed[key]; ok && e.LastHeartbeat.Sub(at) >= maxHeartbeatDelay {
-			c.addFallen(c.detector.Retract(key, e.LastHeartbeat)...)
+	}
+	if len(lost) == 0 {
+		return
+	}
+	heard := lastHeard(endpoints, crashed)
+	for i := range lost {
+		key := fleet.LoadKey(lost[i].ID)
+		c.detector.Confirm(key, heard[groupOf(&lost[i])].Sub(crashed[key]) >= maxHeartbeatDelay)
+	}
+}
+
+// termBegan returns when this leader's term began. The leader received few heartbeats before.
+func (c *quarantineCoordinator) termBegan() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.termAt
+}
+
+// endpointGroup is the endpoints of one service in one failure domain.
+type endpointGroup struct {
+	service string
+	domain  string
+}
+
+func groupOf(e *fleet.Endpoint) endpointGroup {
+	return endpointGroup{
+		service: e.Service,
+		domain:  e.Domain,
+	}
+}
+
+// lastHeard returns when an endpoint of each group was last heard from, other than those that
+// crashed and those that have come to their addresses.
+func lastHeard(list []fleet.Endpoint, crashed map[uint32]time.Time) map[endpointGroup]time.Time {
+	addresses := map[string]bool{}
+	for i := range list {
+		if _, ok := crashed[fleet.LoadKey(list[i].ID)]; ok {
+			addresses[list[i].Address] = true
+		}
+	}
+	out := map[endpointGroup]time.Time{}
+	for i := range list {
+		e := &list[i]
+		if !addresses[e.Address] && !e.Restored && e.LastHeartbeat.After(out[groupOf(e)]) {
+			out[groupOf(e)] = e.LastHeartbeat
 		}
 	}
+	return out
 }
 
 // addFallen adds findings that don't stand any more, to be released.
--- a/pkg/quarantine/detector.go
+++ b/pkg/quarantine/detector.go
@@ -58,7 +58,7 @@
 	svc timer.Service
 
 	mu         sync.Mutex
-	suspects   map[Fingerprint]*suspect
+	suspects   suspects
 	parts      *partTable
 	attributed map[uint32]attribution    // by incarnation
 	lastCrash  map[Fingerprint]time.Time // attributed to a detected part
@@ -74,6 +74,19 @@
 	lastCrash time.Time
 }
 
+// suspects are the requests that may crash endpoints.
+type suspects map[Fingerprint]*suspect
+
+// crashed implements requestCrashes.
+func (l suspects) crashed(request Fingerprint, endpoint uint32) bool {
+	s := l[request]
+	if s == nil {
+		return false
+	}
+	_, ok := s.crashes[endpoint]
+	return ok
+}
+
 type attribution struct {
 	request Fingerprint // or part
 	at      time.Time
@@ -82,15 +95,16 @@
 
 // NewDetector returns a detector that knows of no crash.
 func NewDetector(svc timer.Service) *Detector {
-	return &Detector{
+	d := &Detector{
 		svc:        svc,
-		suspects:   map[Fingerprint]*suspect{},
-		parts:      newPartTable(partCrashes),
+		suspects:   suspects{},
 		attributed: map[uint32]attribution{},
 		lastCrash:  map[Fingerprint]time.Time{},
 		crashedAt:  map[uint32]time.Time{},
 		verdicts:   map[Fingerprint]*verdict{},
 	}
+	d.parts = newPartTable(partCrashes, d.suspects)
+	return d
 }
 
 // Add records a crash. If the request is already known to crash endpoints, the crash is
@@ -200,8 +214,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version++
-	d.suspects = map[Fingerprint]*suspect{}
-	d.parts = newPartTable(partCrashes)
+	d.suspects = suspects{}
+	d.parts = newPartTable(partCrashes, d.suspects)
 	d.attributed = map[uint32]attribution{}
 	d.lastCrash = map[Fingerprint]time.Time{}
 	d.crashedAt = map[uint32]time.Time{}
--- a/pkg/quarantine/partcandidates.go
+++ b/pkg/quarantine/partcandidates.go
@@ -37,7 +37,8 @@
 	// maxTied is how many parts are detected together after partCrashes.
 	maxTied = 2
 	// massCrashes is the number of endpoints of one failure domain, or connections of one
-	// host, from which on their loss within massWindow counts as a single crash.
+	// host, from which on their loss within massWindow counts as a single crash, unless later
+	// evidence tells them apart.
 	massCrashes = 3
 	massWindow  = 500 * time.Millisecond
 	// maxSharedCandidates bounds the shared parts that are compared, those at the most crashes.
@@ -101,7 +102,7 @@
 // first: it was at the most crashes since it survived, and of those that were at as many the one
 // whose requests had been written for the shortest time, since those of the others had not all
 // just begun.
-func (t *partTable) plausible(shared []partCandidate, groups map[uint32]uint32, now time.Time) []partCandidate {
+func (t *partTable) plausible(shared []partCandidate, groups *massLosses, now time.Time) []partCandidate {
 	shared = shared[:min(len(shared), maxSharedCandidates)]
 	for i := range shared {
 		c := &shared[i]
@@ -188,7 +189,7 @@
 // candidates returns the parts with enough crashes under different requests, those with the
 // most crashes first, and of these the ones with the fewest requests; groups are the mass
 // losses.
-func (t *partTable) candidates() (rare, shared []partCandidate, groups map[uint32]uint32) {
+func (t *partTable) candidates() (rare, shared []partCandidate, groups *massLosses) {
 	var present presence
 	for f, s := range t.suspects {
 		if len(s.crashes) < minCandidateCrashes {
@@ -255,11 +256,12 @@
 
 // candidate returns the suspect as a candidate, unless it was at too few crashes, or hosts named
 // the same request at all of them.
-func (t *partTable) candidate(f Fingerprint, s *partSuspect, groups map[uint32]uint32) (partCandidate, bool) {
+func (t *partTable) candidate(f Fingerprint, s *partSuspect, groups *massLosses) (partCandidate, bool) {
 	c := partCandidate{
 		part:    f,
 		suspect: s,
 	}
+	separate := t.separate(s, groups)
 	first := map[crashGroup]groupedCrash{}
 	requests := map[Fingerprint]bool{}
 	for id, one := range s.crashes {
@@ -267,7 +269,7 @@
 		c.requests += one.requests
 		c.fresh += one.fresh
 		c.writing += one.total
-		group, weight := t.groupOf(id, one, groups)
+		group, weight := t.groupOf(id, one, groups, separate)
 		known, ok := first[group]
 		if !ok || one.at.Before(known.at) {
 			known.at = one.at
@@ -298,19 +300,22 @@
 	return c, (weight >= groupWeight*necessary || c.shared && c.crashes >= t.least) && len(requests) > 1
 }
 
-// groupOf returns the group of a crash, and its weight.
-func (t *partTable) groupOf(endpoint uint32, c *partCrash, groups map[uint32]uint32) (crashGroup, int) {
-	switch {
-	case c.claimedBy != 0:
+// groupOf returns the group of a crash, and its weight. A mass loss is one group, but for the
+// crashes that count by themselves.
+func (t *partTable) groupOf(endpoint uint32, c *partCrash, groups *massLosses, separate map[uint32]bool) (crashGroup, int) {
+	if c.claimedBy != 0 {
 		return crashGroup{
 			claimedBy: c.claimedBy,
 		}, claimedWeight
-	case t.unseen(endpoint):
-		return crashGroup{
-			endpoint: representative(endpoint, groups),
-		}, unseenWeight
+	}
+	weight := groupWeight
+	if t.unseen(endpoint) {
+		weight = unseenWeight
+	}
+	if !separate[endpoint] {
+		endpoint = groups.representative(endpoint)
 	}
 	return crashGroup{
-		endpoint: representative(endpoint, groups),
-	}, groupWeight
+		endpoint: endpoint,
+	}, weight
 }
--- a/pkg/quarantine/partenforcer.go
+++ b/pkg/quarantine/partenforcer.go
@@ -149,7 +149,7 @@
 
 // detectOwn returns the parts that are detected by what this host saw alone.
 func (e *Enforcer) detectOwn(now time.Time) []Fingerprint {
-	t := newPartTable(ownPartCrashes)
+	t := newPartTable(ownPartCrashes, suspects{})
 	for id, own := range e.partReports.crashes {
 		c := EndpointCrash{
 			Endpoint: id,
--- a/pkg/quarantine/parttable.go
+++ b/pkg/quarantine/parttable.go
@@ -19,6 +19,13 @@
 	least    int // crashes from which on a part is detected that no request survived
 	suspects map[Fingerprint]*partSuspect
 	lost     map[uint32]*incarnationCrash
+	requests requestCrashes
+}
+
+// requestCrashes tells which crashes whole requests were at.
+type requestCrashes interface {
+	// crashed reports whether an endpoint crashed under a request.
+	crashed(request Fingerprint, endpoint uint32) bool
 }
 
 type partSuspect struct {
@@ -50,11 +57,19 @@
 	attributed bool
 	// unseen says that a request was there that may be the cause, and whose parts aren't known.
 	unseen bool
+	// confirmed says that the endpoint wasn't heard of after the crash, and domainLives that
+	// others of its failure domain were.
+	confirmed   bool
+	domainLives bool
+	// peerHeard says that another endpoint was heard of whose crash was reported together with
+	// this one.
+	peerHeard bool
 }
 
-func newPartTable(least int) *partTable {
+func newPartTable(least int, requests requestCrashes) *partTable {
 	return &partTable{
 		least:    least,
+		requests: requests,
 		suspects: map[Fingerprint]*partSuspect{},
 		lost:     map[uint32]*incarnationCrash{},
 	}
--- a/pkg/quarantine/verdict.go
+++ b/pkg/quarantine/verdict.go
@@ -107,6 +107,16 @@
 	return fallen
 }
 
+// Confirm records that an incarnation wasn't heard of after its crash, though it would have been if
+// it lived, and whether others of its failure domain were heard of since.
+func (d *Detector) Confirm(endpoint uint32, domainLives bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.parts.confirm(endpoint, domainLives) {
+		d.version++
+	}
+}
+
 // setLastCrash sets the time of the last crash that is attributed to a part.
 func (d *Detector) setLastCrash(f Fingerprint, v *verdict) {
 	if !v.finding.Part {
@@ -212,6 +222,9 @@
 
 // retract takes back the crash of an incarnation.
 func (t *partTable) retract(endpoint uint32) {
+	if l := t.lost[endpoint]; l != nil {
+		t.notePeers(l)
+	}
 	delete(t.lost, endpoint)
 	for f, s := range t.suspects {
 		delete(s.crashes, endpoint)
