fleetcontrol, state, registry, rpc: the log records a leave before it is acknowledged

What callers saw: an endpoint deregistered, and a control host acknowledged that; all processes of the core were killed 0.5 s later and came back with their disks. A heartbeat from before the leave then arrived late, and the endpoint got 2 or 3 requests more than 5 s after the acknowledgement, where 2 s are allowed. Cause: a leave was acknowledged once a majority of the replicas had it in memory. Their disks name only usable endpoints, and hosts without a disk aren't told of leaves. Ruled out: the list on disk (it didn't name the endpoint), the probes (they skip what isn't listed). Change: the leader records departures in the log, those of the same 10 ms in one entry, beside the calls that tell the other replicas; the acknowledgement waits for both. Every leader applies them before its first answer, so that it also knows leaves that nobody told it. An older replica applies the entry as none; beside an older leader, which lacks the call, all is as before. The suites of fleetcontrol, state, registry and rpc pass. While the disk of the machine stalled for up to 8 s (writes beside the tests show it), clusters of specs elected no leader for 10 s, three times. Conclusion: what was acknowledged is on a majority's disks. While no leader can commit, no leave is acknowledged, and endpoints ask another host, as the operator does.

--- a/pkg/fleetcontrol/announce.go
+++ b/pkg/fleetcontrol/announce.go
@@ -19,11 +19,8 @@
 var ErrNoMajority = errors.New("no majority of the control replicas could be told")
 
 // Announce records an endpoint's heartbeat. A leave announcement is acknowledged only
-// once a majority of the replicas has it: any later leader was elected by a majority,
-// so one of its voters has the announcement and sends it to the leader within
-// propagateInterval. It is not enough that this replica leads, or that one other has
-// the announcement: this side may be a minority that is cut off, and the hosts that
-// follow the other side's leader would go on sending to the endpoint. The error is a
+// once the log has recorded it, and a majority of the replicas has it: hosts that follow another
+// leader would go on sending to the endpoint otherwise. The error is a
 // *fleet.AnnouncementError if no endpoint can have sent the heartbeat.
 func (s *Server) Announce(ctx context.Context, e fleet.Endpoint) error {
 	if err := e.ValidateAnnounced(); err != nil {
@@ -54,11 +51,15 @@
 
 // propagate sends an endpoint to the other replicas without waiting for the next
 // regular round. It fails unless a majority of the replicas that elect leaders, this one
-// included, has it before the calls time out.
+// included, has it before the calls time out, and the log records it if the endpoint is leaving
+// or gone.
 func (s *Server) propagate(ctx context.Context, e fleet.Endpoint) error {
 	e.LastHeartbeat = s.cfg.Timer.Now()
-	others, acknowledged := s.propagateBatched(ctx, e)
-	if ctx.Err() != nil || 2*(int(acknowledged)+1) <= others+1 {
+	batch := s.propagateBatched(ctx, e)
+	if batch == nil || ctx.Err() != nil || !batch.hasMajority() {
+		return ErrNoMajority
+	}
+	if (e.Leaving || e.Gone) && !batch.recorded {
 		return ErrNoMajority
 	}
 	return nil
--- a/pkg/fleetcontrol/committed.go
+++ b/pkg/fleetcontrol/committed.go
@@ -15,13 +15,14 @@
 const maxDirectDocument = 4 << 10
 
 // recordCommitted records the configuration that this replica has applied, to make
-// patches from it later. Every replica does so, since any may lead next.
+// patches from it later, and the departures. Every replica does so, since any may lead next.
 func (s *Server) recordCommitted() {
 	_, machine := s.replica.current()
 	if machine == nil {
 		return
 	}
 	s.recordDocument(machine.Document())
+	s.applyDepartures(machine)
 }
 
 func (s *Server) recordDocument(doc *rpc.Document) {
--- a/pkg/fleetcontrol/server.go
+++ b/pkg/fleetcontrol/server.go
@@ -80,15 +80,17 @@
 	cfg     Config
 	replica *Replica
 	// leadership is replica, behind an interface that tests replace.
-	leadership     leadership
-	table          *registry.Table
-	hosts          *hosts
-	endpointList   *endpointList
-	history        *fleet.History
-	propagator     propagator
-	endpointClient *endpointClient
-	controller     *placement.Controller
-	group          *group.Group
+	leadership   leadership
+	table        *registry.Table
+	hosts        *hosts
+	endpointList *endpointList
+	history      *fleet.History
+	propagator   propagator
+
+	appliedDepartures appliedDepartures
+	endpointClient    *endpointClient
+	controller        *placement.Controller
+	group             *group.Group
 
 	probes      *probeSchedule
 	coordinator *quarantineCoordinator
--- a/pkg/fleetcontrol/sync.go
+++ b/pkg/fleetcontrol/sync.go
@@ -38,6 +38,7 @@
 			Leader: leader,
 		}, nil
 	}
+	s.applyDepartures(machine)
 	first := s.hosts.observe(began, q)
 	s.observeNotices(q)
 	s.probeSuspected(q.GetSuspects())
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -37,6 +37,7 @@
 	// departures lists the endpoints that were last found to be leaving or gone, the newest
 	// last.
 	departures []departure
+	departed   map[string]Departed
 }
 
 // departure is when this replica learned that an endpoint is leaving or gone.
@@ -157,6 +158,7 @@
 	}
 	if old == nil {
 		e.Gone = e.Gone || t.goneSince(&e)
+		t.markDeparted(&e)
 		e.Silent = false
 		t.entries[e.ID] = &entry{
 			Endpoint: e,
--- a/pkg/registry/restore.go
+++ b/pkg/registry/restore.go
@@ -21,6 +21,7 @@
 		e.Silent = true
 		e.Loading = false
 		e.LastHeartbeat = time.Time{}
+		t.markDeparted(&e)
 		t.entries[e.ID] = &entry{
 			Endpoint: e,
 			silentAt: t.svc.Now(),
--- a/pkg/state/state.go
+++ b/pkg/state/state.go
@@ -1,8 +1,9 @@
 // Package state implements the replicated state machine: the chains of bundle
 // versions, the claims of requests that must not be executed more than once, the
-// full configuration, and the quarantined requests. Applying the same commands
-// in the same order gives the same state on every replica: the state machine
-// reads no clock, and takes the time from the commands.
+// full configuration, the quarantined requests, and the endpoints that left.
+// Applying the same commands in the same order gives the same state on every
+// replica: the state machine reads no clock, and takes the time from the
+// commands.
 package state
 
 import (
@@ -32,8 +33,10 @@
 	quarantine        *quarantine
 	quarantineVersion uint64 // increases with every change
 	crashEvidence     *rpc.CrashEvidence
+	departures        *departures
+	departuresVersion uint64 // increases with every change
 	clock             int64
-	changed           chan struct{} // closed when the bundles, the document or the quarantine change
+	changed           chan struct{} // closed when the bundles, the document, the quarantine or the departures change
 }
 
 // New returns an empty state machine that keeps claims for windowMS
@@ -57,6 +60,8 @@
 	m.quarantine = newQuarantine(nil)
 	m.crashEvidence = nil
 	m.quarantineVersion++
+	m.departures = newDepartures(nil)
+	m.departuresVersion++
 	m.claims.reset()
 }
 
@@ -95,6 +100,8 @@
 		m.changeQuarantine(k.Quarantine)
 	case *rpc.Command_CrashEvidence:
 		m.crashEvidence = k.CrashEvidence
+	case *rpc.Command_Departures:
+		m.recordDepartures(k.Departures)
 	}
 	return proto.Marshal(reply)
 }
@@ -107,7 +114,7 @@
 }
 
 // Changed returns a channel that is closed at the next change of the bundles,
-// the document or the quarantine.
+// the document, the quarantine or the departures.
 func (m *Machine) Changed() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -162,6 +169,7 @@
 		Quarantine:  m.quarantine.sorted(),
 
 		CrashEvidence: m.crashEvidence,
+		Departures:    m.departures.list,
 	}
 	for _, name := range m.chainNames() {
 		s.Chains = append(s.Chains, &rpc.BundleChain{
@@ -193,6 +201,7 @@
 	m.document = s.GetDocument()
 	m.quarantine = newQuarantine(s.GetQuarantine())
 	m.crashEvidence = s.GetCrashEvidence()
+	m.departures = newDepartures(s.GetDepartures())
 	m.claims.restore(s.GetClaims())
 	return nil
 }
