--- a/pkg/cmds/fleetcmd/fleet.go
+++ b/pkg/cmds/fleetcmd/fleet.go
@@ -140,13 +140,13 @@
 // rpcClient returns the client for calls to larchwinch's own processes.
 func rpcClient(ip string) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: netutil.CheckAnswers(&http.Transport{
 			DialContext:            netutil.Dialer(ip, rpcDialTimeout).DialContext,
 			MaxIdleConnsPerHost:    rpcIdleConns,
 			IdleConnTimeout:        rpcIdleTimeout,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: netutil.MaxResponseHeaderBytes,
-		},
+		}),
 		CheckRedirect: noRedirect,
 	}
 }
@@ -208,14 +208,14 @@
 // the endpoint about a millisecond.
 func endpointClient(d platform.Dialer, idleConns int) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: netutil.CheckAnswers(&http.Transport{
 			DialContext:            d.DialContext,
 			DisableCompression:     true,
 			DisableKeepAlives:      idleConns == 0,
 			MaxIdleConnsPerHost:    idleConns,
 			IdleConnTimeout:        endpointIdleTimeout,
 			MaxResponseHeaderBytes: netutil.MaxResponseHeaderBytes,
-		},
+		}),
 		CheckRedirect: noRedirect,
 	}
 }
--- a/pkg/netutil/netutil.go
+++ b/pkg/netutil/netutil.go
@@ -26,24 +26,19 @@
 
 // NewClient returns a client that dials from the IP address in address.
 func NewClient(address string) (*http.Client, error) {
-	return newClient(address, false)
+	return newClient(address, false, nil)
 }
 
 // NewUnpooledClient returns a client that makes a new connection for each request, so
 // that a failure to connect proves that nothing was sent.
 func NewUnpooledClient(address string) (*http.Client, error) {
-	return newClient(address, true)
+	return newClient(address, true, nil)
 }
 
 // NewRPCClient returns a client for calls to larchwinch's own processes. With
 // credentials it uses mutual TLS, with nil plain HTTP.
 func NewRPCClient(address string, pair *keys.Credentials) (*http.Client, error) {
-	c, err := NewClient(address)
-	if err != nil || pair == nil {
-		return c, err
-	}
-	c.Transport = keys.NewTransport(c.Transport.(*http.Transport), pair)
-	return c, nil
+	return newClient(address, false, pair)
 }
 
 // ListenRPC is Listen for calls from larchwinch's own processes. With credentials
@@ -57,7 +52,7 @@
 	return s, nil
 }
 
-func newClient(address string, once bool) (*http.Client, error) {
+func newClient(address string, once bool, pair *keys.Credentials) (*http.Client, error) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "own address")
@@ -69,16 +64,21 @@
 			IP: ap.Addr().AsSlice(),
 		},
 	}
+	plain := &http.Transport{
+		DialContext:            d.DialContext,
+		MaxIdleConns:           idleConns,
+		MaxIdleConnsPerHost:    idleConnsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		DisableKeepAlives:      once,
+		MaxResponseHeaderBytes: MaxResponseHeaderBytes,
+	}
+	transport := http.RoundTripper(plain)
+	if pair != nil {
+		transport = keys.NewTransport(plain, pair)
+	}
 	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            d.DialContext,
-			MaxIdleConns:           idleConns,
-			MaxIdleConnsPerHost:    idleConnsPerHost,
-			IdleConnTimeout:        idleTimeout,
-			DisableCompression:     true,
-			DisableKeepAlives:      once,
-			MaxResponseHeaderBytes: MaxResponseHeaderBytes,
-		},
+		Transport: CheckAnswers(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
