--- a/pkg/fleetcontrol/partbursts_test.go
+++ b/pkg/fleetcontrol/partbursts_test.go
@@ -85,6 +85,7 @@
 	q := ofPart(id)
 	q.Crashes[0].Domain = uint32(1 + n%burstDomains)
 	q.Crashes[0].Parts[0].Requests = uint32(len(requests))
+	q.Crashes[0].Parts[0].Fresh = uint32(len(requests))
 	q.Crashes[0].Parts[0].Request = requests[0]
 	for _, r := range requests {
 		q.Ended = append(q.Ended, &rpc.EndedSend{Fingerprint: r, Endpoint: id, Early: true})
@@ -100,6 +101,7 @@
 		start := b.up[n]
 		q := ofPart(fleet.LoadKey(burstID(n, start)))
 		q.Crashes[0].Domain = uint32(1 + n%burstDomains)
+		q.Crashes[0].Parts[0].Fresh = 1
 		b.sync(q)
 		if crashed {
 			b.up[n] = 0
