quarantine: a crash follows an earlier one if its request was sent after that, whoever was reported there

Cause: where all endpoints of a domain crash, the crashes count one by one if some followed earlier ones under the same request. Ruled out: the disk (no write stalled in those seconds), confirmations (all were there). Change: a crash follows an earlier one if its request with the part was sent after that, by the reported time from its send to the crash; times may be off by 2 ms. Evidence: the case of requests that aren't reported at the first crash fails without the change; a domain that is lost in steps under requests sent before quarantines nothing, and fails without the comparison of times (mutation). Conclusion: the order of sends and crashes decides, not who was named. Why some requests aren't reported is open.

--- a/pkg/fleetcontrol/partbursts_test.go
+++ b/pkg/fleetcontrol/partbursts_test.go
@@ -26,6 +26,8 @@
 	burstDomains   = 3
 	// burstLimit is within what time after the fifth crash the part must be quarantined.
 	burstLimit = 3 * time.Second
+	// crashTime is the time from the send of a request to the crash.
+	crashTime = 20 * time.Millisecond
 )
 
 func withBursts(f func(b *burstFixture)) {
@@ -62,14 +64,16 @@
 	}
 }
 
-// retry reports crashes of endpoints under one request each, and then of others under the same ones.
-func (b *burstFixture) retry(first, then []int) {
+// retry reports crashes of endpoints under one request each, and then of others under the same ones; or
+// under those whose first crash isn't reported, which have numbers higher by unreported.
+func (b *burstFixture) retry(first, then []int, unreported uint64) {
 	requests := []uint64{}
 	for _, n := range first {
 		requests = append(requests, uint64(7000+n))
 		b.crashUnder(requests[len(requests)-1:], n)
+		requests[len(requests)-1] += unreported
 	}
-	b.clock.Advance(20 * time.Millisecond)
+	b.clock.Advance(crashTime + time.Millisecond)
 	for i, n := range then {
 		own := []uint64{}
 		for k := i; k < len(requests); k += len(then) {
@@ -88,7 +92,7 @@
 	q.Crashes[0].Parts[0].Fresh = uint32(len(requests))
 	q.Crashes[0].Parts[0].Request = requests[0]
 	for _, r := range requests {
-		q.Ended = append(q.Ended, &rpc.EndedSend{Fingerprint: r, Endpoint: id, Early: true})
+		q.Ended = append(q.Ended, &rpc.EndedSend{Fingerprint: r, Endpoint: id, Early: true, AfterMs: uint32(crashTime.Milliseconds())})
 	}
 	b.sync(q)
 	b.up[n] = 0
@@ -156,18 +160,20 @@
 			{[]int{0, 3, 6}, []int{9, 12}},
 			{[]int{0, 3}, []int{6, 9}},
 		} {
-			withBursts(func(b *burstFixture) {
-				b.retry(c.first, c.then)
-				b.up[12] = 0
-				b.step(burstLimit - 500*time.Millisecond)
-				Expect(b.held()).To(Equal([]uint64{crashPart}))
-			})
+			for _, unreported := range []uint64{0, 100} {
+				withBursts(func(b *burstFixture) {
+					b.retry(c.first, c.then, unreported)
+					b.up[12] = 0
+					b.step(burstLimit - 500*time.Millisecond)
+					Expect(b.held()).To(Equal([]uint64{crashPart}))
+				})
+			}
 		}
 	})
 
 	It("are quarantined for nothing when a failure domain is lost in steps, and what was sent again survives", func() {
 		withBursts(func(b *burstFixture) {
-			b.retry([]int{0, 3, 6, 9}, []int{12})
+			b.retry([]int{0, 3, 6, 9}, []int{12}, 0)
 			b.step(time.Second)
 			b.sync(&rpc.SyncRequest{Survivals: []*rpc.PartSurvival{{Part: crashPart, WrittenMsAgo: 700}}})
 			for range 300 {
@@ -193,6 +199,12 @@
 		{"a whole failure domain is lost", func(b *burstFixture) {
 			b.lose(true, 0, 3, 6, 9, 12)
 		}},
+		{"a whole failure domain is lost in steps, under requests that were sent before", func(b *burstFixture) {
+			for i, n := range []int{0, 3, 6, 9, 12} {
+				b.crashUnder([]uint64{uint64(7000 + i)}, n)
+				b.clock.Advance(4 * time.Millisecond)
+			}
+		}},
 		{"a whole failure domain is lost and back", func(b *burstFixture) {
 			b.lose(true, 0, 3, 6, 9, 12)
 			b.step(2 * time.Second)
--- a/pkg/quarantine/detector.go
+++ b/pkg/quarantine/detector.go
@@ -78,13 +78,13 @@
 type suspects map[Fingerprint]*suspect
 
 // crashed implements requestCrashes.
-func (l suspects) crashed(request Fingerprint, endpoint uint32) bool {
+func (l suspects) crashed(request Fingerprint, endpoint uint32) (after time.Duration, ok bool) {
 	s := l[request]
 	if s == nil {
-		return false
+		return 0, false
 	}
-	_, ok := s.crashes[endpoint]
-	return ok
+	c, ok := s.crashes[endpoint]
+	return c.After, ok
 }
 
 type attribution struct {
--- a/pkg/quarantine/partcandidates.go
+++ b/pkg/quarantine/partcandidates.go
@@ -41,6 +41,8 @@
 	// evidence tells them apart.
 	massCrashes = 3
 	massWindow  = 500 * time.Millisecond
+	// timeResolution is by how much reported times of crashes and sends may be off.
+	timeResolution = 2 * time.Millisecond
 	// maxSharedCandidates bounds the shared parts that are compared, those at the most crashes.
 	maxSharedCandidates = 32
 )
--- a/pkg/quarantine/partlosses.go
+++ b/pkg/quarantine/partlosses.go
@@ -96,7 +96,7 @@
 // need later evidence: nearly all endpoints of the mass loss had requests with the part, none of
 // which ever survived, and none of the endpoints was heard of since. Besides, others of the failure
 // domain were heard of, or the endpoints crashed one after the other, as requests with the part were
-// sent again.
+// sent.
 func (t *partTable) separate(s *partSuspect, m *massLosses) map[uint32]bool {
 	out := map[uint32]bool{}
 	if m == nil || s.survived {
@@ -123,13 +123,18 @@
 	return out
 }
 
-// followRetries reports whether one of the endpoints crashed under a request with the part that an
-// earlier one had crashed under.
+// followRetries reports whether a request with the part was sent to one of the endpoints after another
+// had crashed, and crashed it as well.
 func (t *partTable) followRetries(s *partSuspect, members []uint32) bool {
 	for _, id := range members {
 		c := s.crashes[id]
-		if c != nil && slices.ContainsFunc(members, func(earlier uint32) bool {
-			return t.lost[earlier].at.Before(t.lost[id].at) && t.requests.crashed(c.request, earlier)
+		if c == nil {
+			continue
+		}
+		after, ok := t.requests.crashed(c.request, id)
+		sentAt := t.lost[id].at.Add(timeResolution - after)
+		if ok && slices.ContainsFunc(members, func(earlier uint32) bool {
+			return earlier != id && t.lost[earlier].at.Before(sentAt)
 		}) {
 			return true
 		}
--- a/pkg/quarantine/parttable.go
+++ b/pkg/quarantine/parttable.go
@@ -24,8 +24,8 @@
 
 // requestCrashes tells which crashes whole requests were at.
 type requestCrashes interface {
-	// crashed reports whether an endpoint crashed under a request.
-	crashed(request Fingerprint, endpoint uint32) bool
+	// crashed reports whether an endpoint crashed under a request, and how long after it was sent.
+	crashed(request Fingerprint, endpoint uint32) (after time.Duration, ok bool)
 }
 
 type partSuspect struct {
